--- /dev/null
+++ b/src/books.rs
@@ -0,0 +1,147 @@
+//! What a courier keeps in mind: types and sums only. Every decision and tuned value is in `choice.rs`.
+
+use crate::interface::*;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// A message between its hand-in and its end (and the end of its last attempt).
+pub struct Message {
+    pub taken: Accepted,
+    pub born: Time,
+    pub attempts: u32,
+    /// The call that carries it now.
+    pub out: Option<u64>,
+    /// When the first attempt that may have run was sent, and where: it fixes window and group.
+    pub maybe_ran: Option<(Time, Option<ZoneId>)>,
+    pub not_before: Time,
+    pub closed: bool,
+    /// Beyond its tenant's share, and so worth little.
+    pub over_share: bool,
+}
+
+/// A call out: one slot, one fate, however many messages it carries.
+pub struct Call {
+    pub route: RouteId,
+    pub to: EndpointId,
+    pub zone: ZoneId,
+    pub sent: Time,
+    pub carried: Vec<MessageId>,
+    pub unanswered: usize,
+    /// How long the connection that it went out on had been idle; none on a new or busy one.
+    pub idle: Option<Duration>,
+    pub stalled: bool,
+    pub called_off: bool,
+}
+
+/// What has one limit, pace and outage: a destination, or one endpoint of it where routes are apart.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RouteId(pub DestinationId, pub Option<EndpointId>);
+
+/// What may be sent next: by which route to which endpoint, which message, at what value.
+pub type Candidate = (RouteId, EndpointId, MessageId, f64);
+
+pub struct Address {
+    pub entry: Endpoint,
+    pub calls_out: usize,
+    /// Drawn once: orders endpoints that are else alike, for this courier only.
+    pub preference: u32,
+    pub failures: u32,
+    pub avoid_until: Time,
+    /// When a call last ended there with its connection left open.
+    pub used: Option<Time>,
+}
+
+/// Running mean and mean deviation of latencies, in seconds.
+#[derive(Clone, Copy, Default)]
+pub struct Latency {
+    pub mean: f64,
+    pub deviation: f64,
+    pub samples: u32,
+}
+
+impl Latency {
+    pub fn learn(&mut self, sample: Duration, least_gain: f64) {
+        let (sample, gain) = (sample.as_secs_f64(), least_gain.max(1.0 / f64::from(self.samples + 2)));
+        self.deviation += gain * ((sample - self.mean).abs() - self.deviation);
+        self.mean += gain * (sample - self.mean);
+        self.samples += 1;
+    }
+
+    /// So many times the mean and the deviation together.
+    pub fn times(&self, multiple: f64) -> f64 {
+        (self.mean + self.deviation) * multiple
+    }
+}
+
+/// A count of events that fades with time.
+#[derive(Default)]
+pub struct Decaying {
+    pub count: f64,
+    pub at: Time,
+}
+
+impl Decaying {
+    /// Events a second over about `span` seconds; `more` are added first.
+    pub fn rate(&mut self, now: Time, span: f64, more: f64) -> f64 {
+        self.count = self.count * (-(now - self.at).as_secs_f64() / span).exp() + more;
+        self.at = now;
+        self.count / span
+    }
+}
+
+/// A time without any success on a route, from its last success on: silence alone, until a call fails.
+#[derive(Default)]
+pub struct Spell {
+    pub began: Time,
+    pub next_trial: Time,
+    pub trials: u32,
+    /// Some call failed or was refused; else it is silence alone.
+    pub failed: bool,
+    /// Calls were lost or are silent, not just refused.
+    pub lost: bool,
+}
+
+/// Pace and health of a route: one mechanism for limits, outages and cold return.
+#[derive(Default)]
+pub struct Route {
+    /// Calls a second that it takes from all couriers together, as told.
+    pub weight: f64,
+    pub endpoints: Vec<EndpointId>,
+    /// Messages that one call may carry.
+    pub batch: usize,
+    pub rate: f64,
+    pub tokens: f64,
+    pub filled: Time,
+    pub bound: bool,
+    pub last_cut: Time,
+    /// Cuts since the last success.
+    pub cuts: usize,
+    /// Calls sent of late, and messages taken over about the time that a cold return lasts.
+    pub sent: Decaying,
+    pub demand: Decaying,
+    /// Calls served over about the time that a cold return lasts.
+    pub served: Decaying,
+    /// Calls served a second, as of the last success and without it; held up through an outage and its return.
+    pub share: f64,
+    pub told_wait: Time,
+    pub latency: Latency,
+    pub last_answer: Time,
+    pub evidence: u32,
+    pub spell: Option<Spell>,
+    /// When the slow start began, if one is on.
+    pub returned: Option<Time>,
+    /// Calls out, the oldest first.
+    pub out: BTreeSet<u64>,
+}
+
+/// Whether idle connections are being dropped unseen, so that the next call on one is lost. Courier-wide, as
+/// one courier meets each partner too seldom to learn it there.
+#[derive(Default)]
+pub struct Reaping {
+    pub risk: f64,
+    /// Risk of losing a call on a new connection: what is lost there is not for idleness.
+    pub other: f64,
+    /// Shortest idle time that lost a call.
+    pub idle: Duration,
+    pub next_check: Time,
+}
--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,909 @@
+//! Every decision of a courier. Types, events and actions are in `interface.rs`, what it keeps in mind in
+//! `books.rs`; nothing is decided there.
+//!
+//! The ordinary path: a message waits in the queue of its destination; a free call slot goes to the waiting
+//! destination with the fewest calls out; a message whose attempt may have run goes again under its one key,
+//! inside group, window and attempt limit, after a full-jitter exponential gap. All else guards that path.
+
+use crate::books::*;
+use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+// ---- Tuned values ----
+
+/// First gap before a repeat, as a part of the class's aim: short enough to leave time for several on time.
+const BACKOFF_BASE_OF_AIM: f64 = 0.05;
+/// Longest gap before a repeat, as a part of the class's aim: a repeat rarely pays if it waits longer.
+const BACKOFF_CAP_OF_AIM: f64 = 0.7;
+/// A keyed message is not resent in the last part of its window: the call must still arrive inside it.
+const WINDOW_MARGIN: f64 = 0.1;
+/// Latency assumed before the first answer, as a part of the shortest aim.
+const FIRST_LATENCY_OF_AIM: f64 = 0.1;
+/// Least weight of the newest latency in the running mean; the first few weigh more.
+const LATENCY_GAIN: f64 = 0.15;
+/// Time-out of a repeatable attempt, in latencies (mean and deviation) of its destination ...
+const TIMEOUT_LATENCIES: f64 = 4.0;
+/// ... and at least this part of the aim, at most this multiple of it.
+const TIMEOUT_AIMS: (f64, f64) = (0.5, 3.0);
+/// A call is stalled when it was not answered for so many latencies ...
+const STALL_LATENCIES: f64 = 3.0;
+/// ... and at least for this part of the shortest aim: short pauses of a partner pass unnoticed.
+const STALL_AIM: f64 = 0.25;
+/// An unsafe call gets so many times that patience before it is called off: what it carries is lost then.
+const UNSAFE_PATIENCE: u32 = 2;
+/// First gap between trial calls, as a part of the fall window, and the longest one; both are jittered.
+const TRIAL_GAPS_OF_FALL: (f64, f64) = (0.1, 0.6);
+/// Own demand counts towards the fall budget up to so many times what was served here before.
+const DEMAND_OF_SERVED: f64 = 1.5;
+/// With fewer messages than this over a cold return's length a courier is light: it waits for a deadline at
+/// most, lest its messages run out untried, and such couriers are few enough at any one destination.
+const LIGHT: f64 = 2.0;
+/// After a refusal its next call comes by chance within so many calls of its pace more, for they are many.
+const LIGHT_SPREAD: f64 = 3.0;
+/// Shortest part of a gap that chance may leave: who failed together must not come back together.
+const TRIAL_JITTER_FROM: f64 = 0.25;
+/// A spell without success shorter than this part of the fall window needs no slow start.
+const BLIP_OF_FALL: f64 = 0.6;
+/// Evidence that opens a spell, and what each outcome adds: no connection says that it is down, a lost call
+/// or an error hints at it (two in a row, as a light courier has few), single refusals are everyday life.
+const SPELL_AFTER: u32 = 6;
+const EVIDENCE_NO_CONNECTION: u32 = 6;
+const EVIDENCE_LOST: u32 = 3;
+const EVIDENCE_REFUSED: u32 = 1;
+/// Part of the fall budget that is used: refused calls, batches and chance need the rest.
+const FALL_BUDGET_USED: f64 = 0.8;
+/// On `full` the rate falls to this part of what was sent of late, at most once in `CUT_EVERY`: twice without
+/// a success, then to the part of the fall budget, as it may be an outage, or all may have to slow down.
+const RATE_CUTS: [f64; 3] = [0.75, 0.5, 0.0];
+const CUT_EVERY: Duration = Duration::from_millis(500);
+/// Growth of a rate that binds with each answer, as a part of itself or of one call an aim: with the cuts it
+/// settles where a fixed part of the calls is refused, however many couriers share the limit.
+const RATE_GROWTH: f64 = 0.25;
+/// A refusal with more than this share of the limit left, as told, is not for the limit.
+const ROOM_LEFT: f64 = 0.3;
+/// Growth where the share of the limit that is left is told: so many times that share.
+const TOLD_GROWTH: f64 = 2.0;
+/// What was sent of late: calls over about so many seconds.
+const LATE_S: f64 = 1.0;
+/// Tokens that may be saved up, in seconds of the rate; one call at least.
+const BURST_S: f64 = 0.4;
+/// Part of a tenant's quota assumed to be this courier's, in even parts; traffic is not even.
+const QUOTA_PART: f64 = 1.25;
+/// Weight of what waiting for one more aim would lose, against the worth itself.
+const WAITING_LOSS: f64 = 2.0;
+/// Calls out to a destination in a spell, as a part of the free slots; one at least.
+const TRIAL_SLOTS: f64 = 0.25;
+/// Share of the messages that may be held above which the least worth are shed.
+const SHED_ABOVE: f64 = 0.93;
+/// Weight of the newest loss or answer on an idle connection in the risk that such are dropped unseen.
+const REAPED_GAIN: f64 = 0.15;
+/// Risk from which on idle connections are closed before use: by an unsafe message, which would be lost, and
+/// by one that can be repeated, which would only be late.
+const REAPED_RISKS: (f64, f64) = (0.03, 0.25);
+/// ... beyond so many times the risk of a call on a new connection, which chance moves too.
+const REAPED_OTHER: f64 = 2.0;
+/// A connection in use until this part of the shortest aim ago was not idle: what it loses has other causes.
+const REAPED_LEAST_AIM: f64 = 0.1;
+/// Connections idle for this part of the shortest time that lost a call are trusted.
+const REAPED_MARGIN: f64 = 0.7;
+/// While idle connections are closed, one is tried so many of the shortest aim after the last loss.
+const REAPED_CHECK_AIMS: f64 = 4.0;
+
+// ---- State ----
+
+/// A courier: records events in `handle`, acts in `decide`.
+#[derive(Default)]
+pub struct Courier {
+    settings: Settings,
+    rng: fastrand::Rng,
+    addresses: BTreeMap<EndpointId, Address>,
+    routes: BTreeMap<RouteId, Route>,
+    /// Messages not answered, by destination; no empty ones.
+    queues: BTreeMap<DestinationId, Vec<MessageId>>,
+    messages: BTreeMap<MessageId, Message>,
+    /// What is left of each tenant's share, and since when.
+    shares: BTreeMap<TenantId, (f64, Time)>,
+    open: usize,
+    deadlines: BTreeSet<(Time, MessageId)>,
+    keys: BTreeMap<OrderKey, VecDeque<MessageId>>,
+    rests: BTreeMap<OrderKey, Time>,
+    calls: BTreeMap<u64, Call>,
+    last_call: u64,
+    /// Latency over all destinations: what one that was never called is assumed to need.
+    usual: Latency,
+    reaping: Reaping,
+    wake: Option<(Time, u64)>,
+    token: u64,
+    /// What is to be done, until `decide` hands it over.
+    actions: Vec<Action>,
+}
+
+impl Courier {
+    /// A courier that knows only its settings; `seed` is its one source of chance.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let first = shortest_aim(&settings) * FIRST_LATENCY_OF_AIM;
+        let usual = Latency { mean: first, deviation: first, samples: 0 };
+        Courier { settings, rng: fastrand::Rng::with_seed(seed), usual, ..Courier::default() }
+    }
+
+    /// Records one event. Call [`Courier::decide`] after the last one of a batch.
+    pub fn handle(&mut self, now: Time, event: Event) {
+        match event {
+            Event::Listed(listing) => self.on_listing(now, listing),
+            Event::Accept(message) => self.on_accept(now, message),
+            Event::Finished(finished) => self.on_finished(now, finished),
+            Event::ClientGone(id) => self.close(id),
+            Event::TickDue(token) => self.wake = self.wake.filter(|(_, set)| *set != token),
+            Event::FirstByte(_) | Event::Probed { .. } | Event::Note { .. } => {}
+        }
+    }
+
+    /// Acts on all that was recorded.
+    pub fn decide(&mut self, now: Time, actions: &mut Vec<Action>) {
+        self.answer_due(now);
+        self.shed(now);
+        let mut next = self.note_stalls(now);
+        self.free_pinned_slot(now);
+        self.send_ready(now, &mut next);
+        self.set_wake(now, next);
+        actions.append(&mut self.actions);
+    }
+
+    // ---- Events ----
+
+    fn on_listing(&mut self, now: Time, listing: Listing) {
+        let entries = match listing {
+            Listing::Failed => return,
+            Listing::Changes(entries) => entries,
+            Listing::Whole(entries) => {
+                // What a whole list does not name is gone: it gets nothing new from now on.
+                for address in self.addresses.values_mut() {
+                    address.entry.mode = Mode::Gone;
+                }
+                entries
+            }
+        };
+        for entry in entries {
+            let weight = self.weight_of(&entry);
+            let usual = self.usual;
+            let batch = self.settings.kinds.get(usize::from(entry.kind.0)).map_or(1, |k| k.batch.max(1));
+            let route = self.routes.entry(self.route_of(&entry)).or_insert_with(|| {
+                let (rate, tokens, filled, latency, last_answer) = (weight, 1.0, now, usual, now);
+                Route { rate, tokens, filled, latency, last_answer, ..Route::default() }
+            });
+            (route.weight, route.batch) = (weight, batch);
+            if let Some(known) = self.addresses.get_mut(&entry.id) {
+                known.entry = entry;
+                continue;
+            }
+            route.endpoints.push(entry.id);
+            let (id, preference, avoid_until) = (entry.id, self.rng.u32(..), Time::ZERO);
+            let address = Address { entry, calls_out: 0, preference, failures: 0, avoid_until, used: None };
+            self.addresses.insert(id, address);
+        }
+    }
+
+    fn on_accept(&mut self, now: Time, taken: Accepted) {
+        let Some(class) = self.settings.classes.get(usize::from(taken.class.0)) else { return };
+        let born = taken.deadline - class.deadline;
+        // A keyed message of a courier that died may have run there at any time since it was handed in.
+        let may_have_run = taken.from_dead_courier && class.effect == Effect::Keyed;
+        if let (true, Some(key)) = (class.in_order, taken.key) {
+            self.keys.entry(key).or_default().push_back(taken.id);
+        }
+        self.deadlines.insert((taken.deadline, taken.id));
+        self.queues.entry(taken.destination).or_default().push(taken.id);
+        self.open += 1;
+        for (_, route) in self.routes.range_mut(routes_of(taken.destination)) {
+            route.demand.rate(now, cold_s(&self.settings), 1.0);
+        }
+        let over_share = self.is_over_share(now, taken.tenant);
+        let message = Message {
+            born,
+            over_share,
+            attempts: 0,
+            out: None,
+            maybe_ran: may_have_run.then_some((born, None)),
+            not_before: now,
+            closed: false,
+            taken,
+        };
+        self.messages.insert(message.taken.id, message);
+    }
+
+    /// Whether a tenant is past its quota. The quota is for all couriers together, and what others take of it
+    /// cannot be seen: what passes the part assumed to be this courier's counts as beyond.
+    fn is_over_share(&mut self, now: Time, tenant: TenantId) -> bool {
+        let Some(quota) = self.settings.tenants.get(tenant.0 as usize).map(|t| t.quota) else { return false };
+        let part = (QUOTA_PART / couriers(&self.settings)).min(1.0);
+        let (left, since) = self.shares.entry(tenant).or_insert((quota * part, now));
+        *left = (*left + (now - *since).as_secs_f64() * quota * part).min(quota * part);
+        *since = now;
+        let over = *left < 1.0;
+        if !over {
+            *left -= 1.0;
+        }
+        over
+    }
+
+    fn on_finished(&mut self, now: Time, finished: Finished) {
+        // A wait binds from the batch that tells it, whichever message of a call brings it, and whatever
+        // became of that message.
+        if let Outcome::Full(Some(wait)) = finished.outcome {
+            let route = self.addresses.get(&finished.endpoint).map(|a| self.route_of(&a.entry));
+            if let Some(route) = route.and_then(|id| self.routes.get_mut(&id)) {
+                route.told_wait = route.told_wait.max(now + wait);
+            }
+        }
+        let Some(message) = self.messages.get_mut(&finished.message) else { return };
+        let Some(call_id) = message.out.take() else { return };
+        let Some(call) = self.calls.get_mut(&call_id) else { return };
+        let class = &self.settings.classes[usize::from(message.taken.class.0)];
+        let never_ran = matches!(finished.outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot);
+        if !never_ran && message.maybe_ran.is_none() {
+            message.maybe_ran = Some((call.sent, Some(call.zone)));
+        }
+        let gap = growing_gap(class.aim, BACKOFF_BASE_OF_AIM, message.attempts)
+            .min(class.aim.mul_f64(BACKOFF_CAP_OF_AIM));
+        message.not_before = now + gap.mul_f64(self.rng.f64());
+        // A call that may still be running lets its key rest before the next message of the key.
+        let unsettled = matches!(finished.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
+        if let (true, true, Some(key)) = (unsettled, class.in_order, message.taken.key) {
+            self.rests.retain(|_, until| *until > now);
+            self.rests.insert(key, now + self.settings.rules.order_settle);
+        }
+        // Only a call's last outcome counts for the route: its messages share one fate.
+        call.unanswered -= 1;
+        if call.unanswered == 0 {
+            if let Some(call) = self.calls.remove(&call_id) {
+                self.end_call(now, call_id, call, &finished);
+            }
+        }
+        if finished.complete {
+            self.close(finished.message);
+        } else if let Some(end) = self.messages.get(&finished.message).and_then(|m| self.last_send(m)) {
+            // What can never be sent again is answered at once: it would only fill what may be held and keep
+            // its order key from the messages behind it.
+            self.deadlines.insert((end.max(now), finished.message));
+        }
+        self.forget_if_over(finished.message);
+    }
+
+    /// Until when a message may be sent again, if that ends before its deadline.
+    fn last_send(&self, message: &Message) -> Option<Time> {
+        let class = self.class(message);
+        match (message.maybe_ran, class.effect) {
+            _ if message.attempts >= self.settings.send_cap => Some(Time::ZERO),
+            (Some(_), Effect::Unsafe) => Some(Time::ZERO),
+            (Some((first, _)), Effect::Keyed) => Some(window_end(class, first)),
+            _ => None,
+        }
+    }
+
+    /// Frees the slot of a call and lets address, connections and route learn from its outcome.
+    fn end_call(&mut self, now: Time, id: u64, call: Call, finished: &Finished) {
+        if let Some(route) = self.routes.get_mut(&call.route) {
+            route.out.remove(&id);
+        }
+        let lost = matches!(finished.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
+        let reaped =
+            lost && self.reaping.risk > 0.0 && call.idle.is_some_and(|idle| idle >= self.reaping.idle);
+        if !(lost && call.stalled) {
+            self.learn_of_idle(now, call.idle, lost, finished.outcome == Outcome::Ok);
+        }
+        let rules = &self.settings.rules;
+        if let Some(address) = self.addresses.get_mut(&call.to) {
+            address.calls_out = address.calls_out.saturating_sub(1);
+            match finished.outcome {
+                Outcome::Ok => (address.used, address.failures) = (Some(now), 0),
+                Outcome::Full(_) => address.used = Some(now),
+                _ if reaped => {}
+                Outcome::ConnectFailed | Outcome::Timeout | Outcome::Reset | Outcome::Error => {
+                    address.failures += 1;
+                    let gap = growing_gap(rules.fall, TRIAL_GAPS_OF_FALL.0, address.failures).min(rules.cold);
+                    address.avoid_until = now + gap.mul_f64(self.rng.f64());
+                }
+                Outcome::Cancelled | Outcome::Moot => {}
+            }
+        }
+        if !reaped {
+            self.learn(now, finished, &call);
+        }
+    }
+
+    /// A loss on an idle connection speaks for connections that are dropped unseen, an answer on one that was
+    /// idle as long speaks against it.
+    fn learn_of_idle(&mut self, now: Time, idle: Option<Duration>, lost: bool, answered: bool) {
+        let Some(idle) =
+            idle.filter(|idle| idle.as_secs_f64() > shortest_aim(&self.settings) * REAPED_LEAST_AIM)
+        else {
+            if lost || answered {
+                self.reaping.other += REAPED_GAIN * (f64::from(u8::from(lost)) - self.reaping.other);
+            }
+            return;
+        };
+        let reaping = &mut self.reaping;
+        if lost {
+            reaping.idle = if reaping.risk > 0.0 { reaping.idle.min(idle) } else { idle };
+            reaping.risk += REAPED_GAIN * (1.0 - reaping.risk);
+            reaping.next_check =
+                now + Duration::from_secs_f64(shortest_aim(&self.settings) * REAPED_CHECK_AIMS);
+        } else if answered && idle >= reaping.idle {
+            reaping.risk -= REAPED_GAIN * reaping.risk;
+            reaping.next_check = now;
+            if reaping.risk < REAPED_RISKS.0 {
+                reaping.risk = 0.0;
+            }
+        }
+    }
+
+    // ---- Health and pace ----
+
+    /// Health and pace of a route, from the outcome of one call.
+    fn learn(&mut self, now: Time, finished: &Finished, call: &Call) {
+        let (settings, chance) = (&self.settings, self.rng.f64());
+        let waiting = self.queues.get(&call.route.0).map_or(0, Vec::len) as f64;
+        let Some(route) = self.routes.get_mut(&call.route) else { return };
+        if let Some(limit) = finished.allowance.map(|a| a.limit).filter(|limit| *limit > 0.0) {
+            route.weight = limit;
+        }
+        // A time-out is a sample too, of at least its length: else it would stay too short all through a slow
+        // spell, and each repeat would meet the first call still running.
+        if matches!(finished.outcome, Outcome::Ok | Outcome::Timeout | Outcome::Cancelled) {
+            if route.latency.samples == 0 {
+                route.latency = Latency { samples: 0, ..self.usual };
+            }
+            route.latency.learn(finished.latency, LATENCY_GAIN);
+        }
+        // With a success since it was sent, a lost call says nothing of the route. Nor do errors and resets
+        // while an endpoint is left that did not fail; silence does, as a hang mostly takes all.
+        let sound = |a: &Address| a.entry.mode == Mode::Ready && a.failures == 0;
+        let alone = call.sent >= route.last_answer;
+        let all_sick = alone && !route.endpoints.iter().filter_map(|id| self.addresses.get(id)).any(sound);
+        let blip = settings.rules.fall.mul_f64(BLIP_OF_FALL);
+        match finished.outcome {
+            Outcome::Ok => {
+                self.usual.learn(finished.latency, LATENCY_GAIN);
+                let served = route.served.rate(now, cold_s(settings), 0.0);
+                let sick = route.spell.is_some() || route.returned.is_some();
+                route.share = if sick { served.max(route.share) } else { served };
+                route.served.count += 1.0;
+                // A destination that gave no success for a while may be cold: it gets a slow start. Couriers
+                // that saw only the end of an outage are covered by counting from the last success.
+                if route.spell.as_ref().is_some_and(|s| s.failed && now - s.began > blip) {
+                    route.returned = Some(now);
+                    route.tokens = 0.0;
+                }
+                let left = finished.allowance.filter(|a| a.limit > 0.0).map(|a| a.left.clamp(0.0, 1.0));
+                if route.bound {
+                    let growth = RATE_GROWTH * route.rate.min(shortest_aim(settings).recip());
+                    let growth = left.map_or(growth, |left| TOLD_GROWTH * left * route.rate);
+                    route.rate += growth;
+                }
+                route.spell = None;
+                (route.evidence, route.cuts) = (0, 0);
+                route.last_answer = now;
+                return;
+            }
+            // Shut, and told until when: all whom the door refused come back at one moment (issue of later
+            // mandeville: 480 of 490 calls at the fall). So the slow start begins there, by chance inside a
+            // call of its pace, and nothing is saved up behind the door.
+            Outcome::Full(Some(wait)) if wait > blip => {
+                (route.spell, route.returned) = (None, Some(route.told_wait));
+                (route.filled, route.tokens) = (route.told_wait, chance);
+                return;
+            }
+            Outcome::Full(_) => {
+                // Refused though there is room inside the limit: it is shut or hangs with its queue full.
+                let room = finished.allowance.is_some_and(|a| a.limit > 0.0 && a.left > ROOM_LEFT);
+                route.evidence += if room { EVIDENCE_LOST } else { EVIDENCE_REFUSED };
+                if now - route.last_cut > CUT_EVERY {
+                    let cut = RATE_CUTS[route.cuts.min(RATE_CUTS.len() - 1)];
+                    route.cuts += 1;
+                    // A clump must not wait at the pace of usual days until it has run out; where a call
+                    // carries many, what waits goes together, and a call an aim is enough.
+                    let an_aim = shortest_aim(settings).recip();
+                    let (waiting, most) = if route.batch > 1 { (0.0, an_aim) } else { (waiting, f64::MAX) };
+                    let late = route.sent.rate(now, LATE_S, 0.0).min(most);
+                    let own = route.demand.rate(now, cold_s(settings), 0.0);
+                    let late = late.max(own).max(route.weight / couriers(settings)).max(waiting * an_aim);
+                    let slowest = route.fall_part(now, settings, 0.0);
+                    route.rate = (cut * route.rate.min(late)).max(slowest.min(route.rate));
+                    route.last_cut = now;
+                }
+                // By chance, as all that were refused together would come back together.
+                let spread = if route.is_light(now, settings) { LIGHT_SPREAD } else { 1.0 };
+                route.tokens = route.tokens.min(-chance * spread);
+            }
+            Outcome::Error | Outcome::Reset if all_sick => route.evidence += EVIDENCE_LOST,
+            Outcome::ConnectFailed if alone => route.evidence += EVIDENCE_NO_CONNECTION,
+            Outcome::Timeout | Outcome::Cancelled if alone => route.evidence += EVIDENCE_LOST,
+            _ => {}
+        }
+        if route.evidence >= SPELL_AFTER || (route.spell.is_some() && route.evidence >= EVIDENCE_LOST) {
+            let spell = route.spell.get_or_insert(Spell { began: route.last_answer, ..Spell::default() });
+            spell.failed = true;
+            spell.lost |= !matches!(finished.outcome, Outcome::Full(_));
+            route.plan_trial(now, settings, chance);
+            route.returned = None;
+        }
+    }
+
+    /// Marks the calls that have been silent for too long, and says when the next one will have been.
+    fn note_stalls(&mut self, now: Time) -> Option<Time> {
+        let mut next = None;
+        for id in self.calls.iter().filter(|(_, call)| !call.stalled).map(|(id, _)| *id).collect::<Vec<_>>() {
+            let at = self.calls[&id].sent + self.stall_patience(self.calls[&id].route);
+            if at > now {
+                earliest(&mut next, Some(at));
+            } else if let Some(call) = self.calls.get_mut(&id) {
+                call.stalled = true;
+                let idle = call.idle;
+                self.learn_of_idle(now, idle, true, false);
+            }
+        }
+        next
+    }
+
+    fn stall_patience(&self, id: RouteId) -> Duration {
+        let usual = self.routes.get(&id).map_or(0.0, |route| route.latency.times(STALL_LATENCIES));
+        Duration::from_secs_f64(usual.max(shortest_aim(&self.settings) * STALL_AIM))
+    }
+
+    /// When a route may take one more call: now, later, or only after some outcome (none).
+    fn route_free_at(&mut self, now: Time, id: RouteId) -> Option<Time> {
+        let stall = self.stall_patience(id);
+        let slots_free = self.slots_free();
+        let rate = self.pace(now, id);
+        let route = self.routes.get_mut(&id)?;
+        if route.told_wait > now {
+            return Some(route.told_wait);
+        }
+        // Hung or dead destinations answer nothing: the silence itself opens the circuit, long before a
+        // time-out would, so that only few calls are risked.
+        let oldest = route.out.first().and_then(|call| self.calls.get(call)).map(|call| call.sent);
+        if let (None, Some(sent)) = (&route.spell, oldest) {
+            if now - sent.max(route.last_answer) > stall {
+                let (began, next_trial) = (route.last_answer.min(sent), now + stall);
+                route.spell = Some(Spell { began, next_trial, lost: true, ..Spell::default() });
+            }
+        }
+        if let Some(spell) = &route.spell {
+            // Trials that hang must not gather until they pin the slots of the healthy.
+            let room = ((slots_free as f64 * TRIAL_SLOTS) as usize).max(1);
+            return (route.out.len() < room).then_some(spell.next_trial);
+        }
+        // Bulkhead: no destination has more calls out than slots are left for all others.
+        if !route.out.is_empty() && route.out.len() >= slots_free.max(1) {
+            return None;
+        }
+        let burst = if route.returned.is_some() { 1.0 } else { (rate * BURST_S).max(1.0) };
+        let passed = (now - route.filled).as_secs_f64();
+        route.tokens = (route.tokens + passed * rate).min(burst);
+        route.filled = now;
+        route.bound = route.tokens < 1.0;
+        if route.bound {
+            return Some(now + Duration::from_secs_f64(((1.0 - route.tokens) / rate).clamp(0.001, 10.0)));
+        }
+        Some(now)
+    }
+
+    /// Calls a second that this courier may send a route now.
+    fn pace(&mut self, now: Time, id: RouteId) -> f64 {
+        let Some(route) = self.routes.get_mut(&id) else { return 1.0 };
+        let Some(returned) = route.returned else { return route.rate };
+        let warmth = (now - returned).as_secs_f64() / cold_s(&self.settings);
+        if warmth >= 1.0 {
+            route.returned = None;
+            return route.rate;
+        }
+        route.fall_part(now, &self.settings, warmth).min(route.rate)
+    }
+
+    // ---- Choice ----
+
+    /// Fills free slots: each to the waiting destination with fewest calls out; of those with equally many,
+    /// to the one whose best message is worth most for its time. `next` tells when to look again.
+    fn send_ready(&mut self, now: Time, next: &mut Option<Time>) {
+        let mut ready: Vec<(DestinationId, f64)> = Vec::new();
+        if self.slots_free() > 0 {
+            for to in self.queues.keys().copied().collect::<Vec<_>>() {
+                ready.extend(self.candidate(now, to, next).map(|(.., value)| (to, value)));
+            }
+        }
+        while self.slots_free() > 0 {
+            let order = |a: &(DestinationId, f64), b: &(DestinationId, f64)| {
+                self.calls_to(a.0).cmp(&self.calls_to(b.0)).then(b.1.total_cmp(&a.1))
+            };
+            let Some(place) = (0..ready.len()).min_by(|a, b| order(&ready[*a], &ready[*b])) else { break };
+            // Slots have gone since: what was free may not be so now.
+            let (to, _) = ready.swap_remove(place);
+            let Some((route, endpoint, message, _)) = self.candidate(now, to, next) else { continue };
+            self.send_call(now, route, endpoint, message);
+            ready.extend(self.candidate(now, to, next).map(|(.., value)| (to, value)));
+        }
+    }
+
+    fn calls_to(&self, destination: DestinationId) -> usize {
+        self.routes.range(routes_of(destination)).map(|(_, route)| route.out.len()).sum()
+    }
+
+    /// The best message of a destination that may be sent now, by which route and endpoint, and its worth for
+    /// the time that a slot is taken; if none, `next` tells when that may be.
+    fn candidate(&mut self, now: Time, to: DestinationId, next: &mut Option<Time>) -> Option<Candidate> {
+        for route in self.routes.range(routes_of(to)).map(|(id, _)| *id).collect::<Vec<_>>() {
+            let free = self.route_free_at(now, route);
+            if free.is_none_or(|at| at > now) {
+                earliest(next, free);
+                continue;
+            }
+            let Some((message, worth)) = self.pick(now, route, next) else { continue };
+            let Some(endpoint) = self.address_for(now, route, message) else { continue };
+            let takes = self.routes[&route].latency.mean.max(0.001);
+            return Some((route, endpoint, message, worth / takes));
+        }
+        None
+    }
+
+    /// The waiting message of most worth that may be sent now. A trial goes by whether it may be repeated.
+    fn pick(&self, now: Time, route: RouteId, next: &mut Option<Time>) -> Option<(MessageId, f64)> {
+        let trial = self.routes.get(&route).is_some_and(|r| r.spell.is_some());
+        let mut best: Option<(bool, f64, MessageId)> = None;
+        for message in self.queues.get(&route.0).into_iter().flatten().filter_map(|m| self.messages.get(m)) {
+            let at = self.sendable_at(now, message);
+            if at.is_none_or(|at| at > now) {
+                earliest(next, at);
+                continue;
+            }
+            let fit = !trial || self.repeatable(message);
+            let worth = self.worth(now, message);
+            if best.is_none_or(|(best_fit, most, _)| (fit, worth) > (best_fit, most)) {
+                best = Some((fit, worth, message.taken.id));
+            }
+        }
+        best.map(|(_, worth, id)| (id, worth))
+    }
+
+    fn class(&self, message: &Message) -> &Class {
+        &self.settings.classes[usize::from(message.taken.class.0)]
+    }
+
+    fn repeatable(&self, message: &Message) -> bool {
+        self.class(message).effect != Effect::Unsafe
+    }
+
+    /// The one gate for every send: when this message may be sent; none if not before some event, or never.
+    fn sendable_at(&self, now: Time, message: &Message) -> Option<Time> {
+        if message.closed || message.out.is_some() || self.last_send(message).is_some_and(|end| now > end) {
+            return None;
+        }
+        let class = self.class(message);
+        let mut at = message.not_before;
+        if let (true, Some(key)) = (class.in_order, message.taken.key) {
+            if self.keys.get(&key).and_then(|turn| turn.front()) != Some(&message.taken.id) {
+                return None;
+            }
+            // The rest after an unsettled attempt binds the next messages of the key, not the same one.
+            if message.attempts == 0 {
+                at = at.max(self.rests.get(&key).copied().unwrap_or(Time::ZERO));
+            }
+        }
+        Some(at)
+    }
+
+    /// Worth still to be won, and what of it waiting would lose: on time before late, what is about to be
+    /// late before what is fresh, and what is about to run out before what may wait.
+    fn worth(&self, now: Time, message: &Message) -> f64 {
+        // A repeat that must go before its window ends has nothing left after that.
+        let last = self.last_send(message).map(|end| (end - message.born).as_secs_f64());
+        let class = self.class(message);
+        let (aim, span) = (class.aim.as_secs_f64(), class.deadline.as_secs_f64());
+        let value = |age: f64| {
+            let late = ((age - aim) / (span - aim).max(0.001)).max(0.0);
+            if late > 1.0 || last.is_some_and(|end| age > end) {
+                return 0.0;
+            }
+            1.0 - (1.0 - class.late_share) * late
+        };
+        let age = (now - message.born).as_secs_f64();
+        let share = if message.over_share { self.settings.over_share_worth } else { 1.0 };
+        class.worth * share * ((1.0 + WAITING_LOSS) * value(age) - WAITING_LOSS * value(age + aim))
+    }
+
+    /// The address of a route with the fewest calls out, sick ones last; inside the group of a repeat. Ties
+    /// go by a preference drawn once: where each courier has few calls, all would pick the same one.
+    fn address_for(&self, now: Time, id: RouteId, message: MessageId) -> Option<EndpointId> {
+        let message = self.messages.get(&message)?;
+        let class = self.class(message);
+        let zone = match (class.effect, class.group, message.maybe_ran) {
+            (Effect::Keyed, Group::Zone, Some((_, zone))) => Some(zone?),
+            _ => None,
+        };
+        let endpoints = self.routes.get(&id)?.endpoints.iter();
+        endpoints
+            .filter_map(|endpoint| self.addresses.get(endpoint))
+            .filter(|a| a.entry.mode == Mode::Ready && zone.is_none_or(|z| a.entry.zone == z))
+            .min_by_key(|a| (a.avoid_until > now, a.calls_out, a.failures, a.preference))
+            .map(|a| a.entry.id)
+    }
+
+    /// One call: the message that was picked and, where a call may carry more, others that wait.
+    fn send_call(&mut self, now: Time, id: RouteId, to: EndpointId, first: MessageId) {
+        let idle = self.idle_connection(now, to, first);
+        let Some(address) = self.addresses.get_mut(&to) else { return };
+        address.calls_out += 1;
+        let zone = address.entry.zone;
+        let Some(route) = self.routes.get_mut(&id) else { return };
+        route.tokens -= 1.0;
+        route.sent.rate(now, LATE_S, 1.0);
+        let mut room = route.batch;
+        if let Some(spell) = &mut route.spell {
+            spell.trials += 1;
+            // What is only refused comes back unharmed, so that a trial may carry all that a call can.
+            if spell.lost {
+                room = 1;
+            }
+        }
+        route.plan_trial(now, &self.settings, self.rng.f64());
+        self.last_call += 1;
+        route.out.insert(self.last_call);
+        let mut carried = Vec::new();
+        let mut next = Some(first);
+        while let Some(message) = next {
+            let try_for = self.time_out(now, id, message);
+            if let Some(m) = self.messages.get_mut(&message) {
+                m.attempts += 1;
+                m.out = Some(self.last_call);
+                self.actions.push(Action::Route { message, endpoint: to, try_for });
+            }
+            carried.push(message);
+            next = if carried.len() == room { None } else { self.pick(now, id, &mut None).map(|(m, _)| m) };
+        }
+        let (route, sent, unanswered, stalled, called_off) = (id, now, carried.len(), false, false);
+        let call = Call { route, to, zone, sent, carried, unanswered, idle, stalled, called_off };
+        self.calls.insert(self.last_call, call);
+    }
+
+    /// How long the connection has been idle that the next call to an endpoint would use. Where idle ones are
+    /// dropped unseen, they are closed first; now and then one is tried, with a message that can be repeated.
+    fn idle_connection(&mut self, now: Time, to: EndpointId, first: MessageId) -> Option<Duration> {
+        let address = self.addresses.get(&to)?;
+        let idle = now - address.used.filter(|used| now - *used < self.settings.conn_idle)?;
+        // With calls out, a second connection may have been idle for longer than was seen.
+        let alone = address.calls_out == 0;
+        let repeatable = self.messages.get(&first).is_some_and(|m| self.repeatable(m));
+        let bearable = if repeatable { REAPED_RISKS.1 } else { REAPED_RISKS.0 };
+        let reaping = &mut self.reaping;
+        let short = alone && idle < reaping.idle.mul_f64(REAPED_MARGIN);
+        if reaping.risk < bearable + reaping.other * REAPED_OTHER || short {
+            return alone.then_some(idle);
+        }
+        if repeatable && alone && idle >= reaping.idle && now >= reaping.next_check {
+            reaping.next_check =
+                now + Duration::from_secs_f64(shortest_aim(&self.settings) * REAPED_CHECK_AIMS);
+            return Some(idle);
+        }
+        self.actions.push(Action::CloseIdle { endpoint: to });
+        None
+    }
+
+    /// Follows the destination's own latency. An attempt that could not be followed by another gets all the
+    /// time that the message has: its time-out would be final.
+    fn time_out(&self, now: Time, id: RouteId, message: MessageId) -> Duration {
+        let Some(m) = self.messages.get(&message) else { return Duration::ZERO };
+        let class = self.class(m);
+        let left = m.taken.deadline - now;
+        let Some(route) = self.routes.get(&id) else { return left };
+        let usual = route.latency.times(TIMEOUT_LATENCIES);
+        let aim = class.aim.as_secs_f64();
+        let span = Duration::from_secs_f64(usual.clamp(aim * TIMEOUT_AIMS.0, aim * TIMEOUT_AIMS.1));
+        let first = m.maybe_ran.map_or(now, |(first, _)| first);
+        let last = m.attempts + 1 >= self.settings.send_cap
+            || class.effect == Effect::Unsafe
+            || (class.effect == Effect::Keyed && now + span > window_end(class, first));
+        let span = if last { left } else { span };
+        span.min(left)
+    }
+
+    /// All slots taken while messages wait: the oldest call that hangs is called off, an unsafe one later.
+    fn free_pinned_slot(&mut self, now: Time) {
+        if !self.settings.cancel || self.slots_free() > 0 || self.open <= self.calls.len() {
+            return;
+        }
+        let hanging = |call: &Call| {
+            let mut carried = call.carried.iter().filter_map(|m| self.messages.get(m));
+            let safe = carried.all(|m| self.repeatable(m));
+            let patience = self.stall_patience(call.route) * if safe { 1 } else { UNSAFE_PATIENCE };
+            !call.called_off && now - call.sent > patience
+        };
+        let Some(id) = self.calls.iter().find(|(_, call)| hanging(call)).map(|(id, _)| *id) else { return };
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        call.called_off = true;
+        for message in &call.carried {
+            if let Some(m) = self.messages.get(message).filter(|m| m.out == Some(id)) {
+                self.actions
+                    .push(Action::StopAttempt { message: *message, attempt: (m.attempts - 1) as u16 });
+            }
+        }
+    }
+
+    // ---- Answers ----
+
+    /// The final answer that a message may be given now; none while an attempt may still deliver it.
+    fn permitted_answer(&self, id: MessageId) -> Option<Action> {
+        let message = self.messages.get(&id).filter(|m| !m.closed)?;
+        let refusable = match self.class(message).effect {
+            Effect::Safe => true,
+            _ => message.maybe_ran.is_none() && message.out.is_none(),
+        };
+        Some(if refusable { Action::Busy { message: id } } else { Action::ReportFailure { message: id } })
+    }
+
+    fn answer(&mut self, id: MessageId) {
+        self.actions.extend(self.permitted_answer(id));
+        self.close(id);
+    }
+
+    /// Every message has a deadline that answers it in time; one that is out is left half of the slack.
+    fn answer_due(&mut self, now: Time) {
+        while let Some(&(due, id)) = self.deadlines.first().filter(|(due, _)| *due <= now) {
+            self.deadlines.remove(&(due, id));
+            let Some(message) = self.messages.get(&id).filter(|m| !m.closed) else { continue };
+            let last_call = message.taken.deadline + self.settings.rules.answer_slack / 2;
+            if message.out.is_some() && now < last_call {
+                self.deadlines.insert((last_call, id));
+            } else {
+                self.answer(id);
+            }
+        }
+    }
+
+    /// Nearly full: the least worth go, before new messages are turned away unseen.
+    fn shed(&mut self, now: Time) {
+        let most = (self.settings.most_held as f64 * SHED_ABOVE) as usize;
+        while self.open > most {
+            let least = self
+                .messages
+                .values()
+                .filter(|m| !m.closed && m.out.is_none())
+                .map(|m| (self.worth(now, m), m.taken.id))
+                .min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
+            let Some((_, id)) = least else { return };
+            self.answer(id);
+        }
+    }
+
+    fn close(&mut self, id: MessageId) {
+        if let Some(message) = self.messages.get_mut(&id).filter(|m| !m.closed) {
+            message.closed = true;
+            self.open -= 1;
+            self.deadlines.remove(&(message.taken.deadline, id));
+            let to = message.taken.destination;
+            if let Some(queue) = self.queues.get_mut(&to) {
+                queue.retain(|m| *m != id);
+                if queue.is_empty() {
+                    self.queues.remove(&to);
+                }
+            }
+        }
+        self.forget_if_over(id);
+    }
+
+    /// A message is forgotten once it is answered and has nothing out; until then its key stays taken.
+    fn forget_if_over(&mut self, id: MessageId) {
+        if self.messages.get(&id).is_none_or(|m| !m.closed || m.out.is_some()) {
+            return;
+        }
+        if let Some(key) = self.messages.remove(&id).and_then(|m| m.taken.key) {
+            if let Some(turn) = self.keys.get_mut(&key) {
+                turn.retain(|m| *m != id);
+                if turn.is_empty() {
+                    self.keys.remove(&key);
+                }
+            }
+        }
+    }
+
+    // ---- Settings and timers ----
+
+    fn route_of(&self, entry: &Endpoint) -> RouteId {
+        let apart = self.settings.kinds.get(usize::from(entry.kind.0)).is_some_and(|k| k.own_limits);
+        RouteId(entry.destination, apart.then_some(entry.id))
+    }
+
+    fn weight_of(&self, entry: &Endpoint) -> f64 {
+        match self.settings.weights {
+            WeightSource::Silent => self.settings.call_slots as f64,
+            WeightSource::Rough | WeightSource::Nominal => entry.weight.max(0.1),
+        }
+    }
+
+    fn slots_free(&self) -> usize {
+        self.settings.call_slots.saturating_sub(self.calls.len())
+    }
+
+    /// One timer is outstanding: the earliest moment at which something could be done without an event.
+    fn set_wake(&mut self, now: Time, next: Option<Time>) {
+        let due = self.deadlines.first().map(|(due, _)| *due);
+        let Some(at) = [next, due].into_iter().flatten().min() else { return };
+        if self.wake.is_none_or(|(set, _)| at < set || set <= now) {
+            self.token += 1;
+            self.wake = Some((at, self.token));
+            self.actions.push(Action::Wake { after: at - now, token: self.token });
+        }
+    }
+}
+
+/// The routes of a destination.
+fn routes_of(to: DestinationId) -> std::ops::RangeInclusive<RouteId> {
+    RouteId(to, None)..=RouteId(to, Some(EndpointId(u32::MAX)))
+}
+
+impl Route {
+    /// Whether this courier has too few messages here for a figure of its own (`LIGHT`).
+    fn is_light(&mut self, now: Time, settings: &Settings) -> bool {
+        self.demand.rate(now, cold_s(settings), 0.0) * cold_s(settings) < LIGHT
+    }
+
+    /// This courier's part of what all may send together, a second, so that a destination survives a return;
+    /// `warmth` runs from 0 to 1 over a cold one. It goes by what was served here before, which adds up to
+    /// what the destination can do however many want it (own demand does not: hunted day h1c8921, thirty
+    /// times the limit), or by the even part. Trials, slow starts and last cuts share this one budget.
+    fn fall_part(&mut self, now: Time, settings: &Settings, warmth: f64) -> f64 {
+        let demand = self.demand.rate(now, cold_s(settings), 0.0);
+        let least = if self.is_light(now, settings) { shortest_deadline(settings).recip() } else { 0.0 };
+        let own = demand.clamp(self.share, self.share * DEMAND_OF_SERVED);
+        let part = own.max(self.weight / couriers(settings));
+        let share = settings.rules.cold_from + (1.0 - settings.rules.cold_from) * warmth;
+        (part * share * settings.rules.tip_multiple * FALL_BUDGET_USED).max(least)
+    }
+
+    /// Sets when the next trial call of a spell may go: at growing, jittered gaps, and by this courier's part
+    /// of the fall budget; trials that are refused can also use up a small limit by themselves (i2aa64d).
+    fn plan_trial(&mut self, now: Time, settings: &Settings, chance: f64) {
+        let own = Duration::from_secs_f64(self.fall_part(now, settings, 0.0).max(0.001).recip());
+        let Some(spell) = &mut self.spell else { return };
+        let (fall, (first, longest)) = (settings.rules.fall, TRIAL_GAPS_OF_FALL);
+        let gap = growing_gap(fall, first, spell.trials).min(fall.mul_f64(longest));
+        let jitter = TRIAL_JITTER_FROM + chance * (1.0 - TRIAL_JITTER_FROM);
+        // Behind a told wait no gap runs out: who waits together must not come back together.
+        spell.next_trial = now.max(self.told_wait) + gap.max(own).mul_f64(jitter);
+    }
+}
+
+/// Couriers that share the destinations: an even part is one over this.
+fn couriers(settings: &Settings) -> f64 {
+    f64::from(settings.couriers.max(1))
+}
+
+/// Until when a keyed message may be resent that may first have run in an attempt sent then.
+fn window_end(class: &Class, first: Time) -> Time {
+    first + class.repeat_window.mul_f64(1.0 - WINDOW_MARGIN)
+}
+
+fn earliest(next: &mut Option<Time>, at: Option<Time>) {
+    *next = [*next, at].into_iter().flatten().min();
+}
+
+/// A gap that doubles from try to try.
+fn growing_gap(unit: Duration, first: f64, tries: u32) -> Duration {
+    unit.mul_f64(first * f64::from(tries.min(16)).exp2())
+}
+
+/// Shortest aim of a class, in seconds.
+fn shortest_aim(settings: &Settings) -> f64 {
+    let aim = settings.classes.iter().map(|c| c.aim).min();
+    aim.unwrap_or(Duration::from_secs(1)).as_secs_f64().max(0.001)
+}
+
+/// Shortest deadline of a class, in seconds.
+fn shortest_deadline(settings: &Settings) -> f64 {
+    let deadline = settings.classes.iter().map(|c| c.deadline).min();
+    deadline.unwrap_or(Duration::from_secs(1)).as_secs_f64().max(1.0)
+}
+
+/// How long a cold return lasts, in seconds.
+fn cold_s(settings: &Settings) -> f64 {
+    settings.rules.cold.as_secs_f64().max(1.0)
+}
--- /dev/null
+++ b/tests/common/crowd.rs
@@ -0,0 +1,269 @@
+//! Many couriers and one partner that has an outage and comes back cold: how much is sent to it, and by whom.
+
+use super::{accepted, endpoint, ms};
+use cloverstile::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// What the partner does with calls while it is out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outage {
+    /// Refuses, and tells how long it stays shut.
+    ShutAndTells,
+    /// Refuses without a word on when it opens.
+    Shut,
+    /// Takes no connection.
+    Down,
+    /// Takes calls and never answers.
+    Hung,
+}
+
+/// What a crowd is put through.
+#[derive(Clone, Copy)]
+pub struct Plan {
+    pub outage: Outage,
+    pub couriers: u32,
+    /// Calls a second that the warm partner takes.
+    pub capacity: f64,
+    /// What the list tells of that, over the truth.
+    pub told: f64,
+    /// Messages a second, over the capacity.
+    pub load: f64,
+    /// Messages that a call may carry.
+    pub batch: usize,
+    pub seed: u64,
+}
+
+/// What was seen of one run.
+pub struct Seen {
+    /// The most that couriers which saw the outage sent in a fall window, over what the partner survives.
+    pub worst: f64,
+    /// Share of the messages handed in since the return that were delivered.
+    pub delivered: f64,
+}
+
+/// How unevenly messages fall on couriers: at 0 alike, at 1 a few carry most.
+const SKEW: f64 = 0.9;
+/// Weight of a further message in a call, against the call itself.
+const ITEM: f64 = 0.15;
+const QUIET_FOR: Duration = Duration::from_secs(6);
+const OUT_FOR: Duration = Duration::from_secs(14);
+const STEP: Duration = Duration::from_millis(5);
+const TO: EndpointId = EndpointId(7);
+
+struct Member {
+    courier: Courier,
+    wake: Option<(Time, u64)>,
+    /// Its part of all messages.
+    part: f64,
+    /// Has news to act on.
+    touched: bool,
+    /// Saw a failure or a refusal while the partner was out.
+    aware: bool,
+}
+
+/// The outcome of an attempt, on its way to the courier.
+struct Coming {
+    member: usize,
+    message: MessageId,
+    attempt: u16,
+    outcome: Outcome,
+    sent: Time,
+}
+
+struct Crowd {
+    plan: Plan,
+    settings: Settings,
+    chance: fastrand::Rng,
+    now: Time,
+    out_from: Time,
+    back: Time,
+    members: Vec<Member>,
+    coming: BTreeMap<(Time, usize), Coming>,
+    /// Attempts made of each message, and over all.
+    attempts: BTreeMap<MessageId, u16>,
+    count: usize,
+    /// Calls that the partner takes before it refuses.
+    room: f64,
+    /// What couriers that saw the outage sent since the return, by weight.
+    weights: Vec<(Time, f64)>,
+    since_return: BTreeSet<MessageId>,
+    delivered: usize,
+}
+
+/// Lets a crowd live through the outage and the cold return.
+pub fn live_through(plan: Plan) -> Seen {
+    let mut crowd = Crowd::new(plan);
+    let (cold, fall) = (crowd.settings.rules.cold, crowd.settings.rules.fall);
+    let mut worst = 0.0_f64;
+    while crowd.now < crowd.back + cold {
+        crowd.now = crowd.now + STEP;
+        crowd.room = (crowd.room + crowd.capacity() * STEP.as_secs_f64()).min(crowd.capacity() / 2.0 + 1.0);
+        crowd.hand_in();
+        crowd.wake();
+        crowd.tell_outcomes();
+        (0..crowd.members.len()).for_each(|member| crowd.act(member));
+        if crowd.now >= crowd.back {
+            let survives = crowd.settings.rules.tip_multiple * crowd.capacity() * fall.as_secs_f64();
+            let recent = crowd.weights.iter().filter(|(at, _)| crowd.now - *at < fall);
+            worst = worst.max(recent.map(|(_, weight)| weight).sum::<f64>() / survives);
+        }
+    }
+    Seen { worst, delivered: crowd.delivered as f64 / crowd.since_return.len().max(1) as f64 }
+}
+
+fn settings_of(plan: &Plan) -> Settings {
+    let (aim, span) = (Duration::from_secs(4), Duration::from_secs(20));
+    let rules = Rules {
+        cold_from: 0.18,
+        cold: Duration::from_secs(12),
+        tip_multiple: 2.0,
+        fall: Duration::from_secs(3),
+        ..Settings::default().rules
+    };
+    Settings {
+        classes: vec![Class { aim, deadline: span, repeat_window: span, ..Class::default() }],
+        couriers: plan.couriers,
+        kinds: vec![Kind { batch: plan.batch, own_limits: false }],
+        call_slots: 4,
+        most_held: 48,
+        rules,
+        ..Settings::default()
+    }
+}
+
+impl Crowd {
+    fn new(plan: Plan) -> Self {
+        let settings = settings_of(&plan);
+        let start = Time::ZERO + Duration::from_secs(100);
+        let listed = Endpoint { weight: plan.capacity * plan.told, ..endpoint(TO.0, 1) };
+        let shares: Vec<f64> = (0..plan.couriers).map(|n| f64::from(n + 1).powf(-SKEW)).collect();
+        let all: f64 = shares.iter().sum();
+        let member = |(number, share): (usize, &f64)| {
+            let mut courier = Courier::new(settings.clone(), plan.seed * 1000 + number as u64);
+            courier.handle(start, Event::Listed(Listing::Whole(vec![listed.clone()])));
+            Member { courier, wake: None, part: share / all, touched: true, aware: false }
+        };
+        let members = shares.iter().enumerate().map(member).collect();
+        Crowd {
+            plan,
+            members,
+            settings,
+            chance: fastrand::Rng::with_seed(plan.seed),
+            now: start,
+            out_from: start + QUIET_FOR,
+            back: start + QUIET_FOR + OUT_FOR,
+            coming: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            count: 0,
+            room: 1.0,
+            weights: Vec::new(),
+            since_return: BTreeSet::new(),
+            delivered: 0,
+        }
+    }
+
+    fn out(&self) -> bool {
+        self.now >= self.out_from && self.now < self.back
+    }
+
+    /// Calls a second that the partner can do at this moment.
+    fn capacity(&self) -> f64 {
+        let rules = &self.settings.rules;
+        let warmth = ((self.now - self.back).as_secs_f64() / rules.cold.as_secs_f64()).min(1.0);
+        let cold = self.now >= self.back;
+        self.plan.capacity * if cold { rules.cold_from + (1.0 - rules.cold_from) * warmth } else { 1.0 }
+    }
+
+    fn hand_in(&mut self) {
+        let back = self.now >= self.back;
+        let all = self.plan.capacity * self.plan.load * STEP.as_secs_f64();
+        for member in &mut self.members {
+            if self.chance.f64() >= all * member.part {
+                continue;
+            }
+            let id = MessageId(self.attempts.len() as u32);
+            self.attempts.insert(id, 0);
+            if back {
+                self.since_return.insert(id);
+            }
+            let class = (ClassId(0), &self.settings.classes[0]);
+            let accepted = accepted(self.now, id.0, class, 1, None);
+            member.courier.handle(self.now, Event::Accept(accepted));
+            member.touched = true;
+        }
+    }
+
+    fn wake(&mut self) {
+        for member in &mut self.members {
+            if let Some((_, token)) = member.wake.take_if(|(at, _)| *at <= self.now) {
+                member.courier.handle(self.now, Event::TickDue(token));
+                member.touched = true;
+            }
+        }
+    }
+
+    fn tell_outcomes(&mut self) {
+        let out = self.out();
+        while let Some(entry) = self.coming.first_entry().filter(|entry| entry.key().0 <= self.now) {
+            let Coming { member, message, attempt, outcome, sent } = entry.remove();
+            let complete = outcome == Outcome::Ok;
+            self.delivered += usize::from(complete && self.since_return.contains(&message));
+            let latency = self.now - sent;
+            let finished =
+                Finished { message, endpoint: TO, attempt, outcome, latency, complete, allowance: None };
+            let member = &mut self.members[member];
+            member.courier.handle(self.now, Event::Finished(finished));
+            member.aware |= out && !complete;
+            member.touched = true;
+        }
+    }
+
+    fn act(&mut self, member: usize) {
+        if !std::mem::take(&mut self.members[member].touched) {
+            return;
+        }
+        let mut actions = Vec::new();
+        self.members[member].courier.decide(self.now, &mut actions);
+        // What goes in one turn is one call: one fate, a little weight for each further message.
+        let mut fate = None;
+        for action in actions {
+            match action {
+                Action::Wake { after, token } => {
+                    self.members[member].wake = Some((self.now + after, token));
+                }
+                Action::Route { message, try_for, .. } => {
+                    if self.members[member].aware && self.now >= self.back {
+                        self.weights.push((self.now, if fate.is_none() { 1.0 } else { ITEM }));
+                    }
+                    let (outcome, after) = *fate.get_or_insert_with(|| self.call(try_for));
+                    let attempts = self.attempts.entry(message).or_default();
+                    let coming = Coming { member, message, attempt: *attempts, outcome, sent: self.now };
+                    *attempts += 1;
+                    self.count += 1;
+                    self.coming.insert((self.now + after, self.count), coming);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// What becomes of a call sent now, and when that is known.
+    fn call(&mut self, try_for: Duration) -> (Outcome, Duration) {
+        let soon = ms(50);
+        if !self.out() {
+            if self.room < 1.0 {
+                return (Outcome::Full(None), soon);
+            }
+            self.room -= 1.0;
+            return (Outcome::Ok, ms(200));
+        }
+        match self.plan.outage {
+            // A wait counts from its answer.
+            Outage::ShutAndTells => (Outcome::Full(Some((self.back - self.now).saturating_sub(soon))), soon),
+            Outage::Shut => (Outcome::Full(None), soon),
+            Outage::Down => (Outcome::ConnectFailed, soon),
+            Outage::Hung => (Outcome::Timeout, try_for),
+        }
+    }
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,600 @@
+//! One test for each rule and each failure found; no bench needed.
+
+mod common;
+
+use cloverstile::*;
+use common::*;
+use std::time::Duration;
+
+const MAYBE_RAN: [Outcome; 4] = [Outcome::Error, Outcome::Timeout, Outcome::Reset, Outcome::Cancelled];
+const NEVER_RAN: [Outcome; 3] = [Outcome::Full(None), Outcome::ConnectFailed, Outcome::Moot];
+
+fn one(class: Class) -> Bench {
+    Bench::new(settings(vec![class]), vec![endpoint(7, 1)])
+}
+
+/// Message 1 was sent to endpoint 7, and its attempt ended so.
+fn after_one_attempt(class: Class, outcome: Outcome) -> Bench {
+    let mut bench = one(class);
+    bench.accept(1, 0, 1, None);
+    assert_eq!(bench.routes().len(), 1);
+    bench.now = bench.now + ms(50);
+    bench.finish(1, 7, outcome, ms(50));
+    bench
+}
+
+#[test]
+fn a_message_without_any_endpoint_is_handed_back_by_its_deadline() {
+    let mut bench = Bench::new(settings(vec![keyed()]), vec![]);
+    bench.accept(1, 0, 1, None);
+    let deadline = bench.now + bench.settings.classes[0].deadline;
+    assert_eq!(bench.until_action(Duration::from_secs(30)), [Action::Busy { message: MessageId(1) }]);
+    assert!(bench.now <= deadline + bench.settings.rules.answer_slack);
+    assert!(bench.until_action(Duration::from_secs(30)).is_empty());
+}
+
+#[test]
+fn an_unsafe_message_that_may_have_run_is_never_resent_and_ends_as_failed() {
+    for outcome in MAYBE_RAN {
+        let mut bench = after_one_attempt(unsafe_class(), outcome);
+        let end = bench.until_action(Duration::from_secs(30));
+        assert_eq!(end, [Action::ReportFailure { message: MessageId(1) }], "{outcome:?}");
+    }
+}
+
+#[test]
+fn an_unsafe_message_that_never_ran_goes_again() {
+    for outcome in NEVER_RAN {
+        let mut bench = after_one_attempt(unsafe_class(), outcome);
+        let next = bench.until_action(Duration::from_secs(15));
+        assert!(matches!(next[0], Action::Route { message: MessageId(1), .. }), "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_keyed_message_is_resent_inside_its_window_only() {
+    let mut bench = one(keyed());
+    bench.accept(1, 0, 1, None);
+    let sent = bench.now;
+    assert_eq!(bench.routes().len(), 1);
+    let mut repeats = 0;
+    loop {
+        bench.now = bench.now + ms(30);
+        bench.finish(1, 7, Outcome::Error, ms(30));
+        match bench.until_action(Duration::from_secs(30)).first() {
+            Some(Action::Route { .. }) => {
+                assert!(bench.now < sent + bench.settings.classes[0].repeat_window);
+                repeats += 1;
+            }
+            Some(Action::ReportFailure { .. }) => break,
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(repeats > 0);
+    assert!(repeats < bench.settings.send_cap);
+}
+
+#[test]
+fn a_keyed_message_stays_in_the_zone_that_drops_its_repeats() {
+    let mut other = endpoint(8, 1);
+    other.zone = ZoneId(1);
+    let class = Class { group: Group::Zone, ..keyed() };
+    let mut bench = Bench::new(settings(vec![class]), vec![endpoint(7, 1), other.clone()]);
+    bench.accept(1, 0, 1, None);
+    let first = bench.routes()[0].1;
+    bench.now = bench.now + ms(50);
+    bench.finish(1, first, Outcome::Reset, ms(50));
+    let zone = if first == 7 { ZoneId(0) } else { ZoneId(1) };
+    let drained = Endpoint { mode: Mode::Draining, zone, ..endpoint(first, 1) };
+    bench.tell(Event::Listed(Listing::Changes(vec![drained])));
+    let end = bench.until_action(Duration::from_secs(30));
+    assert_eq!(end, [Action::ReportFailure { message: MessageId(1) }]);
+}
+
+#[test]
+fn gaps_before_repeats_are_drawn_by_chance_and_grow() {
+    let mean_gap = |failures: u32| {
+        let gaps: Vec<u64> = (0..40)
+            .map(|seed| {
+                let mut bench = one(safe());
+                bench.courier = Courier::new(bench.settings.clone(), seed);
+                bench.tell(Event::Listed(Listing::Whole(vec![endpoint(7, 1)])));
+                bench.accept(1, 0, 1, None);
+                bench.routes();
+                for attempt in 0..failures {
+                    bench.finish(1, 7, Outcome::Error, ms(10));
+                    let failed = bench.now;
+                    assert!(!bench.until_action(Duration::from_secs(10)).is_empty());
+                    if attempt + 1 == failures {
+                        return (bench.now - failed).as_millis() as u64;
+                    }
+                }
+                0
+            })
+            .collect();
+        assert!(gaps.iter().min() < gaps.iter().max());
+        gaps.iter().sum::<u64>() / 40
+    };
+    assert!(mean_gap(3) > mean_gap(1));
+}
+
+#[test]
+fn a_message_from_a_dead_courier_counts_its_window_from_its_hand_in() {
+    let mut bench = one(keyed());
+    let class = bench.settings.classes[0].clone();
+    bench.tell(Event::Accept(Accepted {
+        id: MessageId(1),
+        class: ClassId(0),
+        destination: DestinationId(1),
+        key: None,
+        deadline: bench.now + (class.deadline - class.repeat_window),
+        from_dead_courier: true,
+        tenant: TenantId(0),
+    }));
+    let end = bench.until_action(Duration::from_secs(30));
+    assert_eq!(end, [Action::ReportFailure { message: MessageId(1) }]);
+}
+
+#[test]
+fn a_drained_or_gone_endpoint_gets_nothing_new() {
+    for mode in [Mode::Draining, Mode::Gone] {
+        let mut bench = Bench::new(settings(vec![safe()]), vec![endpoint(7, 1), endpoint(8, 1)]);
+        bench.tell(Event::Listed(Listing::Changes(vec![Endpoint { mode, ..endpoint(7, 1) }])));
+        (0..4).for_each(|id| bench.accept(id, 0, 1, None));
+        let routes = bench.routes();
+        assert!(!routes.is_empty() && routes.iter().all(|r| r.1 == 8));
+    }
+    let mut bench = Bench::new(settings(vec![safe()]), vec![endpoint(7, 1)]);
+    bench.tell(Event::Listed(Listing::Whole(vec![endpoint(8, 1)])));
+    bench.accept(1, 0, 1, None);
+    assert_eq!(bench.routes()[0].1, 8);
+}
+
+#[test]
+fn a_told_wait_binds_every_message_of_the_destination() {
+    let mut bench = Bench::new(settings(vec![safe()]), vec![endpoint(7, 1), endpoint(8, 1)]);
+    bench.accept(1, 0, 1, None);
+    let first = bench.routes()[0].1;
+    bench.finish(1, first, Outcome::Full(Some(ms(800))), ms(20));
+    let told = bench.now;
+    bench.accept(2, 0, 1, None);
+    assert!(bench.routes().is_empty());
+    assert!(!bench.until_action(Duration::from_secs(5)).is_empty());
+    assert!(bench.now - told >= ms(800));
+}
+
+/// Incident ie8d4eb: a wait told by the first outcomes of a batched call was dropped.
+#[test]
+fn a_wait_told_by_any_message_of_a_call_is_kept() {
+    let base = settings(vec![safe()]);
+    let mut bench = Bench::new(
+        Settings { kinds: vec![Kind { batch: 5, own_limits: false }], ..base },
+        vec![endpoint(7, 1)],
+    );
+    (1..=3).for_each(|id| bench.accept(id, 0, 1, None));
+    assert_eq!(bench.routes().len(), 3);
+    bench.finish(1, 7, Outcome::Full(Some(ms(900))), ms(20));
+    bench.finish(2, 7, Outcome::Full(None), ms(20));
+    bench.finish(3, 7, Outcome::Full(None), ms(20));
+    let told = bench.now;
+    assert!(!bench.until_action(Duration::from_secs(5)).is_empty());
+    assert!(bench.now - told >= ms(900));
+}
+
+#[test]
+fn keys_go_strictly_in_turn_and_rest_after_an_unsettled_attempt() {
+    let class = Class { in_order: true, ..unsafe_class() };
+    let base = settings(vec![class]);
+    let rules = Rules { order_settle: ms(300), ..base.rules.clone() };
+    let mut bench = Bench::new(Settings { rules, ..base }, vec![endpoint(7, 1), endpoint(8, 1)]);
+    bench.accept(1, 0, 1, Some(5));
+    bench.accept(2, 0, 1, Some(5));
+    let sent = bench.routes();
+    assert_eq!(sent.len(), 1);
+    assert_eq!(sent[0].0, 1);
+    // The client goes, the attempt runs on: the key stays taken until its outcome is known, and rests after it.
+    bench.tell(Event::ClientGone(MessageId(1)));
+    assert!(bench.until_action(ms(100)).is_empty());
+    bench.finish(1, sent[0].1, Outcome::Reset, ms(100));
+    let settled = bench.now;
+    let next = bench.until_action(Duration::from_secs(10));
+    assert!(matches!(next[0], Action::Route { message: MessageId(2), .. }));
+    assert!(bench.now - settled >= ms(300));
+}
+
+#[test]
+fn a_dead_destination_gets_single_trials_and_a_slow_start() {
+    let mut bench = one(safe());
+    (0..390).for_each(|id| bench.accept(id, 0, 1, None));
+    for (id, to, _) in bench.routes() {
+        bench.finish(id, to, Outcome::ConnectFailed, ms(10));
+    }
+    let began = bench.now;
+    let mut trials = 0;
+    while bench.now - began < Duration::from_secs(6) {
+        let routed = bench.until_action(Duration::from_secs(6));
+        assert_eq!(routed.len(), 1, "one trial at a time");
+        let Action::Route { message, .. } = routed[0] else { panic!("{routed:?}") };
+        trials += 1;
+        bench.finish(message.0, 7, Outcome::ConnectFailed, ms(5));
+    }
+    assert!((3..20).contains(&trials), "{trials}");
+    // It is back: all that is sent in the fall window stays inside the budget of a cold destination.
+    let (mut sent, mut back) = (0.0, bench.now);
+    let rules = bench.settings.rules.clone();
+    while bench.now - back < rules.fall {
+        bench.now = bench.now + ms(5);
+        for (id, to, _) in bench.routes() {
+            if sent == 0.0 {
+                back = bench.now;
+            }
+            sent += 1.0;
+            bench.finish(id, to, Outcome::Ok, ms(5));
+        }
+    }
+    let capacity = 100.0 * (rules.cold_from + (1.0 - rules.cold_from) * 0.2);
+    assert!(sent > 0.0 && sent <= rules.tip_multiple * capacity * rules.fall.as_secs_f64(), "{sent}");
+}
+
+/// Hang of a destination: the silence stops further calls long before a time-out would.
+#[test]
+fn a_silent_destination_is_sent_no_more_than_trials() {
+    let mut bench = one(unsafe_class());
+    for id in 0..20 {
+        bench.accept(id, 0, 1, None);
+        bench.routes();
+        bench.now = bench.now + ms(200);
+    }
+    bench.now = bench.now + ms(1000);
+    let mut late = 0;
+    for id in 20..60 {
+        bench.accept(id, 0, 1, None);
+        late += bench.routes().len();
+        bench.now = bench.now + ms(100);
+    }
+    assert!(late <= 6, "{late} unsafe messages risked");
+}
+
+/// Incident id37437: hung destinations pinned all slots.
+#[test]
+fn hung_destinations_leave_slots_for_the_healthy() {
+    let all = (1..=5).map(|d| endpoint(u32::from(d), d)).collect();
+    let mut bench = Bench::new(settings(vec![unsafe_class()]), all);
+    let mut healthy = 0;
+    for id in 0..400 {
+        bench.now = bench.now + ms(25);
+        bench.accept(id, 0, 1 + (id % 5) as u16, None);
+        for (message, to, _) in bench.routes() {
+            // Only the fifth destination answers.
+            if to == 5 {
+                healthy += 1;
+                bench.finish(message, to, Outcome::Ok, ms(5));
+            }
+        }
+    }
+    assert!(healthy >= 70, "{healthy} of 80 delivered at the healthy destination");
+}
+
+#[test]
+fn nearly_full_the_least_worth_are_handed_back() {
+    let rich = Class { worth: 5.0, ..safe() };
+    let base = settings(vec![safe(), rich]);
+    let mut bench = Bench::new(Settings { most_held: 20, ..base }, vec![]);
+    (0..10).for_each(|id| bench.accept(id, 0, 1, None));
+    (10..20).for_each(|id| bench.accept(id, 1, 1, None));
+    let shed = bench.until_action(ms(5));
+    assert!(!shed.is_empty());
+    assert!(shed.iter().all(|a| matches!(a, Action::Busy { message } if message.0 < 10)), "{shed:?}");
+}
+
+#[test]
+fn a_free_slot_goes_to_the_destination_with_fewest_calls_out() {
+    let base = settings(vec![safe()]);
+    let mut bench =
+        Bench::new(Settings { call_slots: 4, ..base }, vec![endpoint(1, 1), endpoint(2, 2), endpoint(3, 3)]);
+    (0..4).for_each(|id| bench.accept(id, 0, 1, None));
+    (4..8).for_each(|id| bench.accept(id, 0, 2, None));
+    (8..12).for_each(|id| bench.accept(id, 0, 3, None));
+    let mut first: Vec<u32> = bench.routes().iter().take(3).map(|r| r.1).collect();
+    first.sort_unstable();
+    assert_eq!(first, [1, 2, 3]);
+}
+
+#[test]
+fn one_call_carries_many_where_the_kind_allows_it() {
+    let base = settings(vec![safe()]);
+    let kinds = vec![Kind { batch: 5, own_limits: false }];
+    let mut bench = Bench::new(Settings { call_slots: 1, kinds, ..base }, vec![endpoint(7, 1)]);
+    (0..8).for_each(|id| bench.accept(id, 0, 1, None));
+    assert_eq!(bench.routes().len(), 5);
+}
+
+/// Incident i10b789: in a slow spell the time-outs stayed short and repeats met the first call still running.
+#[test]
+fn time_outs_stretch_with_time_outs() {
+    let mut bench = one(safe());
+    bench.accept(1, 0, 1, None);
+    let first = bench.routes()[0].2;
+    let mut last = first;
+    for _ in 0..6 {
+        bench.now = bench.now + last;
+        bench.finish(1, 7, Outcome::Timeout, last);
+        bench.accept(1000 + bench.now.0 as u32, 0, 1, None);
+        match bench.until_action(Duration::from_secs(5)).first() {
+            Some(Action::Route { message, try_for, .. }) => {
+                last = *try_for;
+                if message.0 != 1 {
+                    break;
+                }
+            }
+            _ => break,
+        }
+    }
+    assert!(last > first, "{first:?} {last:?}");
+}
+
+#[test]
+fn events_for_unknown_things_are_ignored() {
+    let mut bench = one(safe());
+    bench.finish(99, 7, Outcome::Ok, ms(5));
+    bench.finish(99, 98, Outcome::Full(Some(ms(5))), ms(5));
+    bench.tell(Event::ClientGone(MessageId(99)));
+    bench.tell(Event::TickDue(12345));
+    bench.accept(1, 0, 1, None);
+    assert_eq!(bench.routes().len(), 1);
+}
+
+#[test]
+fn the_clock_may_jump_far_ahead() {
+    let mut bench = one(keyed());
+    (0..5).for_each(|id| bench.accept(id, 0, 1, None));
+    bench.routes();
+    bench.now = bench.now + Duration::from_secs(100_000);
+    let answers = bench.decide().iter().filter(|a| !matches!(a, Action::Wake { .. })).count();
+    assert_eq!(answers, 5);
+}
+
+#[test]
+fn what_is_beyond_a_tenants_share_is_shed_first() {
+    let base = settings(vec![safe()]);
+    let tenants = vec![Tenant { quota: 5.0 }, Tenant { quota: 1000.0 }];
+    let mut bench = Bench::new(Settings { most_held: 40, tenants, over_share_worth: 0.1, ..base }, vec![]);
+    let deadline = bench.now + bench.settings.classes[0].deadline;
+    for id in 0..40 {
+        let tenant = TenantId(u32::from(id >= 20));
+        let (class, destination) = (ClassId(0), DestinationId(1));
+        let id = MessageId(id);
+        let from_dead_courier = false;
+        let taken = Accepted { id, class, destination, key: None, deadline, from_dead_courier, tenant };
+        bench.tell(Event::Accept(taken));
+    }
+    let shed = bench.until_action(ms(5));
+    assert!(!shed.is_empty());
+    assert!(
+        shed.iter().all(|a| matches!(a, Action::Busy { message } if (6..20).contains(&message.0))),
+        "{shed:?}"
+    );
+}
+
+#[test]
+fn where_routes_are_apart_a_wait_holds_for_its_route_only() {
+    let base = settings(vec![safe()]);
+    let kinds = vec![Kind { batch: 1, own_limits: true }];
+    let mut bench = Bench::new(Settings { kinds, ..base }, vec![endpoint(7, 1), endpoint(8, 1)]);
+    bench.accept(1, 0, 1, None);
+    let first = bench.routes()[0].1;
+    bench.finish(1, first, Outcome::Full(Some(ms(900))), ms(20));
+    bench.accept(2, 0, 1, None);
+    let other = bench.routes();
+    assert_eq!(other.len(), 1);
+    assert_ne!(other[0].1, first);
+}
+
+/// Where each courier has few calls, a tie by id sends all of them to the same endpoint of a destination.
+#[test]
+fn couriers_prefer_different_endpoints_of_a_destination() {
+    let chosen: std::collections::BTreeSet<u32> = (0..30)
+        .map(|seed| {
+            let mut bench = Bench::new(settings(vec![safe()]), vec![]);
+            bench.courier = Courier::new(bench.settings.clone(), seed);
+            bench.tell(Event::Listed(Listing::Whole(vec![endpoint(7, 1), endpoint(8, 1), endpoint(9, 1)])));
+            bench.accept(1, 0, 1, None);
+            bench.routes()[0].1
+        })
+        .collect();
+    assert_eq!(chosen.len(), 3, "{chosen:?}");
+}
+
+/// A message that can never be sent again must not keep its order key from the messages behind it.
+#[test]
+fn a_hopeless_message_is_answered_at_once_and_frees_its_key() {
+    let class = Class { in_order: true, ..unsafe_class() };
+    let mut bench = one(class);
+    bench.accept(1, 0, 1, Some(5));
+    bench.accept(2, 0, 1, Some(5));
+    assert_eq!(bench.routes().len(), 1);
+    bench.now = bench.now + ms(50);
+    bench.finish(1, 7, Outcome::Reset, ms(50));
+    let mut actions = bench.decide();
+    actions.extend(bench.until_action(ms(500)));
+    assert!(actions.contains(&Action::ReportFailure { message: MessageId(1) }), "{actions:?}");
+    assert!(actions.iter().any(|a| matches!(a, Action::Route { message: MessageId(2), .. })), "{actions:?}");
+}
+
+#[test]
+fn a_message_whose_attempts_are_used_up_is_handed_back_at_once() {
+    let mut bench = one(unsafe_class());
+    bench.restart(Settings { send_cap: 1, ..bench.settings.clone() }, 1, vec![endpoint(7, 1)]);
+    bench.accept(1, 0, 1, None);
+    bench.routes();
+    bench.finish(1, 7, Outcome::Full(None), ms(20));
+    assert!(bench.decide().contains(&Action::Busy { message: MessageId(1) }));
+}
+
+/// Sends a message to each of `count` destinations in turn, each with a connection idle for two seconds; calls
+/// on these end so, those on new ones well. Returns how often idle connections were closed before use.
+fn closes_after(outcome: Outcome, count: u32) -> usize {
+    let all = (1..=count).map(|d| endpoint(d, d as u16)).collect();
+    let mut bench = Bench::new(settings(vec![safe()]), all);
+    let mut id = 0;
+    let mut call = |bench: &mut Bench, to: u32, outcome: Outcome| {
+        id += 1;
+        bench.accept(id, 0, to as u16, None);
+        let actions = bench.decide();
+        let closes = actions.iter().filter(|a| matches!(a, Action::CloseIdle { .. })).count();
+        bench.now = bench.now + ms(20);
+        bench.finish(id, to, if closes > 0 { Outcome::Ok } else { outcome }, ms(20));
+        bench.tell(Event::ClientGone(MessageId(id)));
+        closes
+    };
+    (1..=count).for_each(|to| assert_eq!(call(&mut bench, to, Outcome::Ok), 0));
+    bench.now = bench.now + Duration::from_secs(2);
+    (1..=count).map(|to| call(&mut bench, to, outcome)).sum()
+}
+
+/// Idle connections dropped unseen: the next call on one is lost.
+#[test]
+fn idle_connections_are_closed_before_use_once_calls_on_them_get_lost() {
+    assert_eq!(closes_after(Outcome::Ok, 12), 0);
+    assert!(closes_after(Outcome::Reset, 12) >= 6);
+}
+
+/// One lost answer is not an outage: with a share of the answers lost, messages must not wait for trials.
+#[test]
+fn a_single_reset_opens_no_spell_but_a_missing_connection_does() {
+    let next_send = |outcome: Outcome| {
+        let mut bench = one(safe());
+        bench.restart(Settings { couriers: 100, ..bench.settings.clone() }, 1, vec![endpoint(7, 1)]);
+        bench.accept(1, 0, 1, None);
+        bench.routes();
+        bench.now = bench.now + ms(20);
+        bench.finish(1, 7, outcome, ms(20));
+        bench.accept(2, 0, 1, None);
+        !bench.routes().is_empty()
+    };
+    assert!(next_send(Outcome::Reset));
+    assert!(!next_send(Outcome::ConnectFailed));
+}
+
+/// Hunt h560941: a hung partner with its queue full refuses although its limit has room.
+#[test]
+fn refusals_with_room_left_inside_the_limit_count_as_an_outage() {
+    let sends_after = |left: f64| {
+        let mut bench = one(safe());
+        (0..200).for_each(|id| bench.accept(id, 0, 1, None));
+        let mut sends = 0;
+        let began = bench.now;
+        while bench.now - began < Duration::from_secs(4) {
+            for (id, to, _) in bench.routes() {
+                sends += 1;
+                bench.refuse(id, to, left, 100.0);
+            }
+            bench.now = bench.now + ms(50);
+        }
+        sends
+    };
+    assert!(sends_after(0.9) < sends_after(0.0), "{} {}", sends_after(0.9), sends_after(0.0));
+}
+
+/// Calls that hang take the slots of others: with none left, the oldest one is called off.
+#[test]
+fn with_all_slots_taken_a_stalled_call_is_called_off() {
+    let base = settings(vec![safe()]);
+    let mut bench = Bench::new(Settings { call_slots: 2, ..base }, vec![endpoint(1, 1), endpoint(2, 2)]);
+    (0..2).for_each(|id| bench.accept(id, 0, 1 + id as u16, None));
+    assert_eq!(bench.routes().len(), 2);
+    bench.accept(5, 0, 2, None);
+    let off = bench.until_action(Duration::from_secs(3));
+    assert_eq!(off, [Action::StopAttempt { message: MessageId(0), attempt: 0 }]);
+}
+
+/// A slot is worth most where a message of more worth waits, not where the list starts.
+#[test]
+fn ties_between_destinations_go_by_worth() {
+    let rich = Class { worth: 5.0, ..safe() };
+    let base = settings(vec![safe(), rich]);
+    let mut bench = Bench::new(Settings { call_slots: 1, ..base }, vec![endpoint(1, 1), endpoint(2, 2)]);
+    bench.accept(1, 0, 1, None);
+    bench.accept(2, 1, 2, None);
+    assert_eq!(bench.routes()[0].0, 2);
+}
+
+/// Incident i88d54c: light couriers that had all failed to connect came back every few seconds together.
+#[test]
+fn light_couriers_try_a_dead_destination_seldom() {
+    let mut trials = 0;
+    for seed in 0..100 {
+        let mut bench = one(safe());
+        bench.restart(Settings { couriers: 400, ..bench.settings.clone() }, seed, vec![endpoint(7, 1)]);
+        bench.accept(1, 0, 1, None);
+        bench.routes();
+        bench.finish(1, 7, Outcome::ConnectFailed, ms(20));
+        let began = bench.now;
+        while bench.now - began < Duration::from_secs(12) {
+            for action in bench.until_action(Duration::from_secs(1)) {
+                if let Action::Route { message, .. } = action {
+                    trials += 1;
+                    bench.finish(message.0, 7, Outcome::ConnectFailed, ms(20));
+                }
+            }
+        }
+    }
+    assert!((1..=160).contains(&trials), "{trials} trials of 100 couriers in 12 s");
+}
+
+/// At full size a courier's even part of a limit is a call in minutes: it must not hold back its messages.
+#[test]
+fn a_light_courier_sends_at_once_while_nothing_was_refused() {
+    let mut bench = one(safe());
+    bench.restart(Settings { couriers: 400, ..bench.settings.clone() }, 1, vec![endpoint(7, 1)]);
+    for id in 0..10 {
+        bench.accept(id, 0, 1, None);
+        assert_eq!(bench.routes().len(), 1);
+        bench.now = bench.now + ms(30);
+        bench.finish(id, 7, Outcome::Ok, ms(30));
+    }
+}
+
+/// Incident i4182c2: refused calls use up the limit, and first and second attempts alone kept it used up.
+#[test]
+fn where_calls_carry_many_one_refusal_slows_down_to_a_call_an_aim() {
+    let sends_after_a_refusal = |batch: usize, seconds: u64| {
+        let base = settings(vec![safe()]);
+        let kinds = vec![Kind { batch, own_limits: false }];
+        let mut bench = Bench::new(Settings { couriers: 400, kinds, ..base }, vec![endpoint(7, 1)]);
+        bench.accept(1, 0, 1, None);
+        let mut calls = 0;
+        let began = bench.now;
+        while bench.now - began < Duration::from_secs(seconds) {
+            let sent = bench.routes();
+            calls += sent.len();
+            for (id, to, _) in sent {
+                bench.finish(id, to, Outcome::Full(None), ms(20));
+            }
+            bench.now = bench.now + ms(20);
+        }
+        calls
+    };
+    assert!(sends_after_a_refusal(20, 12) < sends_after_a_refusal(1, 12));
+    assert_eq!(sends_after_a_refusal(20, 3), 1);
+}
+
+/// Later kingston, fresh-big: a clump met a hung partner's refusals at many light couriers at once, and their first
+/// repeats met its return at once.
+#[test]
+fn light_couriers_refused_together_come_back_apart() {
+    let back_after = |seed: u64| {
+        let mut bench = one(safe());
+        bench.restart(Settings { couriers: 200, ..bench.settings.clone() }, seed, vec![endpoint(7, 1)]);
+        bench.accept(1, 0, 1, None);
+        bench.routes();
+        bench.finish(1, 7, Outcome::Full(None), ms(20));
+        let refused = bench.now;
+        assert!(matches!(bench.until_action(Duration::from_secs(30))[..], [Action::Route { .. }]));
+        bench.now - refused
+    };
+    let mut gaps: Vec<Duration> = (0..40).map(back_after).collect();
+    gaps.sort_unstable();
+    let aim = safe().aim;
+    assert!(gaps[39] - gaps[0] > aim, "from {:?} to {:?}, aim {aim:?}", gaps[0], gaps[39]);
+}
--- /dev/null
+++ b/tests/wire.rs
@@ -0,0 +1,218 @@
+//! The wire page's byte examples, a round trip for every record, and bad input.
+
+#[path = "../src/bin/cloverstile-wirehost/host.rs"]
+#[allow(dead_code)]
+mod host;
+#[path = "../src/bin/cloverstile-wirehost/settings.rs"]
+#[allow(dead_code)]
+mod settings;
+#[path = "../src/bin/cloverstile-wirehost/wire.rs"]
+#[allow(dead_code)]
+mod wire;
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+use wire::*;
+
+fn hex(text: &str) -> Vec<u8> {
+    let digits: Vec<u8> = text.bytes().filter(u8::is_ascii_hexdigit).collect();
+    digits.chunks(2).map(|pair| u8::from_str_radix(std::str::from_utf8(pair).unwrap(), 16).unwrap()).collect()
+}
+
+fn frame(clock: u64, records: &[Vec<u8>]) -> Vec<u8> {
+    let mut body = clock.to_be_bytes().to_vec();
+    body.extend((records.len() as u32).to_be_bytes());
+    body.extend(records.concat());
+    let mut out = (body.len() as u32).to_be_bytes().to_vec();
+    out.extend(body);
+    out
+}
+
+fn host_with(input: &[u8]) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_cloverstile-wirehost"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    // The host may end before it has read all of a bad input.
+    let _ = child.stdin.take().unwrap().write_all(input);
+    child.wait_with_output().unwrap()
+}
+
+#[test]
+fn an_empty_batch_has_an_empty_reply() {
+    let out = host_with(&hex("0000000c 00000001f568bf90 00000000"));
+    assert!(out.status.success());
+    assert_eq!(out.stdout, hex("00000000"));
+}
+
+#[test]
+fn events_of_the_wire_page() {
+    let body = hex("00000001f568bf90 00000003
+        1e 0003 5d3a91c4 00 42640000 91f03b7c55d20a64 0000000203b6db90 0000000000b71b00 01 00000000
+        46 0003 000000000000004d  3c 0005 0e6f2b19");
+    assert_eq!(body.len(), 0x47);
+    let (clock, records) = read_batch(&body).unwrap();
+    assert_eq!(clock, 0x1_f568_bf90);
+    let accept = Record::Accept {
+        who: 3,
+        call: 0x5d3a_91c4,
+        profile: 0,
+        dest: 57.0,
+        key: 0x91f0_3b7c_55d2_0a64,
+        deadline: 0x2_03b6_db90,
+        hint: 12_000_000,
+        opts: 1,
+        owner: 0,
+    };
+    let tick = Record::TickDue { who: 3, cookie: 77 };
+    assert_eq!(records, [accept, tick, Record::ClientGone { who: 5, call: 0x0e6f_2b19 }]);
+}
+
+#[test]
+fn list_and_outcome_of_the_wire_page() {
+    let body = hex("00000001f568bf90 00000003
+        6e 0000 00000002
+        03124a07 00 0000 0039 03 3f800000 0000000000000000
+        2c9011f2 00 0000 0039 03 3fc00000 000000016b969d00
+        14 0003 0000 00000029 02
+        32 0003 5d3a91c4 0064 00000000011a49a0 01 03124a07 0000 00000000 02 3ecccccd3fa00000");
+    let (_, records) = read_batch(&body).unwrap();
+    let entry = |endpoint, weight, up_since| Entry {
+        endpoint,
+        zone: 0,
+        kind: 0,
+        cell: 57,
+        mode: 3,
+        weight,
+        up_since,
+    };
+    let entries = vec![entry(0x0312_4a07, 1.0, 0), entry(0x2c90_11f2, 1.5, 0x1_6b96_9d00)];
+    assert_eq!(records[0], Record::Sheet { slot: 0, entries });
+    assert_eq!(records[1], Record::Members { who: 3, slot: 0, generation: 41, kind: 2 });
+    let Record::Finished(finished) = &records[2] else { panic!("{records:?}") };
+    assert_eq!((finished.code, finished.delay, finished.complete), (100, 18_500_000, true));
+    assert_eq!(finished.report, [0.4, 1.25]);
+}
+
+#[test]
+fn actions_of_the_wire_page() {
+    let words = "two servers known".to_owned();
+    let replies = [
+        Reply::Route { who: 3, call: 0x5d3a_91c4, endpoint: 0x0312_4a07, try_for: 80_000_000 },
+        Reply::After { who: 3, after: 500_000_000, cookie: 77 },
+        Reply::Log { who: 5, words },
+        Reply::Tell { who: 3, peer: 0xffff, msg: b"hi 7".to_vec() },
+    ];
+    let expected = hex("00000047
+        0a 0003 5d3a91c4 03124a07 0000000004c4b400
+        32 0003 000000001dcd6500 000000000000004d
+        5a 0005 0011 74776f2073657276657273206b6e6f776e
+        50 0003 ffff 0004 68692037");
+    assert_eq!(write_frame(&replies), expected);
+}
+
+#[test]
+fn every_other_action_has_its_bytes() {
+    let cases = [
+        (Reply::Busy { who: 1, call: 2, stay_away: 3 }, "14 0001 00000002 0000000000000003"),
+        (Reply::ReportFailure { who: 1, call: 2 }, "1e 0001 00000002"),
+        (Reply::StopAttempt { who: 1, call: 2, trial: 3 }, "28 0001 00000002 0003"),
+        (Reply::SoundOut { who: 1, endpoint: 2 }, "3c 0001 00000002"),
+        (Reply::CloseIdle { who: 1, endpoint: 2 }, "46 0001 00000002"),
+        (Reply::Panic { who: 1, words: "x".to_owned() }, "64 0001 0001 78"),
+        (Reply::KeepInformed { who: 1, active: true }, "6e 0001 01"),
+        (Reply::Refresh { who: 1 }, "78 0001"),
+    ];
+    for (reply, bytes) in cases {
+        let mut out = Vec::new();
+        write_reply(&mut out, &reply);
+        assert_eq!(out, hex(bytes), "{reply:?}");
+    }
+}
+
+#[test]
+fn every_other_event_is_read() {
+    let cases = [
+        (
+            "0a 0001 0000000000000002 00000003 613d62",
+            Record::NewInstance { who: 1, nonce: 2, config: "a=b".into() },
+        ),
+        ("64 0001", Record::Teardown { who: 1 }),
+        (
+            "50 0001 012f 0000000000000002 00000003 01 3f800000",
+            Record::ProbeDone { who: 1, code: 303, delay: 2, endpoint: 3, report: vec![1.0] },
+        ),
+        (
+            "28 0001 00000002 00000003 0004 0000000000000005",
+            Record::FirstByte { who: 1, call: 2, endpoint: 3, trial: 4, delay: 5 },
+        ),
+        ("5a 0001 00000002 0002 6869", Record::NoteFrom { who: 1, from: 2, msg: b"hi".to_vec() }),
+    ];
+    for (bytes, record) in cases {
+        let bytes = hex(bytes);
+        let whole = &frame(9, std::slice::from_ref(&bytes))[4..];
+        assert_eq!(read_batch(whole), Ok((9, vec![record])));
+        // Every truncation is an error, never a panic.
+        for cut in 1..bytes.len() {
+            let body = &frame(9, &[bytes[..cut].to_vec()])[4..];
+            assert!(matches!(read_batch(body), Err(WireError::Short { .. })), "{cut}");
+        }
+    }
+}
+
+#[test]
+fn bad_input_ends_with_one_plain_line() {
+    let bad_setting = {
+        let config = b"Balancers=two";
+        let mut record = hex("0a 0001 0000000000000002");
+        record.extend((config.len() as u32).to_be_bytes());
+        record.extend(config);
+        frame(9, &[record])
+    };
+    let cases = [
+        (hex("0000"), "2 of 4 bytes"),
+        (hex("ffffffff 00"), "1 of 4294967295 bytes"),
+        (hex("00000004 00000000"), "clock is cut short"),
+        (frame(9, &[hex("ff 0001")]), "unknown code 255"),
+        (frame(9, &[hex("6e 0000 ffffffff")]), "entry Endpoint is cut short"),
+        (frame(9, &[hex("64 0001"), hex("64 0001 00")]), "left over"),
+        (bad_setting, "Balancers: 'two'"),
+    ];
+    for (input, says) in cases {
+        let out = host_with(&input);
+        let error = String::from_utf8(out.stderr).unwrap();
+        assert!(!out.status.success(), "{says}");
+        assert!(error.contains(says), "{error}");
+        assert_eq!(error.lines().count(), 1, "{error}");
+    }
+}
+
+#[test]
+fn unknown_settings_are_skipped_and_lists_follow_their_sheet() {
+    let config =
+        "Balancers=3\nLanes.count=1\nLanes.0.Effect=read_like\nNew.Thing=1,2\nFamilyInfo.KindBatch=1,4\n";
+    let parsed = settings::parse_settings(config).unwrap();
+    assert_eq!(parsed.settings.couriers, 3);
+    assert_eq!(parsed.settings.kinds[1].batch, 4);
+    // A sheet's number taken over later in a batch does not touch what referred to it before.
+    let sheet = |endpoint| {
+        let entry = Entry { endpoint, zone: 0, kind: 0, cell: 1, mode: 3, weight: 9.0, up_since: 0 };
+        Record::Sheet { slot: 0, entries: vec![entry] }
+    };
+    let members = |who| Record::Members { who, slot: 0, generation: 1, kind: 2 };
+    let start = |who| Record::NewInstance { who, nonce: 1, config: config.to_owned() };
+    let (key, hint, opts, owner, deadline) = (0, 0, 0, 0, 60_000_000_000);
+    let accept =
+        |who| Record::Accept { who, call: 5, profile: 0, dest: 1.0, key, deadline, hint, opts, owner };
+    let mut host = host::Host::default();
+    let batch = vec![start(1), start(2), sheet(10), members(1), sheet(20), members(2), accept(1), accept(2)];
+    let replies = host.run(50_000_000_000, batch).unwrap();
+    let routed = |who, to| {
+        let is =
+            |r: &&Reply| matches!(r, Reply::Route { who: w, endpoint, .. } if (*w, *endpoint) == (who, to));
+        replies.iter().filter(is).count()
+    };
+    assert_eq!((routed(1, 10), routed(2, 20)), (1, 1));
+}
