Bound what a peer can make the courier hold, and test the new events of the module

A stop went by a count that differs from the module's once an attempt could not be written down: a message has one attempt out, so the count is not asked any more.

--- a/src/bin/gullcart/calls.rs
+++ b/src/bin/gullcart/calls.rs
@@ -1,8 +1,8 @@
 //! Connections to endpoints: one call each at a time, and how it ended.
 
 use bytes::Bytes;
-use cloverstile::{Allowance, EndpointId, Outcome};
-use http_body_util::{BodyExt, Full};
+use cloverstile::{Allowance, Outcome};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
@@ -24,12 +24,12 @@
 const IDLE_PART: f64 = 0.7;
 /// How long a given-up connection may take to be closed by the other side before it is dropped.
 const LINGER: Duration = Duration::from_millis(40);
-/// The body of an answer means nothing; a longer wait for its end is not worth the connection.
+/// The body of an answer means nothing; a longer one, or a longer wait for its end, is not worth the connection.
+const LONGEST_BODY: usize = 64 << 10;
 const DRAIN: Duration = Duration::from_millis(500);
 
 /// What a call carries.
 pub struct Call {
-    pub endpoint: EndpointId,
     pub address: SocketAddr,
     pub id: String,
     pub idempotency_key: Option<String>,
@@ -78,9 +78,9 @@
     }
 }
 
-/// The idle connections, by endpoint, the newest last.
+/// The idle connections, the newest of each address last. By address, as an endpoint may get another one.
 pub struct Pool {
-    idle: RefCell<HashMap<EndpointId, Vec<Connection>>>,
+    idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
     connect_timeout: Duration,
     keep: Duration,
     most: usize,
@@ -93,9 +93,9 @@
         Pool { idle: RefCell::default(), connect_timeout, keep, most }
     }
 
-    /// Closes the idle connections of an endpoint.
-    pub fn close(&self, endpoint: EndpointId) {
-        self.idle.borrow_mut().remove(&endpoint);
+    /// Closes the idle connections to an address.
+    pub fn close(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
     }
 
     /// Closes what has been idle for too long or was closed by the other side.
@@ -107,24 +107,24 @@
         idle.retain(|_, connections| !connections.is_empty());
     }
 
-    fn take(&self, endpoint: EndpointId) -> Option<Connection> {
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(&endpoint)?;
+        let connections = idle.get_mut(&address)?;
         std::iter::from_fn(|| connections.pop())
             .find(|c| c.idle_since.elapsed() < self.keep && !c.sender.is_closed())
     }
 
-    fn put(&self, endpoint: EndpointId, mut connection: Connection) {
+    fn put(&self, address: SocketAddr, mut connection: Connection) {
         connection.idle_since = Instant::now();
         let mut idle = self.idle.borrow_mut();
         if idle.values().map(Vec::len).sum::<usize>() >= self.most {
             // The one that has been idle for longest makes room; each list has its oldest first.
-            let oldest = idle.iter().filter_map(|(id, c)| c.first().map(|c| (c.idle_since, *id))).min();
-            if let Some(connections) = oldest.and_then(|(_, id)| idle.get_mut(&id)) {
+            let oldest = idle.iter().filter_map(|(at, c)| c.first().map(|c| (c.idle_since, *at))).min();
+            if let Some(connections) = oldest.and_then(|(_, at)| idle.get_mut(&at)) {
                 connections.remove(0);
             }
         }
-        idle.entry(endpoint).or_default().push(connection);
+        idle.entry(address).or_default().push(connection);
     }
 
     /// Makes one call. `sent` turns true with its first byte.
@@ -138,7 +138,7 @@
         let end = start + call.try_for;
         let ended = |outcome| Ended { outcome, latency: start.elapsed(), complete: false, allowance: None };
         loop {
-            let kept = self.take(call.endpoint);
+            let kept = self.take(call.address);
             let fresh = kept.is_none();
             let mut connection = match kept {
                 Some(connection) => connection,
@@ -174,7 +174,7 @@
             match answer {
                 Some(Ok(response)) => {
                     let ended = read_answer(&response, start.elapsed());
-                    tokio::task::spawn_local(finish(self.clone(), call.endpoint, connection, response));
+                    tokio::task::spawn_local(finish(self.clone(), call.address, connection, response));
                     return ended;
                 }
                 // A kept connection that turns out to be closed before anything was written to it: the call
@@ -246,18 +246,13 @@
 }
 
 /// Reads the rest of an answer, so that its connection can be used again.
-async fn finish(
-    pool: Rc<Pool>,
-    endpoint: EndpointId,
-    mut connection: Connection,
-    answer: Response<Incoming>,
-) {
+async fn finish(pool: Rc<Pool>, address: SocketAddr, mut connection: Connection, answer: Response<Incoming>) {
     let rest = async {
-        answer.into_body().collect().await?;
-        connection.sender.ready().await
+        Limited::new(answer.into_body(), LONGEST_BODY).collect().await.ok()?;
+        connection.sender.ready().await.ok()
     };
-    if let Ok(Ok(())) = timeout(DRAIN, rest).await {
-        pool.put(endpoint, connection);
+    if let Ok(Some(())) = timeout(DRAIN, rest).await {
+        pool.put(address, connection);
     }
 }
 
--- a/src/bin/gullcart/clients.rs
+++ b/src/bin/gullcart/clients.rs
@@ -17,6 +17,10 @@
 const LONGEST_BODY: usize = 64 << 10;
 /// A line that announces a count or a length.
 const LONGEST_LINE: usize = 32;
+/// Read at once, as far as it is there.
+const READ: usize = 4 << 10;
+/// A client that says nothing for this long, or leaves a request unfinished, may be gone without a word.
+const IDLE: Duration = Duration::from_secs(120);
 /// While the courier ends, a new connection may take this long to bring its request.
 const LAST_REQUEST: Duration = Duration::from_millis(400);
 
@@ -121,6 +125,7 @@
     /// Reads more of a request; false where the connection is over. When the courier ends, a connection is
     /// closed between two requests, but never with a part of one read.
     async fn read(&mut self, fresh: bool) -> io::Result<bool> {
+        self.buffer.reserve(READ);
         if self.buffer.is_empty() && *self.closing.borrow() {
             if fresh {
                 let read = timeout(LAST_REQUEST, self.stream.read_buf(&mut self.buffer)).await;
@@ -131,7 +136,7 @@
         let between = self.buffer.is_empty();
         tokio::select! {
             biased;
-            read = self.stream.read_buf(&mut self.buffer) => Ok(read? > 0),
+            read = timeout(IDLE, self.stream.read_buf(&mut self.buffer)) => Ok(matches!(read, Ok(Ok(1..)))),
             _ = self.closing.changed(), if between => Ok(self.read_now()? > 0),
         }
     }
@@ -231,7 +236,8 @@
                 .ok_or("d is missing or no number")?,
             idempotency_key,
             again: field("again") == Some("1"),
-            body: body.clone(),
+            // A copy of its own: a slice would keep all that was read with it.
+            body: Bytes::copy_from_slice(body),
         })
     }
 }
--- a/src/bin/gullcart/discovery.rs
+++ b/src/bin/gullcart/discovery.rs
@@ -22,8 +22,9 @@
 
 /// The agent is on this machine: what it does not answer in this time it does not answer now.
 const ANSWER: Duration = Duration::from_millis(500);
-/// The watch has an empty line every 2 s; silence for this long is an outage of discovery.
-const SILENCE: Duration = Duration::from_secs(5);
+/// The watch has an empty line every 2 s; silence for this long is an outage of discovery. What was missed counts
+/// as told after 6 s, so that there is no time for a longer wait.
+const SILENCE: Duration = Duration::from_secs(3);
 /// Between tries to reach the agent.
 const BACK_OFF: Duration = Duration::from_millis(100);
 /// Notices that go in one request at most.
@@ -199,7 +200,7 @@
     let request = Request::get(format!("/v1/endpoints?watch=1&after={rev}"))
         .header("Host", agent)
         .body(Full::default())?;
-    let response = timeout(SILENCE, connection.send_request(request)).await??;
+    let response = timeout(ANSWER, connection.send_request(request)).await??;
     if response.status() != StatusCode::OK {
         return Err(AgentError::Status(response.status()));
     }
--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -30,6 +30,9 @@
 /// From SIGTERM until it ends at the earliest: new connections go on coming for 0.4 s.
 const CLOSING_LEAST: Duration = Duration::from_millis(600);
 
+/// Rounds in which requests that were read before the end are still answered.
+const LAST_ROUNDS: usize = 8;
+
 /// What happens, from all the other parts.
 pub enum Input {
     Enqueue(Enqueue, oneshot::Sender<Answer>),
@@ -89,6 +92,10 @@
     attempt: u16,
 }
 
+/// An attempt that was not made.
+const NOT_MADE: Ended =
+    Ended { outcome: Outcome::Moot, latency: Duration::ZERO, complete: false, allowance: None };
+
 /// What the log tells of the load.
 #[derive(Default)]
 struct Counts {
@@ -122,6 +129,7 @@
     counts: Counts,
     journal_errors: Seldom,
     late: Seldom,
+    outage_lines: Seldom,
 }
 
 impl Driver {
@@ -159,6 +167,7 @@
             counts: Counts::default(),
             journal_errors: Seldom::default(),
             late: Seldom::default(),
+            outage_lines: Seldom::default(),
         };
         driver.restore(known);
         driver
@@ -260,7 +269,7 @@
                 biased;
                 _ = events.recv_many(&mut batch, BATCH) => {}
                 () = sleep_until(wake.unwrap_or(never)), if wake.is_some() => {}
-                () = sleep_until(end.unwrap_or(never)), if end.is_some() => return self.say_goodbye(),
+                () = sleep_until(end.unwrap_or(never)), if end.is_some() => {}
                 _ = sweep.tick() => {
                     self.pool.sweep();
                     sweeps += 1;
@@ -281,9 +290,22 @@
             self.decide();
             self.lateness(begun.elapsed(), "a step took long");
             if self.may_end() {
-                return self.say_goodbye();
+                return self.finish(&mut events).await;
+            }
+        }
+    }
+
+    /// Answers the requests that have been read but not answered: ending a connection before would lose their
+    /// messages. The next process finds them in the journal.
+    async fn finish(&mut self, events: &mut UnboundedReceiver<Input>) {
+        for _ in 0..LAST_ROUNDS {
+            while let Ok(input) = events.try_recv() {
+                self.handle(input);
             }
+            // The tasks of the connections write what they were given.
+            tokio::task::yield_now().await;
         }
+        info!(held = self.journal.image.held.len(), out = self.out.len(), "the courier ends");
     }
 
     fn lateness(&mut self, late: Duration, what: &str) {
@@ -296,12 +318,10 @@
     }
 
     fn may_end(&self) -> bool {
-        let past = |(least, _): (Instant, Instant)| Instant::now() >= least;
-        self.ends.is_some_and(past) && self.out.is_empty() && self.journal.image.held.is_empty()
-    }
-
-    fn say_goodbye(&self) {
-        info!(held = self.journal.image.held.len(), out = self.out.len(), "the courier ends");
+        let Some((least, last)) = self.ends else { return false };
+        let now = Instant::now();
+        let idle = self.out.is_empty() && self.journal.image.held.is_empty();
+        now >= last || (now >= least && idle)
     }
 
     fn handle(&mut self, input: Input) {
@@ -387,6 +407,10 @@
     }
 
     fn listed(&mut self, now: Time, update: Update) {
+        // A watch that begins anew often has nothing new to tell.
+        if update.targets.is_empty() && !update.all {
+            return;
+        }
         let listing = self.directory.apply(&update);
         self.courier.handle(now, Event::Listed(listing));
         let (rev, changed) = (update.rev, update.targets.len());
@@ -395,7 +419,7 @@
         info!(rev, changed, "the list has changed");
         let shut: Vec<EndpointId> = self.directory.shut().collect();
         for endpoint in shut {
-            self.pool.close(endpoint);
+            self.close_idle(endpoint);
             // Calls that are still connecting would be new work there.
             for out in self.out.values_mut().filter(|out| out.endpoint == endpoint && !out.sent.get()) {
                 if let Some(stop) = out.stop.take() {
@@ -405,6 +429,12 @@
         }
     }
 
+    fn close_idle(&self, endpoint: EndpointId) {
+        if let Some(address) = self.directory.address(endpoint) {
+            self.pool.close(address);
+        }
+    }
+
     fn ended(&mut self, now: Time, message: MessageId, endpoint: EndpointId, ended: Ended) {
         let Some(out) = self.out.remove(&message) else { return };
         if ended.complete {
@@ -455,9 +485,9 @@
     fn act(&mut self, now: Time, action: Action) {
         match action {
             Action::Route { message, endpoint, try_for } => self.route(now, message, endpoint, try_for),
-            Action::StopAttempt { message, attempt } => {
-                let out = self.out.get_mut(&message).filter(|out| out.attempt == attempt);
-                if let Some(stop) = out.and_then(|out| out.stop.take()) {
+            Action::StopAttempt { message, .. } => {
+                // A message has one attempt out at most.
+                if let Some(stop) = self.out.get_mut(&message).and_then(|out| out.stop.take()) {
                     let _ = stop.send(Stop::CalledOff);
                 }
             }
@@ -470,7 +500,7 @@
                 self.owe(message, Verdict::Failed);
             }
             Action::Wake { after, token } => self.wake = Some((self.clock.instant(now + after), token)),
-            Action::CloseIdle { endpoint } => self.pool.close(endpoint),
+            Action::CloseIdle { endpoint } => self.close_idle(endpoint),
             Action::Log { text } => info!("{text}"),
             // The watch is always on, and the deployment permits neither probes nor notes.
             Action::KeepInformed { .. } | Action::Refresh | Action::Probe { .. } | Action::Tell { .. } => {}
@@ -478,32 +508,24 @@
     }
 
     fn route(&mut self, now: Time, message: MessageId, endpoint: EndpointId, try_for: Duration) {
-        let start = (self.clock.to_wall(now), self.directory.zone(endpoint).0);
-        let address = self.directory.address(endpoint);
-        let Some(held) = self.journal.image.held.get(&message.0) else { return };
-        let attempt = held.attempts as u16;
-        let taken = held.taken.clone();
         let (stop, stopped) = oneshot::channel();
         let sent = Rc::new(Cell::new(false));
+        let held = self.journal.image.held.get(&message.0);
+        let attempt = held.map_or(0, |held| held.attempts as u16);
+        let taken = held.map(|held| held.taken.clone());
         self.out.insert(message, Out { endpoint, stop: Some(stop), sent: sent.clone(), attempt });
         // An attempt that the next process would not know of is not made.
+        let start = (self.clock.to_wall(now), self.directory.zone(endpoint).0);
         let written = self.journal.start(message.0, start);
-        let Some(address) = address.filter(|_| written.is_ok()) else {
-            self.note(written);
-            let ended =
-                Ended { outcome: Outcome::Moot, latency: Duration::ZERO, complete: false, allowance: None };
-            let _ = self.inputs.send(Input::Ended(message, endpoint, ended));
+        let known = taken.zip(self.directory.address(endpoint)).filter(|_| written.is_ok());
+        self.note(written);
+        let Some((taken, address)) = known else {
+            let _ = self.inputs.send(Input::Ended(message, endpoint, NOT_MADE));
             return;
         };
         self.counts.calls += 1;
-        let call = Call {
-            endpoint,
-            address,
-            id: taken.id,
-            idempotency_key: taken.idempotency_key,
-            body: taken.body,
-            try_for,
-        };
+        let call =
+            Call { address, id: taken.id, idempotency_key: taken.idempotency_key, body: taken.body, try_for };
         let (pool, inputs) = (self.pool.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
             let ended = pool.call(call, stopped, sent).await;
@@ -528,6 +550,13 @@
         let notes: Vec<OutageNote> =
             self.courier.outages().map(|o| OutageNote::new(&o, uid(&o), |at| clock.to_wall(at))).collect();
         if notes != self.journal.image.outages {
+            let out = |notes: &[OutageNote]| notes.iter().filter(|note| note.lost.is_some()).count();
+            let (before, after) = (out(&self.journal.image.outages), out(&notes));
+            if before != after {
+                if let Some(more) = self.outage_lines.due() {
+                    info!(before, after, more, "destinations held to be out");
+                }
+            }
             let written = self.journal.outages(notes);
             self.note(written);
         }
--- /dev/null
+++ b/tests/restart.rs
@@ -0,0 +1,140 @@
+//! What sockets ask of the decisions beyond the bench's wire: a restart, answers that take time, and the end.
+
+mod common;
+
+use cloverstile::*;
+use common::*;
+use std::time::Duration;
+
+fn bench(classes: Vec<Class>, answers_take_time: bool) -> Bench {
+    let settings = Settings { answers_take_time, ..settings(classes) };
+    let settling = Rules { order_settle: ms(100), ..settings.rules.clone() };
+    Bench::new(Settings { rules: settling, ..settings }, vec![endpoint(11, 3)])
+}
+
+fn restored(bench: &Bench, id: u32, key: Option<u64>, attempts: u32, maybe_ran: Option<Time>) -> Restored {
+    let class = (ClassId(0), &bench.settings.classes[0]);
+    let taken = accepted(bench.now, id, class, 3, key);
+    Restored { taken, attempts, maybe_ran: maybe_ran.map(|at| (at, ZoneId(0))), answered: false }
+}
+
+fn ordered() -> Class {
+    Class { in_order: true, ..keyed() }
+}
+
+#[test]
+fn an_unsafe_message_that_may_have_run_fails_at_once() {
+    let mut bench = bench(vec![unsafe_class()], true);
+    let message = restored(&bench, 1, None, 1, Some(bench.now - ms(700)));
+    bench.tell(Event::Restored(message));
+    let actions = bench.decide();
+    assert!(matches!(actions[0], Action::ReportFailure { message: MessageId(1) }), "{actions:?}");
+    assert!(!actions.iter().any(|action| matches!(action, Action::Route { .. })));
+}
+
+#[test]
+fn an_unsafe_message_that_never_ran_is_sent() {
+    let mut bench = bench(vec![unsafe_class()], true);
+    let message = restored(&bench, 1, None, 2, None);
+    bench.tell(Event::Restored(message));
+    assert_eq!(bench.routes().len(), 1);
+}
+
+/// The window runs from the first attempt, which the old process made, and not from the restart.
+#[test]
+fn a_window_goes_on_from_the_first_attempt() {
+    let mut bench = bench(vec![keyed()], true);
+    let (inside, outside) = (bench.now - Duration::from_secs(5), bench.now - Duration::from_secs(10));
+    let (first, second) =
+        (restored(&bench, 1, None, 1, Some(inside)), restored(&bench, 2, None, 1, Some(outside)));
+    bench.tell(Event::Restored(first));
+    bench.tell(Event::Restored(second));
+    let actions = bench.decide();
+    let sent = |id| actions.iter().any(|a| matches!(a, Action::Route { message, .. } if message.0 == id));
+    assert!(sent(1) && !sent(2), "{actions:?}");
+    assert!(actions.contains(&Action::ReportFailure { message: MessageId(2) }));
+}
+
+#[test]
+fn attempts_made_before_a_restart_count() {
+    let mut bench = bench(vec![keyed()], true);
+    let message = restored(&bench, 1, None, bench.settings.send_cap, None);
+    bench.tell(Event::Restored(message));
+    let actions = bench.decide();
+    assert!(matches!(actions[0], Action::Busy { message: MessageId(1), .. }), "{actions:?}");
+}
+
+/// Any key may have had a call out when the old process died: all rest, new messages' keys too.
+#[test]
+fn keys_rest_after_a_restart_and_go_on_in_order() {
+    let mut bench = bench(vec![ordered()], true);
+    for id in [1, 2] {
+        let message = restored(&bench, id, Some(5), 0, None);
+        bench.tell(Event::Restored(message));
+    }
+    bench.accept(3, 0, 3, Some(6));
+    assert_eq!(bench.routes(), []);
+    bench.now = bench.now + ms(100);
+    let sent: Vec<u32> = bench.routes().iter().map(|(message, ..)| *message).collect();
+    assert!(sent.contains(&1) && sent.contains(&3) && !sent.contains(&2), "{sent:?}");
+}
+
+/// A final answer that is under way keeps the key of its message, over a restart too.
+#[test]
+fn a_key_is_free_once_the_answer_is_heard() {
+    let mut bench = bench(vec![ordered()], true);
+    let answered = Restored { answered: true, ..restored(&bench, 1, Some(5), 1, Some(bench.now - ms(900))) };
+    bench.tell(Event::Restored(answered));
+    bench.accept(2, 0, 3, Some(5));
+    bench.now = bench.now + Duration::from_secs(1);
+    assert_eq!(bench.routes(), []);
+    bench.tell(Event::Heard(MessageId(1)));
+    assert_eq!(bench.routes().len(), 1);
+}
+
+/// An outage that was seen before a restart is held against the courier after it.
+#[test]
+fn an_outage_is_remembered() {
+    let mut bench = bench(vec![safe()], true);
+    (1..=3).for_each(|id| bench.accept(id, 0, 3, None));
+    for (message, endpoint, _) in bench.routes() {
+        bench.finish(message, endpoint, Outcome::ConnectFailed, ms(1));
+    }
+    let outages: Vec<Outage> = bench.courier.outages().collect();
+    assert_eq!(outages.len(), 1);
+    let settings = bench.settings.clone();
+    bench.restart(settings, 2, vec![endpoint(11, 3)]);
+    assert_eq!(bench.courier.outages().count(), 0);
+    outages.iter().for_each(|outage| bench.tell(Event::Recalled(*outage)));
+    (11..=20).for_each(|id| bench.accept(id, 0, 3, None));
+    // Without the memory all ten would go at once.
+    assert!(bench.routes().len() <= 1);
+    assert_eq!(bench.courier.outages().next().map(|outage| outage.since), Some(outages[0].since));
+}
+
+/// No call is begun that would not be over when the courier ends.
+#[test]
+fn nothing_is_begun_shortly_before_the_end() {
+    let mut bench = bench(vec![keyed()], true);
+    bench.tell(Event::Closing(bench.now + Duration::from_secs(3)));
+    bench.accept(1, 0, 3, None);
+    assert_eq!(bench.routes().len(), 1);
+    bench.now = bench.now + ms(2900);
+    bench.accept(2, 0, 3, None);
+    assert_eq!(bench.routes(), []);
+}
+
+/// Attempts that are used up end a message at once, and as a refusal where none of them ran.
+#[test]
+fn a_spent_message_is_answered_at_once() {
+    let mut bench = bench(vec![unsafe_class()], true);
+    bench.accept(1, 0, 3, None);
+    let (message, endpoint, _) = bench.routes()[0];
+    bench.finish(message, endpoint, Outcome::Spent, ms(1));
+    let actions = bench.decide();
+    let told = actions.iter().find_map(|action| match action {
+        Action::Busy { message: MessageId(1), after } => Some(*after),
+        _ => None,
+    });
+    assert!(told.is_some_and(|after| after > Duration::ZERO), "{actions:?}");
+}
