Tell a late watch what it missed in the tests' discovery

The test's discovery told the drain only to watches that were open already; the courier's log showed that it never came, as its watch opened a moment later. The courier was not at fault: PROTOCOL has the first line of a watch hold what changed before it, and now the test's discovery does that.

--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -101,7 +101,14 @@
 struct Discovery {
     silent: AtomicBool,
     hold_notices: AtomicBool,
-    watches: Mutex<Vec<TcpStream>>,
+    watches: Mutex<Watches>,
+}
+
+/// Open watches, and what was told so far: one that opens later is told it first.
+#[derive(Default)]
+struct Watches {
+    open: Vec<TcpStream>,
+    told: String,
 }
 
 fn serve_discovery(discovery: &Discovery, stream: TcpStream, seen: &Sender<Seen>) {
@@ -116,9 +123,11 @@
                 let _ = out.write_all(b"HTTP/1.1 204 No Content\r\n\r\n");
             }
         } else if !discovery.silent.load(Ordering::SeqCst) {
-            let _ = out.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+            let mut watches = discovery.watches.lock().unwrap();
+            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n";
+            let _ = out.write_all(format!("{head}{}", watches.told).as_bytes());
             if let Ok(watch) = out.try_clone() {
-                discovery.watches.lock().unwrap().push(watch);
+                watches.open.push(watch);
             }
         }
     }
@@ -260,7 +269,9 @@
         let update = json!({"rev": 2, "all": false, "targets": [self.target(endpoint, "DRAINING")]});
         let line = format!("{update}\n");
         let chunk = format!("{:x}\r\n{line}\r\n", line.len());
-        for watch in &mut *self.discovery.watches.lock().unwrap() {
+        let mut watches = self.discovery.watches.lock().unwrap();
+        watches.told.push_str(&chunk);
+        for watch in &mut watches.open {
             let _ = watch.write_all(chunk.as_bytes());
         }
     }
