Test limits held, timed-out calls, silent discovery, unanswered notices, compaction and closed connections

Six more loopback tests; no failure found in the courier. Seen on the way: the module hands messages back from 93% of most_held on, so that -BUSY for a full courier comes only where ends are still owed.

Conclusion: nothing to mend here.

--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -186,7 +186,7 @@
     let courier = world.start();
     world.drain(0);
     courier.log_until("the list has changed");
-    world.silence_discovery();
+    world.silence_discovery(true);
     let courier = courier.kill_and_restart();
     let mut client = courier.client();
     let mut open = Vec::new();
@@ -277,3 +277,112 @@
     assert!(courier.client().enqueue("z1", "0", "salary", 1, b"x").starts_with("-BUSY "));
     assert_eq!(courier.client().ask(&["PING"]), "+PONG");
 }
+
+/// No more is held than the settings allow, ends that are still owed included: one message more is turned away,
+/// and told when to come.
+#[test]
+fn no_more_messages_are_held_than_the_settings_allow() {
+    let mut world = World::patient(1, 3.0);
+    world.most_held = 3;
+    world.hold_notices(true);
+    let courier = world.start();
+    let mut client = courier.client();
+    for id in ["m1", "m2"] {
+        assert_eq!(client.enqueue(id, "0", "salary", 1, b"x"), "+OK");
+    }
+    let calls = [world.call(), world.call()];
+    // Nearly full, the module hands the next one back at once; its end is owed until the notice is answered.
+    assert_eq!(client.enqueue("m3", "0", "salary", 1, b"x"), "+OK");
+    assert!(world.notice().contains(r#""id":"m3","state":"returned""#));
+    let answer = client.enqueue("m4", "0", "salary", 1, b"x");
+    let after = answer.strip_prefix("-BUSY ").and_then(|ms| ms.parse::<u64>().ok());
+    assert!(after.is_some_and(|ms| ms > 0), "{answer}");
+    // The same id once more is the same message, which is held already.
+    assert_eq!(client.enqueue("m1", "0", "salary", 1, b"x"), "+OK");
+    calls.into_iter().for_each(|call| call.answer("200 OK", ""));
+    world.no_call();
+}
+
+/// A timed-out call closes its connection before the next attempt goes out: an attempt with the earlier one
+/// still on an open connection would be a second copy.
+#[test]
+fn a_timed_out_call_is_closed_before_the_next_attempt() {
+    let world = World::new(1, 3.0);
+    let courier = world.start();
+    assert_eq!(courier.client().enqueue("c1", "9", "notice,k=c1", 1, b"x"), "+OK");
+    let first = world.call();
+    let second = world.call();
+    assert_eq!(second.id, "c1");
+    assert!(first.is_closed());
+    second.answer("200 OK", "");
+    world.nothing();
+}
+
+/// Silence of discovery is no empty list: messages go on, and the watch is taken up again when it is back.
+#[test]
+fn discovery_may_be_silent() {
+    let world = World::new(2, 3.0);
+    world.silence_discovery(true);
+    let courier = world.start();
+    let mut client = courier.client();
+    assert_eq!(client.enqueue("q1", "0", "salary", 1, b"x"), "+OK");
+    world.call().answer("200 OK", "");
+    courier.log_until("the watch on the list broke");
+    assert_eq!(client.enqueue("q2", "0", "salary", 1, b"x"), "+OK");
+    world.call().answer("200 OK", "");
+    world.drain(0);
+    world.silence_discovery(false);
+    courier.log_until("the list has changed");
+}
+
+/// A notice is sent until it is answered.
+#[test]
+fn a_notice_is_sent_until_it_is_answered() {
+    let world = World::new(1, 3.0);
+    world.hold_notices(true);
+    let courier = world.start();
+    assert_eq!(courier.client().enqueue("o1", "0", "salary", 1, b"x"), "+OK");
+    world.call().reset();
+    let failed = r#"{"id":"o1","state":"failed"}"#;
+    assert_eq!(world.notice(), failed);
+    assert_eq!(world.notice(), failed);
+    world.hold_notices(false);
+    assert_eq!(world.notice(), failed);
+    world.nothing();
+    let courier = courier.kill_and_restart();
+    assert!(courier.log_until("the journal was replayed").contains("held=0"));
+}
+
+/// The journal of a long day is compacted again and again: it stays inside the disk, and keeps what is held.
+#[test]
+fn a_long_journal_is_compacted() {
+    let world = World::patient(1, 0.1);
+    let courier = world.start();
+    let mut client = courier.client();
+    assert_eq!(client.enqueue("kept", "0", "salary", 1, b"x"), "+OK");
+    let _open = world.call();
+    let body = vec![b'x'; 2000];
+    for number in 0..150 {
+        assert_eq!(client.enqueue(&format!("l{number}"), "0", "salary", 1, &body), "+OK");
+        world.call().answer("200 OK", "");
+        assert!(world.disk_used() <= 100_000);
+    }
+    let courier = courier.kill_and_restart();
+    assert_eq!(world.notice(), r#"{"id":"kept","state":"failed"}"#);
+    drop(courier);
+}
+
+/// A kept connection that the endpoint has closed is not used: a call on it would be lost.
+#[test]
+fn a_closed_connection_is_not_used_again() {
+    let world = World::new(1, 3.0);
+    let courier = world.start();
+    let mut client = courier.client();
+    for id in ["y1", "y2", "y3"] {
+        assert_eq!(client.enqueue(id, "0", "salary", 1, b"x"), "+OK");
+        let call = world.call();
+        assert_eq!(call.id, id);
+        call.answer("200 OK", "Connection: close\r\n");
+    }
+    world.nothing();
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -30,6 +30,7 @@
     pub body: Vec<u8>,
     headers: Vec<(String, String)>,
     answer: Sender<Option<String>>,
+    connection: TcpStream,
 }
 
 impl Call {
@@ -41,6 +42,13 @@
         let _ = self.answer.send(Some(format!("HTTP/1.1 {status}\r\n{headers}Content-Length: 0\r\n\r\n")));
     }
 
+    /// Whether the courier has ended its sending on this call's connection.
+    pub fn is_closed(&self) -> bool {
+        let mut connection = &self.connection;
+        connection.set_nonblocking(true).unwrap();
+        !matches!(connection.read(&mut [0]), Err(error) if error.kind() == ErrorKind::WouldBlock)
+    }
+
     pub fn reset(self) {
         let _ = self.answer.send(None);
     }
@@ -84,7 +92,8 @@
     while let Some(Request { headers, body, .. }) = read_request(&mut input) {
         let id = headers.iter().find(|(name, _)| name == "x-call-id").map(|(_, id)| id.clone());
         let (answer, answered) = channel();
-        let call = Call { endpoint, id: id.unwrap_or_default(), body, headers, answer };
+        let Ok(connection) = out.try_clone() else { return };
+        let call = Call { endpoint, id: id.unwrap_or_default(), body, headers, answer, connection };
         if seen.send(Seen::Call(call)).is_err() {
             return;
         }
@@ -151,7 +160,18 @@
     discovery_address: SocketAddr,
     seen: Receiver<Seen>,
     aim: u64,
+    pub most_held: u32,
     disk_mb: f64,
+    _cleanup: Cleanup,
+}
+
+/// Removes the folder of a world at its end.
+struct Cleanup(PathBuf);
+
+impl Drop for Cleanup {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
 }
 
 impl World {
@@ -175,15 +195,23 @@
         let discovery_address = listener.local_addr().unwrap();
         let shared = discovery.clone();
         serve(listener, move |stream| serve_discovery(&shared, stream, &send));
-        let (endpoints, refusing, aim) = (addresses, Vec::new(), 3);
-        World { folder, endpoints, refusing, discovery, discovery_address, seen, aim, disk_mb }
+        World {
+            _cleanup: Cleanup(folder.clone()),
+            folder,
+            endpoints: addresses,
+            refusing: Vec::new(),
+            discovery,
+            discovery_address,
+            seen,
+            aim: 3,
+            most_held: 400,
+            disk_mb,
+        }
     }
 
     /// A world in which the module waits long before it gives anything up.
     pub fn patient(endpoints: usize, disk_mb: f64) -> Self {
-        let mut world = World::new(endpoints, disk_mb);
-        world.aim = 100;
-        world
+        World { aim: 100, ..World::new(endpoints, disk_mb) }
     }
 
     /// Puts an address that refuses connections in an endpoint's place.
@@ -215,7 +243,7 @@
             "settings": {
                 "Balancers": 1, "Lanes": classes, "MachineTypes": ["banks"], "Zones": ["kingston"],
                 "WeightSource": "nominal", "FamilyInfo": {"CallsOut": 16, "KindBatch": [1], "OwnLimits": [false]},
-                "Permissions": {"MostHeld": 400, "SendCap": 8, "Cancel": true, "ConnIdle": 15_000_000_000_u64},
+                "Permissions": {"MostHeld": self.most_held, "SendCap": 8, "Cancel": true, "ConnIdle": 15_000_000_000_u64},
                 "Rules": {"AnswerSlack": 20_000_000, "OrderSettle": 100_000_000, "Fall": 2_000_000_000},
             },
         });
@@ -277,8 +305,8 @@
     }
 
     /// Discovery takes connections and says nothing.
-    pub fn silence_discovery(&self) {
-        self.discovery.silent.store(true, Ordering::SeqCst);
+    pub fn silence_discovery(&self, silent: bool) {
+        self.discovery.silent.store(silent, Ordering::SeqCst);
     }
 
     pub fn disk_used(&self) -> u64 {
@@ -292,12 +320,6 @@
     }
 }
 
-impl Drop for World {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
 #[derive(Default)]
 struct Log {
     lines: Mutex<Vec<String>>,
