Withdraw calls that are still connecting when a wait is told, and test that ends are told for good

Cause, found by reading and then by a test: a call that was still connecting when another endpoint of its destination told a wait went out inside that wait once its connection was up (lines at fault: Driver::ended, which took only drains back).

--- a/src/bin/gullcart/calls.rs
+++ b/src/bin/gullcart/calls.rs
@@ -42,8 +42,8 @@
 pub enum Stop {
     /// The module has called it off.
     CalledOff,
-    /// Its endpoint drains and it had not been sent.
-    Drained,
+    /// It must not be sent any more, and had not been.
+    Withdrawn,
 }
 
 /// How a call ended.
@@ -198,7 +198,7 @@
 fn never_sent(reason: Option<Stop>) -> Outcome {
     match reason {
         Some(Stop::CalledOff) => Outcome::ConnectFailed,
-        Some(Stop::Drained) | None => Outcome::Moot,
+        Some(Stop::Withdrawn) | None => Outcome::Moot,
     }
 }
 
--- a/src/bin/gullcart/clients.rs
+++ b/src/bin/gullcart/clients.rs
@@ -158,7 +158,7 @@
         }
     }
 
-    /// Answers one request; none where the client is gone.
+    /// Answers one request; none where the courier is ending.
     async fn serve(&mut self, words: &[Bytes]) -> io::Result<Option<()>> {
         let command = words.first().map(|word| word.to_ascii_uppercase());
         let answer = match command.as_deref() {
@@ -168,10 +168,11 @@
             }
             Some(b"ENQUEUE") => match Enqueue::read(words) {
                 Ok(enqueue) => {
-                    if self.gone() {
-                        return Ok(None);
+                    if !self.gone() {
+                        return self.hand_in(enqueue).await;
                     }
-                    return self.hand_in(enqueue).await;
+                    // One that has only ended its sending still hears this.
+                    Answer::Busy(None)
                 }
                 Err(text) => Answer::Error(text),
             },
--- a/src/bin/gullcart/discovery.rs
+++ b/src/bin/gullcart/discovery.rs
@@ -69,6 +69,7 @@
 struct Entry {
     uid: String,
     zone: ZoneId,
+    destination: DestinationId,
     address: Option<SocketAddr>,
     open: bool,
 }
@@ -91,6 +92,10 @@
         self.entries.get(&id).map_or(ZoneId(0), |entry| entry.zone)
     }
 
+    pub fn destination(&self, id: EndpointId) -> Option<DestinationId> {
+        self.entries.get(&id).map(|entry| entry.destination)
+    }
+
     pub fn uid(&self, id: EndpointId) -> Option<&str> {
         self.entries.get(&id).map(|entry| entry.uid.as_str())
     }
@@ -132,9 +137,8 @@
         };
         let zone = ZoneId(place(&mut self.zones, &target.az) as u8);
         let kind = KindId(place(&mut self.kinds, &target.model) as u16);
-        let entry = Entry { uid: target.uid.clone(), zone, address, open: mode == Mode::Ready };
-        self.entries.insert(id, entry);
-        let destination = DestinationId(target.pod_group);
+        let (uid, destination) = (target.uid.clone(), DestinationId(target.pod_group));
+        self.entries.insert(id, Entry { uid, zone, destination, address, open: mode == Mode::Ready });
         Endpoint { id, zone, kind, destination, mode, weight: target.capacity_hint }
     }
 }
--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -347,6 +347,7 @@
             Input::NoticeLost(notice) => {
                 let _ = self.notices.send(notice);
             }
+            Input::Terminate if self.ends.is_some() => {}
             Input::Terminate => {
                 let begun = Instant::now();
                 info!(held = self.journal.image.held.len(), out = self.out.len(), "told to end");
@@ -420,11 +421,17 @@
         let shut: Vec<EndpointId> = self.directory.shut().collect();
         for endpoint in shut {
             self.close_idle(endpoint);
-            // Calls that are still connecting would be new work there.
-            for out in self.out.values_mut().filter(|out| out.endpoint == endpoint && !out.sent.get()) {
-                if let Some(stop) = out.stop.take() {
-                    let _ = stop.send(Stop::Drained);
-                }
+            self.withdraw(|other, _| other == endpoint);
+        }
+    }
+
+    /// Takes back the calls to some endpoints that are still connecting: by the time their connections are up
+    /// they would be new work for an endpoint that drains, or calls inside a told wait.
+    fn withdraw(&mut self, which: impl Fn(EndpointId, &Directory) -> bool) {
+        let unsent = |out: &&mut Out| !out.sent.get() && which(out.endpoint, &self.directory);
+        for out in self.out.values_mut().filter(unsent) {
+            if let Some(stop) = out.stop.take() {
+                let _ = stop.send(Stop::Withdrawn);
             }
         }
     }
@@ -437,6 +444,10 @@
 
     fn ended(&mut self, now: Time, message: MessageId, endpoint: EndpointId, ended: Ended) {
         let Some(out) = self.out.remove(&message) else { return };
+        if let Outcome::Full(Some(_)) = ended.outcome {
+            let destination = self.directory.destination(endpoint);
+            self.withdraw(|other, directory| directory.destination(other) == destination);
+        }
         if ended.complete {
             self.counts.delivered += u32::from(ended.outcome == Outcome::Ok);
             self.over(message);
--- a/src/bin/gullcart/journal.rs
+++ b/src/bin/gullcart/journal.rs
@@ -16,13 +16,13 @@
 use crate::discovery::{Target, Update};
 
 /// Messages are taken on only while what is live fits into this part of the disk ...
-const LIVE_PART: f64 = 0.40;
+const LIVE_PART: f64 = 0.43;
 /// ... and the file is compacted before it passes this part, so that old and new fit side by side.
-const FILE_PART: f64 = 0.55;
+const FILE_PART: f64 = 0.54;
 /// No append goes past this part, also if compaction fails.
 const HARD_PART: f64 = 0.95;
 /// Room kept for the later records of each live message.
-const PER_MESSAGE: u64 = 192;
+const PER_MESSAGE: u64 = 128;
 /// Length and checksum before each record.
 const FRAME: usize = 8;
 /// A longer record is damage.
--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -151,15 +151,20 @@
     world.no_call();
 }
 
-/// 504 says that the attempts are used up: the end is owed at once, and as a refusal, since nothing ran.
+/// 504 says that the attempts are used up: the end is owed at once, and as a refusal, since nothing ran. Once
+/// told, the client may hand the message in again, so that nothing may be sent for it after a restart either.
 #[test]
-fn a_spent_message_is_returned_at_once() {
+fn a_spent_message_is_returned_at_once_and_for_good() {
     let world = World::new(1, 3.0);
+    world.hold_notices(true);
     let courier = world.start();
     assert_eq!(courier.client().enqueue("s1", "0", "salary", 1, b"x"), "+OK");
     world.call().answer("504 Spent", "");
     let notice = world.notice();
     assert!(notice.starts_with(r#"{"after_ms":"#) && notice.contains(r#""state":"returned""#), "{notice}");
+    let _courier = courier.kill_and_restart();
+    assert_eq!(world.notice(), notice);
+    world.no_call();
 }
 
 /// A told wait holds for all messages to that destination.
@@ -386,3 +391,26 @@
     }
     world.nothing();
 }
+
+/// A call whose connection comes up only after a wait was told, or a drain, must not go out on it.
+#[test]
+fn calls_still_connecting_are_withdrawn_when_a_wait_is_told() {
+    let mut world = World::new(2, 3.0);
+    let hanging = world.hang_connections(0);
+    let courier = world.start();
+    let mut client = courier.client();
+    // Of two messages one goes to each endpoint, as each has the fewest calls out in its turn.
+    for id in ["v1", "v2"] {
+        assert_eq!(client.enqueue(id, "0", "salary", 1, b"x"), "+OK");
+    }
+    let call = world.call();
+    assert_eq!(call.endpoint, 1);
+    let told = Instant::now();
+    call.answer("429 Later", "X-Come-Back-Ms: 3500\r\n");
+    world.release(hanging);
+    for _ in 0..2 {
+        let call = world.call();
+        assert!(told.elapsed() >= Duration::from_millis(3500), "after {:?}", told.elapsed());
+        call.answer("200 OK", "");
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -2,6 +2,7 @@
 //! discovery, and clients. All ports are chosen by the system, and tests wait on what arrives.
 
 use serde_json::{json, Value};
+use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -151,14 +152,30 @@
     })
 }
 
+/// A socket that is bound, and its address.
+fn bound() -> (Socket, SocketAddr) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    (socket, address)
+}
+
+/// A listener whose queue is full.
+pub struct Hanging {
+    listener: TcpListener,
+    endpoint: usize,
+    _fillers: Vec<TcpStream>,
+}
+
 pub struct World {
     folder: PathBuf,
     endpoints: Vec<SocketAddr>,
     /// Sockets that are bound and do not listen: connecting to one is refused, and nobody else gets its port.
-    refusing: Vec<tokio::net::TcpSocket>,
+    refusing: Vec<Socket>,
     discovery: Arc<Discovery>,
     discovery_address: SocketAddr,
     seen: Receiver<Seen>,
+    send: Sender<Seen>,
     aim: u64,
     pub most_held: u32,
     disk_mb: f64,
@@ -193,8 +210,8 @@
         let discovery = Arc::new(Discovery::default());
         let listener = bind();
         let discovery_address = listener.local_addr().unwrap();
-        let shared = discovery.clone();
-        serve(listener, move |stream| serve_discovery(&shared, stream, &send));
+        let (shared, told) = (discovery.clone(), send.clone());
+        serve(listener, move |stream| serve_discovery(&shared, stream, &told));
         World {
             _cleanup: Cleanup(folder.clone()),
             folder,
@@ -203,6 +220,7 @@
             discovery,
             discovery_address,
             seen,
+            send,
             aim: 3,
             most_held: 400,
             disk_mb,
@@ -216,12 +234,30 @@
 
     /// Puts an address that refuses connections in an endpoint's place.
     pub fn refuse_connections(&mut self, endpoint: usize) {
-        let socket = tokio::net::TcpSocket::new_v4().unwrap();
-        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        self.endpoints[endpoint] = socket.local_addr().unwrap();
+        let (socket, address) = bound();
+        self.endpoints[endpoint] = address;
         self.refusing.push(socket);
     }
 
+    /// Puts an address in an endpoint's place where connections do not come up: the queue of those that wait to
+    /// be accepted is full. They do once the returned listener is served.
+    pub fn hang_connections(&mut self, endpoint: usize) -> Hanging {
+        let (socket, address) = bound();
+        socket.listen(0).unwrap();
+        let mut fillers = Vec::new();
+        while let Ok(filler) = TcpStream::connect_timeout(&address, QUIET) {
+            fillers.push(filler);
+        }
+        self.endpoints[endpoint] = address;
+        Hanging { listener: socket.into(), endpoint, _fillers: fillers }
+    }
+
+    /// Lets the connections come up that hang.
+    pub fn release(&self, hanging: Hanging) {
+        let (send, endpoint) = (self.send.clone(), hanging.endpoint);
+        serve(hanging.listener, move |stream| serve_calls(endpoint, stream, &send));
+    }
+
     fn target(&self, endpoint: usize, state: &str) -> Value {
         json!({
             "uid": format!("s-{endpoint}"), "endpoint": self.endpoints[endpoint].to_string(), "az": "kingston",
@@ -243,7 +279,7 @@
             "settings": {
                 "Balancers": 1, "Lanes": classes, "MachineTypes": ["banks"], "Zones": ["kingston"],
                 "WeightSource": "nominal", "FamilyInfo": {"CallsOut": 16, "KindBatch": [1], "OwnLimits": [false]},
-                "Permissions": {"MostHeld": self.most_held, "SendCap": 8, "Cancel": true, "ConnIdle": 15_000_000_000_u64},
+                "Permissions": {"MostHeld": self.most_held, "SendCap": 8, "Cancel": true, "ConnIdle": 15_000_000_000_u64, "ConnectTimeout": 5_000_000_000_u64},
                 "Rules": {"AnswerSlack": 20_000_000, "OrderSettle": 100_000_000, "Fall": 2_000_000_000},
             },
         });
