--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -133,6 +133,7 @@
     journal_errors: Seldom,
     late: Seldom,
     outage_lines: Seldom,
+    wait_lines: Seldom,
 }
 
 impl Driver {
@@ -175,6 +176,7 @@
             journal_errors: Seldom::default(),
             late: Seldom::default(),
             outage_lines: Seldom::default(),
+            wait_lines: Seldom::default(),
         };
         driver.restore(known);
         driver
@@ -451,8 +453,11 @@
 
     fn ended(&mut self, now: Time, message: MessageId, endpoint: EndpointId, ended: Ended) {
         let Some(out) = self.out.remove(&message) else { return };
-        if let Outcome::Full(Some(_)) = ended.outcome {
+        if let Outcome::Full(Some(wait)) = ended.outcome {
             let destination = self.directory.destination(endpoint);
+            if let Some(more) = self.wait_lines.due() {
+                info!(?destination, ?wait, more, "told to wait");
+            }
             self.withdraw(|other, directory| directory.destination(other) == destination);
         }
         if ended.complete {
