--- a/src/bin/gullcart/clients.rs
+++ b/src/bin/gullcart/clients.rs
@@ -1,26 +1,53 @@
-//! The server for clients: RESP2 requests in, one answer each.
+//! The server for clients: RESP2 requests in, one answer each, on a bounded number of connections.
 
 use bytes::{Buf, Bytes, BytesMut};
+use cloverstile::MessageId;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc::UnboundedSender, oneshot, watch, Semaphore};
-use tokio::time::{sleep, timeout};
+use tokio::sync::{mpsc::UnboundedSender, oneshot, watch, Notify, Semaphore, SemaphorePermit};
+use tokio::task::yield_now;
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 use tracing::warn;
 
 use crate::driver::Input;
+use crate::journal::Taken;
 use crate::seldom::Seldom;
 
 const MOST_WORDS: usize = 16;
 const LONGEST_BODY: usize = 64 << 10;
+/// All of a request but its body: a key, an id, fields and their lengths.
+const LONGEST_REST: usize = 4 << 10;
 /// A line that announces a count or a length.
 const LONGEST_LINE: usize = 32;
-/// Read at once, as far as it is there.
+/// Read at once, as far as it is there. A request that needs more waits for one of the places for long ones.
 const READ: usize = 4 << 10;
-/// A client that says nothing for this long, or leaves a request unfinished, may be gone without a word.
-const IDLE: Duration = Duration::from_secs(120);
+/// How long a connection may stay without its first request, ...
+const SILENT: Duration = Duration::from_secs(2);
+/// ... with a part of a request, whose client waits 400 ms for an answer, ...
+const HALF: Duration = Duration::from_secs(1);
+/// ... and with no request open after the first.
+const IDLE: Duration = Duration::from_secs(10);
+/// While places are short, a part of a request is given up once its client has stopped waiting, and a silent
+/// connection goes before the idle ones once its first request is not to be expected any more.
+const HALF_PRESSED: Duration = Duration::from_millis(400);
+const SILENT_PRESSED: Duration = Duration::from_millis(250);
+/// A client that does not read its answer for this long is not waiting for it.
+const WRITE: Duration = Duration::from_secs(1);
+/// What a refused client still sends is read for so long and up to this size: closing with something unread
+/// would destroy the answer on its way.
+const DRAIN: Duration = Duration::from_secs(4);
+const DRAINED: usize = 80 << 20;
+const DRAIN_READ: usize = 64 << 10;
+/// Answers to pipelined requests are written together up to this size.
+const ANSWERS: usize = 4 << 10;
+/// Requests of one connection that are served before the others get their turn.
+const TURN: usize = 16;
 /// While the courier ends, a new connection may take this long to bring its request.
 const LAST_REQUEST: Duration = Duration::from_millis(400);
 
@@ -41,7 +68,10 @@
 /// What the client is told.
 #[derive(Debug)]
 pub enum Answer {
-    Taken,
+    /// Taken on by this hand-in, which alone may withdraw it.
+    Taken(MessageId),
+    /// The same message is held already.
+    Held,
     Busy(Option<Duration>),
     Error(&'static str),
 }
@@ -49,7 +79,7 @@
 impl Answer {
     fn wire(&self) -> String {
         match self {
-            Answer::Taken => "+OK\r\n".to_owned(),
+            Answer::Taken(_) | Answer::Held => "+OK\r\n".to_owned(),
             Answer::Busy(None) => "-BUSY\r\n".to_owned(),
             Answer::Busy(Some(after)) => format!("-BUSY {}\r\n", after.as_millis()),
             Answer::Error(text) => format!("-ERR {text}\r\n"),
@@ -57,29 +87,38 @@
     }
 }
 
+/// What clients may hold.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientLimits {
+    pub connections: usize,
+    /// Requests longer than a few KiB that are read at a time.
+    pub long_requests: usize,
+}
+
 /// Accepts connections until the task is dropped. `closing` turns true when the courier is about to end.
 pub async fn serve(
     listener: TcpListener,
     driver: UnboundedSender<Input>,
     closing: watch::Receiver<bool>,
-    most: usize,
+    limits: ClientLimits,
 ) {
-    let places = std::rc::Rc::new(Semaphore::new(most));
+    let places = Rc::new(Places::new(limits));
     let mut failures = Seldom::default();
     loop {
-        // Out of places the rest waits in the listener's queue; sockets are kept for calls.
-        let Ok(_) = places.acquire().await.map(|place| place.forget()) else { return };
         match listener.accept().await {
             Ok((stream, _)) => {
-                let (driver, closing, places) = (driver.clone(), closing.clone(), places.clone());
+                let place = places.clone().enter();
+                let (driver, closing) = (driver.clone(), closing.clone());
                 tokio::task::spawn_local(async move {
+                    let client =
+                        Client { stream, driver, closing, place, buffer: BytesMut::new(), out: Vec::new() };
                     // A connection that breaks is its client's affair: what was taken on stays so.
-                    let _ = Client { stream, driver, closing, buffer: BytesMut::new() }.run().await;
-                    places.add_permits(1);
+                    let _ = client.run().await;
                 });
+                // One place is kept free, so that who comes next is never left in the listener's queue.
+                places.make_room().await;
             }
             Err(error) => {
-                places.add_permits(1);
                 if let Some(more) = failures.due() {
                     warn!(%error, more, "a client's connection cannot be accepted");
                 }
@@ -89,73 +128,263 @@
     }
 }
 
+/// What a connection is doing, which decides who gives way when places are short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Doing {
+    /// Has not asked anything yet.
+    Silent,
+    /// Between two requests.
+    Idle,
+    /// A part of a request has come.
+    Half,
+    /// Has a request open.
+    Busy,
+    /// Has been told its error; what it still sends is thrown away.
+    Refused,
+    /// Has been told to give way.
+    Leaving,
+}
+
+/// The open connections of clients.
+struct Places {
+    most: usize,
+    occupants: RefCell<Occupants>,
+    /// A connection has closed or changed what it does.
+    changed: Notify,
+    long: Semaphore,
+}
+
+#[derive(Default)]
+struct Occupants {
+    last: u64,
+    open: BTreeMap<u64, Occupant>,
+}
+
+struct Occupant {
+    doing: Doing,
+    since: Instant,
+    give_way: Rc<Notify>,
+}
+
+impl Occupant {
+    /// Who gives way first has the least; none where it may not be closed. Nobody waits for one that has its
+    /// error; a silent one that should have asked by now goes before those that ask now and then.
+    fn rank(&self, now: Instant) -> Option<(u8, Instant)> {
+        let lasted = now - self.since;
+        let rank = match self.doing {
+            Doing::Refused => 0,
+            Doing::Silent if lasted >= SILENT_PRESSED => 1,
+            Doing::Half if lasted >= HALF_PRESSED => 2,
+            Doing::Idle => 3,
+            Doing::Silent => 4,
+            Doing::Half | Doing::Busy | Doing::Leaving => return None,
+        };
+        Some((rank, self.since))
+    }
+}
+
+impl Places {
+    fn new(limits: ClientLimits) -> Self {
+        Places {
+            most: limits.connections,
+            occupants: RefCell::default(),
+            changed: Notify::new(),
+            long: Semaphore::new(limits.long_requests),
+        }
+    }
+
+    fn enter(self: Rc<Self>) -> Place {
+        let give_way = Rc::new(Notify::new());
+        let number = {
+            let mut occupants = self.occupants.borrow_mut();
+            occupants.last += 1;
+            let number = occupants.last;
+            let occupant =
+                Occupant { doing: Doing::Silent, since: Instant::now(), give_way: give_way.clone() };
+            occupants.open.insert(number, occupant);
+            number
+        };
+        Place { number, give_way, places: self }
+    }
+
+    /// Waits until a place is free, closing for it the connection that can best be spared.
+    async fn make_room(&self) {
+        while self.occupants.borrow().open.len() >= self.most {
+            self.shed_one();
+            // Those that may not be closed now may be so later.
+            let _ = timeout(SILENT_PRESSED, self.changed.notified()).await;
+        }
+    }
+
+    fn shed_one(&self) {
+        let now = Instant::now();
+        let mut occupants = self.occupants.borrow_mut();
+        if occupants.open.values().any(|occupant| occupant.doing == Doing::Leaving) {
+            return;
+        }
+        let ranked = occupants.open.values_mut().filter_map(|o| Some((o.rank(now)?, o)));
+        if let Some((_, occupant)) = ranked.min_by_key(|(rank, _)| *rank) {
+            occupant.doing = Doing::Leaving;
+            occupant.give_way.notify_one();
+        }
+    }
+}
+
+/// The place of one connection, free again when dropped.
+struct Place {
+    number: u64,
+    give_way: Rc<Notify>,
+    places: Rc<Places>,
+}
+
+impl Place {
+    fn set(&self, doing: Doing) {
+        if let Some(occupant) = self.places.occupants.borrow_mut().open.get_mut(&self.number) {
+            if occupant.doing == Doing::Leaving {
+                // It stays after all: another one has to give way.
+                self.places.changed.notify_one();
+            }
+            (occupant.doing, occupant.since) = (doing, Instant::now());
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.places.occupants.borrow_mut().open.remove(&self.number);
+        self.places.changed.notify_one();
+    }
+}
+
 struct Client {
+    // Before the place: the descriptor is closed by the time that the place is free.
     stream: TcpStream,
     driver: UnboundedSender<Input>,
     closing: watch::Receiver<bool>,
     buffer: BytesMut,
+    out: Vec<u8>,
+    place: Place,
+}
+
+/// What came of reading on.
+enum Read {
+    More,
+    /// The client has gone, or its connection may be closed.
+    End,
+    /// The request did not become whole in its time.
+    Late,
 }
 
 impl Client {
     async fn run(mut self) -> io::Result<()> {
         self.stream.set_nodelay(true)?;
-        let mut idle_allowed = *self.closing.borrow();
+        let places = self.place.places.clone();
+        let mut long: Option<SemaphorePermit> = None;
+        // When what is due next must have come: the first request, the rest of one, or another one.
+        let mut due = Instant::now() + SILENT;
+        let mut fresh = *self.closing.borrow();
+        let mut served = 0;
         loop {
-            let words = match decode(&mut self.buffer) {
-                Ok(Some(words)) => words,
-                Ok(None) => {
-                    if !self.read(idle_allowed).await? {
+            match decode(&mut self.buffer) {
+                Ok(Some(words)) => {
+                    self.place.set(Doing::Busy);
+                    fresh = false;
+                    if self.serve(&words).await?.is_none() {
                         return Ok(());
                     }
+                    served += 1;
+                    if served % TURN == 0 {
+                        yield_now().await;
+                    }
+                    if self.buffer.is_empty() {
+                        // A long request's room is given back.
+                        (self.buffer, long) = (BytesMut::new(), None);
+                        due = Instant::now() + IDLE;
+                        self.place.set(Doing::Idle);
+                    } else {
+                        due = Instant::now() + HALF;
+                        self.place.set(Doing::Half);
+                    }
                     continue;
                 }
-                Err(error) => {
-                    // What follows cannot be told apart any more.
-                    let _ = self.stream.write_all(format!("-ERR {error}\r\n").as_bytes()).await;
-                    return self.stream.shutdown().await;
+                Ok(None) => {}
+                // What follows cannot be told apart any more.
+                Err(error) => return self.refuse(&error.to_string()).await,
+            }
+            self.flush().await?;
+            if self.buffer.len() >= READ && long.is_none() {
+                match timeout_at(due, places.long.acquire()).await {
+                    Ok(Ok(permit)) => long = Some(permit),
+                    Ok(Err(_)) | Err(_) => return self.refuse("too many long requests").await,
+                }
+            }
+            let between = self.buffer.is_empty();
+            match self.read(fresh, due).await? {
+                Read::More if between => {
+                    due = Instant::now() + HALF;
+                    self.place.set(Doing::Half);
                 }
-            };
-            idle_allowed = false;
-            if self.serve(&words).await?.is_none() {
-                return Ok(());
+                Read::More => {}
+                Read::End => return Ok(()),
+                Read::Late => return self.refuse("the request did not come to its end").await,
             }
         }
     }
 
-    /// Reads more of a request; false where the connection is over. When the courier ends, a connection is
-    /// closed between two requests, but never with a part of one read.
-    async fn read(&mut self, fresh: bool) -> io::Result<bool> {
-        self.buffer.reserve(READ);
-        if self.buffer.is_empty() && *self.closing.borrow() {
+    /// Reads more of a request. When the courier ends, a connection is closed between two requests, but never
+    /// with a part of one read.
+    async fn read(&mut self, fresh: bool, due: Instant) -> io::Result<Read> {
+        let between = self.buffer.is_empty();
+        if between && *self.closing.borrow() {
             if fresh {
-                let read = timeout(LAST_REQUEST, self.stream.read_buf(&mut self.buffer)).await;
-                return Ok(matches!(read, Ok(Ok(1..))));
+                let ready = timeout(LAST_REQUEST, self.stream.readable()).await;
+                return if ready.is_ok() { self.read_now() } else { Ok(Read::End) };
             }
-            return Ok(self.read_now()? > 0);
+            return self.read_now();
         }
-        let between = self.buffer.is_empty();
-        tokio::select! {
-            biased;
-            read = timeout(IDLE, self.stream.read_buf(&mut self.buffer)) => Ok(matches!(read, Ok(Ok(1..)))),
-            _ = self.closing.changed(), if between => Ok(self.read_now()? > 0),
+        let give_way = self.place.give_way.clone();
+        loop {
+            tokio::select! {
+                biased;
+                // Room is made only when there is something to read: idle connections hold none.
+                ready = self.stream.readable() => ready?,
+                () = give_way.notified() => {
+                    return if between { self.read_now() } else { Ok(Read::End) };
+                }
+                () = tokio::time::sleep_until(due) => {
+                    return if between { self.read_now() } else { Ok(Read::Late) };
+                }
+                _ = self.closing.changed(), if between => return self.read_now(),
+            }
+            self.buffer.reserve(READ);
+            match self.stream.try_read_buf(&mut self.buffer) {
+                Ok(0) => return Ok(Read::End),
+                Ok(_) => return Ok(Read::More),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error),
+            }
         }
     }
 
-    /// What has come already, without waiting.
-    fn read_now(&mut self) -> io::Result<usize> {
+    /// What has come already, without waiting; the end if there is nothing.
+    fn read_now(&mut self) -> io::Result<Read> {
+        self.buffer.reserve(READ);
         match self.stream.try_read_buf(&mut self.buffer) {
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(0),
-            result => result,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(Read::End),
+            Err(error) => Err(error),
+            Ok(0) => Ok(Read::End),
+            Ok(_) => Ok(Read::More),
         }
     }
 
     /// Whether the client has closed its side. One that did so before its answer has stopped waiting, and may
-    /// be handing the message in elsewhere already.
+    /// be handing the message in elsewhere already. One with more requests on the way has not.
     fn gone(&mut self) -> bool {
-        match self.stream.try_read_buf(&mut self.buffer) {
-            Ok(count) => count == 0,
-            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
-        }
+        self.buffer.is_empty()
+            && match self.stream.try_read_buf(&mut self.buffer) {
+                Ok(count) => count == 0,
+                Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+            }
     }
 
     /// Answers one request; none where the courier is ending.
@@ -163,8 +392,8 @@
         let command = words.first().map(|word| word.to_ascii_uppercase());
         let answer = match command.as_deref() {
             Some(b"PING") => {
-                self.stream.write_all(b"+PONG\r\n").await?;
-                return Ok(Some(()));
+                self.out.extend_from_slice(b"+PONG\r\n");
+                return self.flush_long().await.map(Some);
             }
             Some(b"ENQUEUE") => match Enqueue::read(words) {
                 Ok(enqueue) => {
@@ -178,27 +407,87 @@
             },
             _ => Answer::Error("unknown command"),
         };
-        self.stream.write_all(answer.wire().as_bytes()).await?;
-        Ok(Some(()))
+        self.out.extend_from_slice(answer.wire().as_bytes());
+        self.flush_long().await.map(Some)
     }
 
     async fn hand_in(&mut self, enqueue: Enqueue) -> io::Result<Option<()>> {
-        let id = enqueue.id.clone();
+        // What was answered before must not be lost with this answer, nor this one with those.
+        self.flush().await?;
         let (reply, answer) = oneshot::channel();
         if self.driver.send(Input::Enqueue(enqueue, reply)).is_err() {
             return Ok(None);
         }
         let Ok(answer) = answer.await else { return Ok(None) };
-        let written = self.stream.write_all(answer.wire().as_bytes()).await;
-        if written.is_err() && matches!(answer, Answer::Taken) {
+        self.out.extend_from_slice(answer.wire().as_bytes());
+        let written = self.flush().await;
+        if let (Err(_), Answer::Taken(message)) = (&written, answer) {
             // The client never heard that it was taken on, and hands it in again under another id.
-            let _ = self.driver.send(Input::Unheard(id));
+            let _ = self.driver.send(Input::Unheard(message));
         }
         written.map(Some)
     }
+
+    async fn flush(&mut self) -> io::Result<()> {
+        if !self.out.is_empty() {
+            timeout(WRITE, self.stream.write_all(&self.out)).await??;
+            self.out.clear();
+        }
+        Ok(())
+    }
+
+    async fn flush_long(&mut self) -> io::Result<()> {
+        if self.out.len() >= ANSWERS {
+            self.flush().await?;
+        }
+        Ok(())
+    }
+
+    /// Tells the client its error and closes: ends the sending side, and reads what is still being sent until
+    /// the client closes too, so that the error arrives.
+    async fn refuse(mut self, error: &str) -> io::Result<()> {
+        self.place.set(Doing::Refused);
+        self.buffer = BytesMut::new();
+        self.out.extend_from_slice(format!("-ERR {error}\r\n").as_bytes());
+        self.flush().await?;
+        self.stream.shutdown().await?;
+        let (stream, give_way) = (&self.stream, self.place.give_way.clone());
+        let drain = async {
+            let mut left = DRAINED;
+            while left > 0 {
+                stream.readable().await?;
+                match discard(stream) {
+                    Ok(0) => break,
+                    Ok(count) => left = left.saturating_sub(count),
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(error) => return Err(error),
+                }
+                yield_now().await;
+            }
+            Ok(())
+        };
+        tokio::select! {
+            drained = timeout(DRAIN, drain) => drained.unwrap_or(Ok(())),
+            () = give_way.notified() => Ok(()),
+        }
+    }
+}
+
+/// Reads what is there and throws it away, into the one buffer that all connections share for that.
+fn discard(stream: &TcpStream) -> io::Result<usize> {
+    thread_local! {
+        static BIN: RefCell<Box<[u8]>> = RefCell::new(vec![0; DRAIN_READ].into());
+    }
+    BIN.with_borrow_mut(|bin| stream.try_read(bin))
 }
 
 impl Enqueue {
+    /// Whether a message that is held is this one. What is left of its time differs from try to try.
+    pub fn is_same(&self, held: &Taken) -> bool {
+        (self.key, &self.class, self.destination) == (held.key, &held.class, held.destination)
+            && (&self.idempotency_key, &self.body) == (&held.idempotency_key, &held.body)
+    }
+
     /// `ENQUEUE key id names-and-values body`.
     fn read(words: &[Bytes]) -> Result<Self, &'static str> {
         let [_, key, id, fields, body] = words else {
@@ -260,12 +549,17 @@
         return Err(RespError::Long);
     }
     let mut spans = Vec::with_capacity(count);
+    let mut longest = 0;
     for _ in 0..count {
         let Some((length, start)) = number(buffer, at, b'$')? else { return Ok(None) };
         if length > LONGEST_BODY {
             return Err(RespError::Long);
         }
         let end = start + length;
+        longest = longest.max(length);
+        if end - longest > LONGEST_REST {
+            return Err(RespError::Long);
+        }
         match buffer.get(end..end + 2) {
             None => return Ok(None),
             Some(b"\r\n") => {}
--- a/src/bin/gullcart/discovery.rs
+++ b/src/bin/gullcart/discovery.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use cloverstile::{DestinationId, Endpoint, EndpointId, KindId, Listing, MessageId, Mode, Parsed, ZoneId};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response, StatusCode};
@@ -14,7 +14,8 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
-use tokio::time::{sleep, timeout};
+use tokio::sync::watch;
+use tokio::time::timeout;
 use tracing::{error, info, warn};
 
 use crate::driver::Input;
@@ -29,8 +30,8 @@
 const BACK_OFF: Duration = Duration::from_millis(100);
 /// Notices that go in one request at most.
 const NOTICES: usize = 200;
-/// A line of the watch that is longer is damage.
-const LONGEST_LINE: usize = 8 << 20;
+/// A list, or a line of the watch, that is longer is damage.
+const LONGEST_LIST: usize = 4 << 20;
 
 /// An entry of the list.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -166,7 +167,7 @@
     Status(StatusCode),
     #[error("a line cannot be read: {0}")]
     Line(#[from] serde_json::Error),
-    #[error("a line has no end")]
+    #[error("broken off or without end")]
     Long,
 }
 
@@ -180,27 +181,55 @@
     Ok(sender)
 }
 
+/// Where discovery's agent is now; a new address is gone over to at once.
+pub type Agent = watch::Receiver<String>;
+
 /// Watches the list from the last version on. Ends never: what breaks is begun anew after a short pause.
-pub async fn watch(agent: String, mut rev: u64, driver: UnboundedSender<Input>) {
+pub async fn watch(mut agent: Agent, mut rev: u64, driver: UnboundedSender<Input>) {
     let mut down = false;
+    // Another agent may know another list: it is asked for the whole of it first.
+    let mut whole = false;
     loop {
-        let result = watch_once(&agent, &mut rev, &driver, &mut down).await;
+        let address = agent.borrow_and_update().clone();
+        let watching = watch_once(&address, &mut whole, &mut rev, &driver, &mut down);
+        let result = tokio::select! {
+            result = watching => result,
+            changed = agent.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                (whole, down) = (true, false);
+                continue;
+            }
+        };
         let reason = result.err().map_or_else(|| "ended".to_owned(), |error| error.to_string());
         if !down {
             warn!(reason, rev, "the watch on the list broke");
             down = true;
         }
-        sleep(BACK_OFF).await;
+        whole |= timeout(BACK_OFF, agent.changed()).await.is_ok();
     }
 }
 
 async fn watch_once(
     agent: &str,
+    whole: &mut bool,
     rev: &mut u64,
     driver: &UnboundedSender<Input>,
     down: &mut bool,
 ) -> Result<(), AgentError> {
     let mut connection = connect(agent).await?;
+    if *whole {
+        let request = Request::get("/v1/endpoints").header("Host", agent).body(Full::default())?;
+        let list = timeout(ANSWER, fetch(&mut connection, request)).await??;
+        // An agent that has heard less than the one before must not take back a drain.
+        if list.rev >= *rev {
+            *rev = list.rev;
+            let _ = driver.send(Input::Listed(Update { all: true, ..list }));
+        }
+        *whole = false;
+        timeout(ANSWER, connection.ready()).await??;
+    }
     let request = Request::get(format!("/v1/endpoints?watch=1&after={rev}"))
         .header("Host", agent)
         .body(Full::default())?;
@@ -225,13 +254,23 @@
                 let _ = driver.send(Input::Listed(update));
             }
         }
-        if buffer.len() > LONGEST_LINE {
+        if buffer.len() > LONGEST_LIST {
             return Err(AgentError::Long);
         }
     }
     Ok(())
 }
 
+/// The whole list.
+async fn fetch(connection: &mut Connection, request: Request<Full<Bytes>>) -> Result<Update, AgentError> {
+    let response = connection.send_request(request).await?;
+    if response.status() != StatusCode::OK {
+        return Err(AgentError::Status(response.status()));
+    }
+    let body = Limited::new(response.into_body(), LONGEST_LIST).collect().await;
+    Ok(serde_json::from_slice(&body.map_err(|_| AgentError::Long)?.to_bytes())?)
+}
+
 /// The end of a message that was not delivered, on its way to the platform.
 #[derive(Debug)]
 pub struct Notice {
@@ -254,50 +293,70 @@
     }
 }
 
-/// Sends notices until each is answered. A notice that comes twice does no harm, one that never comes does.
-pub async fn notices(agent: String, mut queue: UnboundedReceiver<Notice>, driver: UnboundedSender<Input>) {
+/// Sends notices until each is answered, at a new address those that the old one has not answered. A notice that
+/// comes twice does no harm, one that never comes does.
+pub async fn notices(mut agent: Agent, mut queue: UnboundedReceiver<Notice>, driver: UnboundedSender<Input>) {
     let mut connection = None;
     let mut batch = Vec::new();
     let mut down = false;
     while queue.recv_many(&mut batch, NOTICES).await > 0 {
         while !batch.is_empty() {
-            let lines: String = batch.iter().map(Notice::line).collect();
-            match post(&agent, &mut connection, lines).await {
-                Ok(()) => {
-                    down = false;
-                    let heard = batch.drain(..).map(|notice| notice.message).collect();
-                    let _ = driver.send(Input::Heard(heard));
-                }
-                // One bad line must not hold up the others: they go one by one, and it is let go.
-                Err(AgentError::Status(StatusCode::BAD_REQUEST)) => {
-                    for notice in batch.drain(..) {
-                        let result = post(&agent, &mut connection, notice.line()).await;
-                        match result {
-                            Ok(()) | Err(AgentError::Status(StatusCode::BAD_REQUEST)) => {
-                                if let Err(refused) = result {
-                                    error!(id = notice.id, %refused, "a notice is not understood");
-                                }
-                                let _ = driver.send(Input::Heard(vec![notice.message]));
-                            }
-                            Err(_) => {
-                                let _ = driver.send(Input::NoticeLost(notice));
-                            }
-                        }
-                    }
+            if agent.has_changed().unwrap_or_default() {
+                connection = None;
+            }
+            let address = agent.borrow_and_update().clone();
+            let told = tokio::select! {
+                told = tell(&address, &mut connection, &mut batch, &driver) => told,
+                Ok(()) = agent.changed() => {
+                    connection = None;
+                    continue;
                 }
+            };
+            match told {
+                Ok(()) => down = false,
                 Err(reason) => {
                     connection = None;
                     if !down {
                         warn!(%reason, waiting = batch.len(), "notices are not answered");
                         down = true;
                     }
-                    sleep(BACK_OFF).await;
+                    let _ = timeout(BACK_OFF, agent.changed()).await;
                 }
             }
         }
     }
 }
 
+/// Sends a batch of notices; those that are answered leave it.
+async fn tell(
+    agent: &str,
+    connection: &mut Option<Connection>,
+    batch: &mut Vec<Notice>,
+    driver: &UnboundedSender<Input>,
+) -> Result<(), AgentError> {
+    match post(agent, connection, batch.iter().map(Notice::line).collect()).await {
+        // One bad line must not hold up the others: they go one by one, and it is let go.
+        Err(AgentError::Status(StatusCode::BAD_REQUEST)) => {}
+        result => {
+            result?;
+            let heard = batch.drain(..).map(|notice| notice.message).collect();
+            let _ = driver.send(Input::Heard(heard));
+            return Ok(());
+        }
+    }
+    while let Some(notice) = batch.last() {
+        match post(agent, connection, notice.line()).await {
+            Err(refused @ AgentError::Status(StatusCode::BAD_REQUEST)) => {
+                error!(id = notice.id, %refused, "a notice is not understood");
+            }
+            result => result?,
+        }
+        let _ = driver.send(Input::Heard(vec![notice.message]));
+        batch.pop();
+    }
+    Ok(())
+}
+
 async fn post(agent: &str, kept: &mut Option<Connection>, lines: String) -> Result<(), AgentError> {
     let mut connection = match kept.take().filter(|connection| !connection.is_closed()) {
         Some(connection) => connection,
--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -39,14 +39,12 @@
 /// What happens, from all the other parts.
 pub enum Input {
     Enqueue(Enqueue, oneshot::Sender<Answer>),
-    /// A client was gone before it could be told that its message was taken on.
-    Unheard(String),
+    /// A client was gone before it could be told that its message was taken on, by its own hand-in.
+    Unheard(MessageId),
     Listed(Update),
     Ended(MessageId, EndpointId, Ended),
     /// The platform has these notices.
     Heard(Vec<MessageId>),
-    /// A notice that has to be sent once more.
-    NoticeLost(Notice),
     Terminate,
 }
 
@@ -87,6 +85,13 @@
     }
 }
 
+/// A message that is held.
+struct Known {
+    number: u32,
+    /// A hand-in after the first one was told that it is held: the first can withdraw it no more.
+    shared: bool,
+}
+
 struct Out {
     endpoint: EndpointId,
     stop: Option<oneshot::Sender<Stop>>,
@@ -118,10 +123,10 @@
     directory: Directory,
     pool: Rc<Pool>,
     class_names: Vec<String>,
-    deadlines: Vec<Duration>,
+    classes: Vec<Class>,
     most_held: usize,
-    /// Numbers of the messages held, by their ids.
-    numbers: HashMap<String, u32>,
+    /// The messages held, by their ids.
+    known: HashMap<String, Known>,
     out: HashMap<MessageId, Out>,
     inputs: UnboundedSender<Input>,
     notices: UnboundedSender<Notice>,
@@ -157,14 +162,14 @@
         ));
         let mut driver = Driver {
             class_names: parsed.class_names,
-            deadlines: settings.classes.iter().map(|class| class.deadline).collect(),
+            classes: settings.classes.clone(),
             most_held: settings.most_held,
             courier: Courier::new(settings, seed),
             clock: Clock::new(),
             journal,
             directory,
             pool,
-            numbers: HashMap::new(),
+            known: HashMap::new(),
             out: HashMap::new(),
             inputs,
             notices,
@@ -189,6 +194,7 @@
 
     fn restore(&mut self, known: Update) {
         let now = self.clock.now();
+        self.journal.image.destinations.extend(known.targets.iter().map(|target| target.pod_group));
         let image = &self.journal.image;
         // What was told before the restart counts as told: the list that comes with the start may be older.
         if image.rev == 0 || image.rev < known.rev {
@@ -226,7 +232,7 @@
     }
 
     fn restore_message(&mut self, now: Time, number: u32, held: &Held) {
-        self.numbers.insert(held.taken.id.clone(), number);
+        self.known.insert(held.taken.id.clone(), Known { number, shared: false });
         let message = MessageId(number);
         let Some(taken) = self.accepted(number, &held.taken) else {
             warn!(class = held.taken.class, "a message of a class that is not known any more is given up");
@@ -337,14 +343,12 @@
         let now = self.clock.now();
         match input {
             Input::Enqueue(enqueue, reply) => {
-                let id = enqueue.id.clone();
                 let answer = self.enqueue(now, enqueue);
-                let taken = matches!(answer, Answer::Taken);
-                if reply.send(answer).is_err() && taken {
-                    self.unheard(now, &id);
+                if let Err(Answer::Taken(message)) = reply.send(answer) {
+                    self.unheard(now, message);
                 }
             }
-            Input::Unheard(id) => self.unheard(now, &id),
+            Input::Unheard(message) => self.unheard(now, message),
             Input::Listed(update) => self.listed(now, update),
             Input::Ended(message, endpoint, ended) => self.ended(now, message, endpoint, ended),
             Input::Heard(messages) => {
@@ -353,9 +357,6 @@
                     self.courier.handle(now, Event::Heard(message));
                 }
             }
-            Input::NoticeLost(notice) => {
-                let _ = self.notices.send(notice);
-            }
             Input::Terminate if self.ends.is_some() => {}
             Input::Terminate => {
                 let begun = Instant::now();
@@ -369,16 +370,28 @@
 
     fn enqueue(&mut self, now: Time, enqueue: Enqueue) -> Answer {
         let Some(class) = self.class(&enqueue.class) else { return Answer::Error("unknown class") };
-        if self.numbers.contains_key(&enqueue.id) {
-            // Sent once more on a new connection: it is held already.
-            return Answer::Taken;
+        if let Some(known) = self.known.get_mut(&enqueue.id) {
+            // Sent once more on a new connection; or by somebody else, to whom the id does not belong.
+            let held = self.journal.image.held.get(&known.number);
+            if !held.is_some_and(|held| enqueue.is_same(&held.taken)) {
+                return Answer::Error("the id is in use for another message");
+            }
+            known.shared = true;
+            return Answer::Held;
         }
         let destination = DestinationId(enqueue.destination);
+        if !self.journal.image.destinations.contains(&enqueue.destination) {
+            return Answer::Error("unknown destination");
+        }
+        let class = &self.classes[usize::from(class.0)];
+        if class.effect == Effect::Keyed && enqueue.idempotency_key.is_none() {
+            return Answer::Error("k is missing");
+        }
+        let most = class.deadline;
         if self.journal.image.held.len() >= self.most_held {
             self.counts.busy += 1;
             return Answer::Busy(Some(self.courier.come_back(now, destination)));
         }
-        let most = self.deadlines.get(usize::from(class.0)).copied().unwrap_or_default();
         let taken = Taken {
             id: enqueue.id,
             key: enqueue.key,
@@ -393,12 +406,12 @@
         match self.journal.take(taken) {
             Ok(number) => {
                 self.counts.taken += 1;
-                self.numbers.insert(id, number);
+                self.known.insert(id, Known { number, shared: false });
                 let taken = self.journal.image.held.get(&number).map(|held| &held.taken);
                 if let Some(accepted) = taken.and_then(|taken| self.accepted(number, taken)) {
                     self.courier.handle(now, Event::Accept(accepted));
                 }
-                Answer::Taken
+                Answer::Taken(MessageId(number))
             }
             Err(error) => {
                 self.note(Err(error));
@@ -408,11 +421,13 @@
         }
     }
 
-    /// A message of which its client never heard that it was taken on: nobody waits for its end.
-    fn unheard(&mut self, now: Time, id: &str) {
-        if let Some(number) = self.numbers.get(id).copied() {
-            self.over(MessageId(number));
-            self.courier.handle(now, Event::ClientGone(MessageId(number)));
+    /// A message of which its client never heard that it was taken on: nobody waits for its end, unless another
+    /// hand-in of it was answered meanwhile.
+    fn unheard(&mut self, now: Time, message: MessageId) {
+        let id = self.journal.image.held.get(&message.0).map(|held| &held.taken.id);
+        if id.and_then(|id| self.known.get(id)).is_some_and(|known| !known.shared) {
+            self.over(message);
+            self.courier.handle(now, Event::ClientGone(message));
         }
     }
 
@@ -488,7 +503,7 @@
     /// Nothing more is owed for a message.
     fn over(&mut self, message: MessageId) {
         if let Some(held) = self.journal.image.held.get(&message.0) {
-            self.numbers.remove(&held.taken.id);
+            self.known.remove(&held.taken.id);
             let written = self.journal.over(message.0);
             self.note(written);
         }
--- a/src/bin/gullcart/journal.rs
+++ b/src/bin/gullcart/journal.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use cloverstile::Outage;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Read};
 use std::os::unix::fs::FileExt;
@@ -117,6 +117,8 @@
     Targets(Update),
     /// All outages that are remembered now.
     Outages(Vec<OutageNote>),
+    /// Every destination that was ever listed.
+    Destinations(Vec<u16>),
 }
 
 /// What the records add up to.
@@ -127,6 +129,8 @@
     pub last: u32,
     pub rev: u64,
     pub targets: BTreeMap<String, Target>,
+    /// One that has no endpoints just now may get others.
+    pub destinations: BTreeSet<u16>,
     pub outages: Vec<OutageNote>,
 }
 
@@ -168,6 +172,7 @@
                     self.targets.clear();
                 }
                 for target in update.targets {
+                    self.destinations.insert(target.pod_group);
                     if target.is_gone() {
                         self.targets.remove(&target.uid);
                     } else {
@@ -176,6 +181,7 @@
                 }
             }
             Record::Outages(outages) => self.outages = outages,
+            Record::Destinations(destinations) => self.destinations.extend(destinations),
         }
     }
 }
@@ -283,6 +289,7 @@
         let targets = self.image.targets.values().cloned().collect();
         let update = Update { rev: self.image.rev, all: true, targets };
         bytes.extend(frame(&Record::Targets(update))?);
+        bytes.extend(frame(&Record::Destinations(self.image.destinations.iter().copied().collect()))?);
         bytes.extend(frame(&Record::Outages(self.image.outages.clone()))?);
         for (number, held) in &self.image.held {
             bytes.extend(frame(&Record::Whole(*number, held.clone()))?);
--- a/src/bin/gullcart/main.rs
+++ b/src/bin/gullcart/main.rs
@@ -10,20 +10,23 @@
 use cloverstile::{parse_settings_json, SettingError};
 use serde::Deserialize;
 use std::ffi::OsString;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use thiserror::Error;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 use tracing::{error, info};
 
+use crate::clients::ClientLimits;
 use crate::driver::{Driver, Input, IDLE_OF_SLOTS};
 use crate::journal::{Journal, JournalError};
 
 /// Descriptors kept for files, the listener, discovery, notices and given-up connections.
 const OTHER_SOCKETS: usize = 32;
+/// Requests of more than a few KiB, of 68 KiB at most, that are read at a time: an eighth of the memory.
+const LONG_REQUESTS_PER_MB: f64 = 2.0;
 
 #[derive(Deserialize)]
 struct Config {
@@ -38,6 +41,7 @@
 
 #[derive(Deserialize)]
 struct Limits {
+    memory_mb: f64,
     sockets: usize,
     disk_mb: f64,
 }
@@ -62,9 +66,34 @@
     std::env::var_os(name).ok_or(StartError::Variable(name))
 }
 
+fn read_config(path: &Path) -> Result<Config, StartError> {
+    Ok(serde_json::from_slice(&std::fs::read(path)?)?)
+}
+
+/// Reads the configuration again on each SIGHUP. Only where discovery is may change in service; a file that
+/// cannot be read changes nothing.
+async fn follow(mut hang_up: Signal, path: PathBuf, agent: watch::Sender<String>) {
+    while hang_up.recv().await.is_some() {
+        match read_config(&path) {
+            Ok(config) => {
+                info!(discovery = config.discovery, "the configuration was read again");
+                agent.send_if_modified(|address| {
+                    let other = *address != config.discovery;
+                    *address = config.discovery;
+                    other
+                });
+            }
+            Err(error) => error!(%error, "the configuration stays as it was"),
+        }
+    }
+}
+
 async fn run() -> Result<(), StartError> {
+    // Before all else: without a handler the signal would end the process.
+    let hang_up = signal(SignalKind::hangup())?;
     let state = PathBuf::from(variable("BALANCER_STATE")?);
-    let config: Config = serde_json::from_slice(&std::fs::read(variable("BALANCER_CONFIG")?)?)?;
+    let path = PathBuf::from(variable("BALANCER_CONFIG")?);
+    let config = read_config(&path)?;
     let parsed = parse_settings_json(&config.settings)?;
     let slots = parsed.settings.call_slots;
     // Any text serves as a seed, but two couriers must not act alike.
@@ -80,16 +109,21 @@
 
     // Calls out, as many that are being given up, and the idle connections.
     let calls = (2 + IDLE_OF_SLOTS) * slots;
-    let most_clients = config.limits.sockets.saturating_sub(calls + OTHER_SOCKETS).max(1);
+    let clients = ClientLimits {
+        connections: config.limits.sockets.saturating_sub(calls + OTHER_SOCKETS).max(2),
+        long_requests: (config.limits.memory_mb * LONG_REQUESTS_PER_MB) as usize,
+    };
     // Clients may come once all that was taken on before has been taken up again.
     let listener = TcpListener::bind(&config.listen)
         .await
         .map_err(|error| StartError::Listen(config.listen.clone(), error))?;
     let address = listener.local_addr()?;
     info!(name = config.name, %address, "listening");
-    tokio::task::spawn_local(clients::serve(listener, inputs.clone(), closes, most_clients));
-    tokio::task::spawn_local(discovery::watch(config.discovery.clone(), driver.rev(), inputs.clone()));
-    tokio::task::spawn_local(discovery::notices(config.discovery, owed, inputs.clone()));
+    tokio::task::spawn_local(clients::serve(listener, inputs.clone(), closes, clients));
+    let (found, agent) = watch::channel(config.discovery);
+    tokio::task::spawn_local(discovery::watch(agent.clone(), driver.rev(), inputs.clone()));
+    tokio::task::spawn_local(discovery::notices(agent, owed, inputs.clone()));
+    tokio::task::spawn_local(follow(hang_up, path, found));
     tokio::task::spawn_local(async move {
         while terminate.recv().await.is_some() {
             let _ = inputs.send(Input::Terminate);
--- /dev/null
+++ b/tests/clients.rs
@@ -0,0 +1,109 @@
+//! What clients are owed, the bad ones among them, over loopback sockets.
+
+mod world;
+
+use std::time::Duration;
+use world::*;
+
+/// An error or a close is owed within 3 s of connecting.
+const OWED: Duration = Duration::from_secs(3);
+
+/// A client that says nothing is closed; one that breaks off inside a request is told so. Both used to hold their
+/// places for two minutes.
+#[test]
+fn silent_and_half_spoken_clients_do_not_keep_their_places() {
+    let world = World::new(1, 3.0);
+    let courier = world.start();
+    let mut silent = courier.client().within(OWED);
+    let mut half = courier.client().within(OWED);
+    half.send(b"*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$2\r\nh");
+    assert!(half.line().starts_with("-ERR "));
+    assert!(half.is_closed());
+    assert!(silent.is_closed());
+}
+
+/// More connections than there are places: the silent ones give way, and whoever has something to ask is served
+/// at once. They used to wait in the listener's queue, past the 400 ms that a client waits.
+#[test]
+fn silent_connections_give_way_to_clients_that_ask() {
+    let mut world = World::new(1, 3.0);
+    world.sockets = 256;
+    let courier = world.start();
+    let silent: Vec<Client> = (0..300).map(|_| courier.client()).collect();
+    for number in 0..20 {
+        let mut client = courier.client().within(Duration::from_secs(1));
+        assert_eq!(client.enqueue(&format!("g{number}"), "0", "salary", 1, b"x"), "+OK");
+        world.call().answer("200 OK", "");
+    }
+    drop(silent);
+}
+
+/// The error arrives, however much the client goes on sending: closing with bytes unread resets the connection,
+/// which throws away what the client has not read yet.
+#[test]
+fn an_error_is_heard_behind_a_huge_value() {
+    let world = World::new(1, 3.0);
+    let courier = world.start();
+    let mut client = courier.client();
+    client.send(b"*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$2\r\nb1\r\n$3\r\nc=x\r\n$60000000\r\n");
+    let part = vec![b'x'; 1 << 20];
+    (0..60).for_each(|_| client.try_send(&part).unwrap());
+    assert!(client.line().starts_with("-ERR "));
+    assert!(client.is_closed());
+}
+
+/// Hundreds of commands at once are each answered, and others are served meanwhile.
+#[test]
+fn a_flood_of_commands_is_answered_and_holds_nobody_up() {
+    let world = World::new(1, 3.0);
+    let courier = world.start();
+    let mut flood = courier.client();
+    flood.send(&b"*1\r\n$8\r\nFLUSHALL\r\n".repeat(2000));
+    let mut client = courier.client();
+    assert_eq!(client.enqueue("f1", "0", "salary", 1, b"x"), "+OK");
+    world.call().answer("200 OK", "");
+    (0..2000).for_each(|_| assert!(flood.line().starts_with("-ERR ")));
+    assert_eq!(flood.ask(&["PING"]), "+PONG");
+}
+
+/// The id of a message that is held belongs to it: the same message once more is held already, and another one
+/// under its id is turned away. It used to be answered as taken on.
+#[test]
+fn an_id_stays_with_its_message() {
+    let world = World::new(1, 3.0);
+    let courier = world.start();
+    assert_eq!(courier.client().enqueue("i1", "9", "notice,k=i1", 1, b"1"), "+OK");
+    let call = world.call();
+    assert!(courier.client().enqueue("i1", "9", "notice,k=i1", 1, b"other").starts_with("-ERR "));
+    assert!(courier.client().enqueue("i1", "0", "salary", 1, b"1").starts_with("-ERR "));
+    assert_eq!(courier.client().enqueue("i1", "9", "notice,k=i1", 1, b"1"), "+OK");
+    call.answer("200 OK", "");
+    world.nothing();
+}
+
+/// A destination that was never listed is an error; one that has lost its endpoints may get others.
+#[test]
+fn unknown_destinations_are_errors_and_empty_ones_are_not() {
+    let mut world = World::patient(2, 3.0);
+    world.apart = true;
+    let courier = world.start();
+    world.remove(1);
+    courier.log_until("the list has changed");
+    let mut client = courier.client();
+    assert!(client.enqueue("d9", "0", "salary", 9, b"x").starts_with("-ERR "));
+    assert_eq!(client.enqueue("d2", "0", "salary", 2, b"x"), "+OK");
+    drop(client);
+    let courier = courier.kill_and_restart();
+    assert_eq!(courier.client().enqueue("d3", "0", "salary", 2, b"x"), "+OK");
+    assert!(courier.client().enqueue("d8", "0", "salary", 8, b"x").starts_with("-ERR "));
+    world.no_call();
+}
+
+/// Without its key a message of a keyed class could not be repeated safely.
+#[test]
+fn keyed_messages_need_their_key() {
+    let world = World::new(1, 3.0);
+    let courier = world.start();
+    assert!(courier.client().enqueue("k1", "9", "notice", 1, b"1").starts_with("-ERR "));
+    world.no_call();
+}
--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -115,11 +115,7 @@
     assert_eq!(world.notice(), failed);
     world.no_call();
     world.hold_notices(false);
-    let next = loop {
-        if let Seen::Call(call) = world.call_or_notice() {
-            break call;
-        }
-    };
+    let next = world.call_among_notices();
     assert_eq!(next.id, "n2");
     next.answer("200 OK", "");
 }
--- /dev/null
+++ b/tests/reload.rs
@@ -0,0 +1,64 @@
+//! SIGHUP: the courier goes over to another agent of discovery without disturbing anything else.
+
+mod world;
+
+use world::*;
+
+/// The new agent's list counts, unanswered notices go to it, and neither calls nor clients notice anything. The
+/// signal used to end the process.
+#[test]
+fn sighup_moves_watch_and_notices_to_the_new_agent() {
+    let world = World::new(2, 3.0);
+    let courier = world.start();
+    let mut client = courier.client();
+    assert_eq!(client.enqueue("h1", "0", "salary", 1, b"x"), "+OK");
+    assert_eq!(client.enqueue("h2", "0", "salary", 1, b"x"), "+OK");
+    let (lost, out) = (world.call(), world.call());
+    world.hold_notices(true);
+    let failed = format!(r#"{{"id":"{}","state":"failed"}}"#, lost.id);
+    lost.reset();
+    assert_eq!(world.notice(), failed);
+
+    let agent = world.agent_with_drain(0);
+    world.configure(&agent);
+    courier.hang_up();
+    courier.log_until("the list has changed");
+    // What the old one never answered is told to the new one, which answers.
+    while world.notices_at(&agent) == 0 {
+        assert_eq!(world.notice(), failed);
+    }
+    assert!(!out.is_closed());
+    out.answer("200 OK", "");
+    let mut open = Vec::new();
+    for id in ["h3", "h4", "h5"] {
+        assert_eq!(client.enqueue(id, "0", "salary", 1, b"x"), "+OK");
+        let call = world.call_among_notices();
+        assert_eq!(call.endpoint, 1);
+        open.push(call);
+    }
+    open.into_iter().for_each(|call| call.answer("200 OK", ""));
+}
+
+/// A file that cannot be read changes nothing, and the next one counts.
+#[test]
+fn a_spoilt_configuration_changes_nothing() {
+    let world = World::new(2, 3.0);
+    let courier = world.start();
+    let mut client = courier.client();
+    world.spoil_configuration();
+    courier.hang_up();
+    courier.log_until("the configuration stays as it was");
+    assert_eq!(client.enqueue("s1", "0", "salary", 1, b"x"), "+OK");
+    world.call().reset();
+    assert_eq!(world.notice(), r#"{"id":"s1","state":"failed"}"#);
+    let agents = [world.agent_with_drain(0), world.agent_with_drain(1)];
+    for (number, agent) in agents.iter().enumerate() {
+        world.configure(agent);
+        courier.hang_up();
+        courier.log_times("the list has changed", number + 1);
+    }
+    assert_eq!(client.enqueue("s2", "0", "salary", 1, b"x"), "+OK");
+    let call = world.call();
+    assert_eq!(call.endpoint, 0);
+    call.answer("200 OK", "");
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -1,5 +1,6 @@
 //! What stands around a courier under test, on loopback sockets: endpoints whose every answer the test decides,
 //! discovery, and clients. All ports are chosen by the system, and tests wait on what arrives.
+#![allow(dead_code)]
 
 use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
@@ -112,10 +113,30 @@
     }
 }
 
+/// An agent of discovery, and where it is.
+pub struct Agent {
+    state: Arc<Discovery>,
+    address: SocketAddr,
+}
+
+impl Agent {
+    fn start(seen: &Sender<Seen>) -> Self {
+        let state = Arc::new(Discovery::default());
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (shared, seen) = (state.clone(), seen.clone());
+        serve(listener, move |stream| serve_discovery(&shared, stream, &seen));
+        Agent { state, address }
+    }
+}
+
 #[derive(Default)]
 struct Discovery {
+    /// What it answers when asked for the whole list.
+    list: Mutex<String>,
     silent: AtomicBool,
     hold_notices: AtomicBool,
+    notices: AtomicU32,
     watches: Mutex<Watches>,
 }
 
@@ -131,12 +152,18 @@
     let mut input = BufReader::new(stream);
     while let Some(request) = read_request(&mut input) {
         if request.line.starts_with("POST /v1/notices ") {
+            discovery.notices.fetch_add(1, Ordering::SeqCst);
             for line in String::from_utf8_lossy(&request.body).lines() {
                 let _ = seen.send(Seen::Notice(line.to_owned()));
             }
             if !discovery.hold_notices.load(Ordering::SeqCst) {
                 let _ = out.write_all(b"HTTP/1.1 204 No Content\r\n\r\n");
             }
+        } else if request.line.starts_with("GET /v1/endpoints ") {
+            let list = discovery.list.lock().unwrap();
+            let _ = out.write_all(
+                format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()).as_bytes(),
+            );
         } else if !discovery.silent.load(Ordering::SeqCst) {
             let mut watches = discovery.watches.lock().unwrap();
             let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n";
@@ -177,13 +204,13 @@
     endpoints: Vec<SocketAddr>,
     /// Sockets that are bound and do not listen: connecting to one is refused, and nobody else gets its port.
     refusing: Vec<Socket>,
-    discovery: Arc<Discovery>,
-    discovery_address: SocketAddr,
+    discovery: Agent,
     seen: Receiver<Seen>,
     send: Sender<Seen>,
     aim: u64,
     pub most_held: u32,
     pub slots: u32,
+    pub sockets: u32,
     /// Each endpoint has a destination of its own, from 1 on.
     pub apart: bool,
     disk_mb: f64,
@@ -215,23 +242,19 @@
             let send = send.clone();
             serve(listener, move |stream| serve_calls(number, stream, &send));
         }
-        let discovery = Arc::new(Discovery::default());
-        let listener = bind();
-        let discovery_address = listener.local_addr().unwrap();
-        let (shared, told) = (discovery.clone(), send.clone());
-        serve(listener, move |stream| serve_discovery(&shared, stream, &told));
+        let discovery = Agent::start(&send);
         World {
             _cleanup: Cleanup(folder.clone()),
             folder,
             endpoints: addresses,
             refusing: Vec::new(),
             discovery,
-            discovery_address,
             seen,
             send,
             aim: 3,
             most_held: 400,
             slots: 16,
+            sockets: 1024,
             apart: false,
             disk_mb,
         }
@@ -277,6 +300,26 @@
     }
 
     pub fn start(&self) -> Courier<'_> {
+        self.configure(&self.discovery);
+        Courier::start(self)
+    }
+
+    /// Another agent, which knows that an endpoint drains.
+    pub fn agent_with_drain(&self, endpoint: usize) -> Agent {
+        let agent = Agent::start(&self.send);
+        let state = |at| if at == endpoint { "DRAINING" } else { "SERVING" };
+        let targets: Vec<Value> = (0..self.endpoints.len()).map(|at| self.target(at, state(at))).collect();
+        *agent.state.list.lock().unwrap() = json!({"rev": 5, "all": true, "targets": targets}).to_string();
+        agent
+    }
+
+    /// Puts other words in the place of the configuration.
+    pub fn spoil_configuration(&self) {
+        std::fs::write(self.folder.join("config.json"), "{\"name\":").unwrap();
+    }
+
+    /// Writes the configuration, with discovery at some agent.
+    pub fn configure(&self, agent: &Agent) {
         let targets: Vec<Value> = (0..self.endpoints.len()).map(|at| self.target(at, "SERVING")).collect();
         let classes = [
             class(self.aim, "notice", "idempotency_key", 10_000, true),
@@ -284,8 +327,8 @@
             class(self.aim, "salary", "non_idempotent", 0, false),
         ];
         let config = json!({
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery_address.to_string(), "seed": "7",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": self.disk_mb},
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": agent.address.to_string(), "seed": "7",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets, "disk_mb": self.disk_mb},
             "known": {"rev": 1, "all": true, "targets": targets},
             "settings": {
                 "Balancers": 1, "Lanes": classes, "MachineTypes": ["banks"], "Zones": ["kingston"],
@@ -294,8 +337,9 @@
                 "Rules": {"AnswerSlack": 20_000_000, "OrderSettle": 100_000_000, "Fall": 2_000_000_000},
             },
         });
-        std::fs::write(self.folder.join("config.json"), config.to_string()).unwrap();
-        Courier::start(self)
+        let new = self.folder.join("config.new");
+        std::fs::write(&new, config.to_string()).unwrap();
+        std::fs::rename(new, self.folder.join("config.json")).unwrap();
     }
 
     /// The next thing that the courier does.
@@ -310,6 +354,15 @@
         }
     }
 
+    /// The next call; notices may be repeated meanwhile.
+    pub fn call_among_notices(&self) -> Call {
+        loop {
+            if let Seen::Call(call) = self.call_or_notice() {
+                return call;
+            }
+        }
+    }
+
     pub fn notice(&self) -> String {
         match self.call_or_notice() {
             Seen::Notice(line) => line,
@@ -335,16 +388,30 @@
         }
     }
 
+    /// How many requests with notices an agent has had.
+    pub fn notices_at(&self, agent: &Agent) -> u32 {
+        agent.state.notices.load(Ordering::SeqCst)
+    }
+
     pub fn hold_notices(&self, hold: bool) {
-        self.discovery.hold_notices.store(hold, Ordering::SeqCst);
+        self.discovery.state.hold_notices.store(hold, Ordering::SeqCst);
     }
 
     /// Tells the watch that an endpoint drains.
     pub fn drain(&self, endpoint: usize) {
-        let update = json!({"rev": 2, "all": false, "targets": [self.target(endpoint, "DRAINING")]});
+        self.tell(2, &[self.target(endpoint, "DRAINING")]);
+    }
+
+    /// Tells the watch that an endpoint is gone.
+    pub fn remove(&self, endpoint: usize) {
+        self.tell(2, &[self.target(endpoint, "DELETED")]);
+    }
+
+    fn tell(&self, rev: u32, targets: &[Value]) {
+        let update = json!({"rev": rev, "all": false, "targets": targets});
         let line = format!("{update}\n");
         let chunk = format!("{:x}\r\n{line}\r\n", line.len());
-        let mut watches = self.discovery.watches.lock().unwrap();
+        let mut watches = self.discovery.state.watches.lock().unwrap();
         watches.told.push_str(&chunk);
         for watch in &mut watches.open {
             let _ = watch.write_all(chunk.as_bytes());
@@ -353,7 +420,7 @@
 
     /// Discovery takes connections and says nothing.
     pub fn silence_discovery(&self, silent: bool) {
-        self.discovery.silent.store(silent, Ordering::SeqCst);
+        self.discovery.state.silent.store(silent, Ordering::SeqCst);
     }
 
     pub fn disk_used(&self) -> u64 {
@@ -406,10 +473,15 @@
 
     /// Waits for a line of the log that holds some words, and returns it.
     pub fn log_until(&self, words: &str) -> String {
+        self.log_times(words, 1)
+    }
+
+    /// Waits for so many such lines, and returns the last of them.
+    pub fn log_times(&self, words: &str, times: usize) -> String {
         let end = Instant::now() + PATIENCE;
         let mut lines = self.log.lines.lock().unwrap();
         loop {
-            if let Some(line) = lines.iter().find(|line| line.contains(words)) {
+            if let Some(line) = lines.iter().filter(|line| line.contains(words)).nth(times - 1) {
                 return line.clone();
             }
             let left = end.saturating_duration_since(Instant::now());
@@ -435,7 +507,15 @@
     }
 
     pub fn terminate(&self) {
-        let signal = format!("kill -TERM {}", self.child.id());
+        self.signal("TERM");
+    }
+
+    pub fn hang_up(&self) {
+        self.signal("HUP");
+    }
+
+    fn signal(&self, name: &str) {
+        let signal = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("/bin/sh").args(["-c", &signal]).status().unwrap().success());
     }
 
@@ -476,7 +556,22 @@
 impl Client {
     pub fn send(&mut self, bytes: &[u8]) {
         // A courier that has had enough of bad input may close before all of it is written.
-        let _ = self.stream.get_mut().write_all(bytes);
+        let _ = self.try_send(bytes);
+    }
+
+    pub fn try_send(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.stream.get_mut().write_all(bytes)
+    }
+
+    /// Ends the sending side.
+    pub fn end(&mut self) {
+        self.stream.get_mut().shutdown(Shutdown::Write).unwrap();
+    }
+
+    /// Limits how long a read may take.
+    pub fn within(self, limit: Duration) -> Self {
+        self.stream.get_ref().set_read_timeout(Some(limit)).unwrap();
+        self
     }
 
     pub fn line(&mut self) -> String {
