--- a/src/bin/gullcart/journal.rs
+++ b/src/bin/gullcart/journal.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{self, File, OpenOptions};
-use std::io::{self, Read};
+use std::io::{self, BufReader, BufWriter, Read, Write};
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 use thiserror::Error;
@@ -25,8 +25,8 @@
 const PER_MESSAGE: u64 = 128;
 /// Length and checksum before each record.
 const FRAME: usize = 8;
-/// A longer record is damage.
-const LONGEST: usize = 1 << 20;
+/// A longer record is damage. The longest is a whole list of endpoints.
+const LONGEST: usize = 4 << 20;
 
 #[derive(Debug, Error)]
 pub enum JournalError {
@@ -34,6 +34,8 @@
     Io(#[from] io::Error),
     #[error("a record cannot be encoded: {0}")]
     Encode(#[from] postcard::Error),
+    #[error("a record is too long")]
+    Long,
     #[error("the journal is full")]
     Full,
 }
@@ -205,16 +207,16 @@
             Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error.into()),
             _ => {}
         }
-        let mut file = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(&path)?;
-        let mut bytes = Vec::new();
-        file.read_to_end(&mut bytes)?;
+        let file = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(&path)?;
+        let end = file.metadata()?.len();
         let mut image = Image::default();
-        let mut rest = &bytes[..];
-        while let Some((record, after)) = read_record(rest) {
+        // One record at a time: a file may be larger than the memory.
+        let mut reader = BufReader::new(&file);
+        let mut size = 0;
+        while let Some((record, length)) = read_record(&mut reader, end - size)? {
             image.apply(record);
-            rest = after;
+            size += length;
         }
-        let size = (bytes.len() - rest.len()) as u64;
         file.set_len(size)?;
         let live = image.held.values().map(cost).sum();
         Ok(Journal { path, file, size, live, disk, image })
@@ -285,36 +287,41 @@
 
     /// Writes the image to a new file and puts it in the old one's place.
     fn compact(&mut self) -> Result<(), JournalError> {
-        let mut bytes = Vec::new();
-        let targets = self.image.targets.values().cloned().collect();
-        let update = Update { rev: self.image.rev, all: true, targets };
-        bytes.extend(frame(&Record::Targets(update))?);
-        bytes.extend(frame(&Record::Destinations(self.image.destinations.iter().copied().collect()))?);
-        bytes.extend(frame(&Record::Outages(self.image.outages.clone()))?);
-        for (number, held) in &self.image.held {
-            bytes.extend(frame(&Record::Whole(*number, held.clone()))?);
-        }
-        if self.size + bytes.len() as u64 > self.disk {
-            return Err(JournalError::Full);
-        }
         let new = self.path.with_extension("new");
-        let written = File::create(&new).and_then(|file| {
-            file.write_all_at(&bytes, 0)?;
-            fs::rename(&new, &self.path)?;
-            Ok(file)
-        });
-        match written {
-            Ok(file) => {
-                self.file = file;
-                self.size = bytes.len() as u64;
+        match self.write_image(&new) {
+            Ok((file, size)) => {
+                (self.file, self.size) = (file, size);
                 Ok(())
             }
             Err(error) => {
                 let _ = fs::remove_file(&new);
-                Err(error.into())
+                Err(error)
             }
         }
     }
+
+    fn write_image(&self, new: &Path) -> Result<(File, u64), JournalError> {
+        let mut file = BufWriter::new(File::create(new)?);
+        let mut size = 0;
+        let mut write = |record: Record| {
+            let bytes = frame(&record)?;
+            size += bytes.len() as u64;
+            if self.size + size > self.disk {
+                return Err(JournalError::Full);
+            }
+            Ok(file.write_all(&bytes)?)
+        };
+        let targets = self.image.targets.values().cloned().collect();
+        write(Record::Targets(Update { rev: self.image.rev, all: true, targets }))?;
+        write(Record::Destinations(self.image.destinations.iter().copied().collect()))?;
+        write(Record::Outages(self.image.outages.clone()))?;
+        for (number, held) in &self.image.held {
+            write(Record::Whole(*number, held.clone()))?;
+        }
+        let file = file.into_inner().map_err(io::IntoInnerError::into_error)?;
+        fs::rename(new, &self.path)?;
+        Ok((file, size))
+    }
 }
 
 fn taken_cost(taken: &Taken) -> u64 {
@@ -326,8 +333,12 @@
     taken_cost(&held.taken)
 }
 
-fn frame(record: &Record) -> Result<Vec<u8>, postcard::Error> {
+fn frame(record: &Record) -> Result<Vec<u8>, JournalError> {
     let payload = postcard::to_stdvec(record)?;
+    if payload.len() > LONGEST {
+        // It would be taken for damage, and cut off what comes after it.
+        return Err(JournalError::Long);
+    }
     let mut out = Vec::with_capacity(FRAME + payload.len());
     out.extend((payload.len() as u32).to_le_bytes());
     out.extend(crc32fast::hash(&payload).to_le_bytes());
@@ -335,14 +346,22 @@
     Ok(out)
 }
 
-/// The first record and what comes after it; none at the end or where the bytes are damaged.
-fn read_record(bytes: &[u8]) -> Option<(Record, &[u8])> {
-    let (head, rest) = bytes.split_at_checked(FRAME)?;
-    let length = u32::from_le_bytes(head[..4].try_into().ok()?) as usize;
-    let sum = u32::from_le_bytes(head[4..].try_into().ok()?);
-    let (payload, after) = rest.split_at_checked(length).filter(|_| (1..=LONGEST).contains(&length))?;
-    if crc32fast::hash(payload) != sum {
-        return None;
+/// The next record and its length, of a file that goes on for `left` bytes; none at the end or where it is
+/// damaged.
+fn read_record(file: &mut impl Read, left: u64) -> io::Result<Option<(Record, u64)>> {
+    let Some(left) = left.checked_sub(FRAME as u64) else { return Ok(None) };
+    let (mut length, mut sum) = ([0; 4], [0; 4]);
+    file.read_exact(&mut length)?;
+    file.read_exact(&mut sum)?;
+    let length = u32::from_le_bytes(length);
+    if length == 0 || length as usize > LONGEST || u64::from(length) > left {
+        return Ok(None);
+    }
+    let mut payload = vec![0; length as usize];
+    file.read_exact(&mut payload)?;
+    if crc32fast::hash(&payload) != u32::from_le_bytes(sum) {
+        return Ok(None);
     }
-    Some((postcard::from_bytes(payload).ok()?, after))
+    let record = postcard::from_bytes(&payload).ok();
+    Ok(record.map(|record| (record, FRAME as u64 + u64::from(length))))
 }
