Bound the idle connections of clients to half of what clients may hold

A trace of 9 s: no connection asked more than once; every first request came at once; 128 of the open ones had asked and stayed, which is a third of 384 descriptors, all that clients may hold: they had none left to ask on. The silent ones (1222 in that time, each shed after 0.25 s) never asked anything and were ruled out as usual clients. The lines at fault: IDLE and Occupant::rank in clients.rs, which closed an idle connection only for its age or when all places were taken.

Now idle connections are closed after 2 s, and the longest idle one as soon as more than a sixth of the descriptors would be idle. What is closed is looked at through the system first: the runtime may not have heard yet of a request that is there.

--- a/src/bin/gullcart/clients.rs
+++ b/src/bin/gullcart/clients.rs
@@ -2,9 +2,10 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use cloverstile::MessageId;
+use socket2::SockRef;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::io;
+use std::io::{self, Read};
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
@@ -31,8 +32,8 @@
 const SILENT: Duration = Duration::from_secs(2);
 /// ... with a part of a request, whose client waits 400 ms for an answer, ...
 const HALF: Duration = Duration::from_secs(1);
-/// ... and with no request open after the first.
-const IDLE: Duration = Duration::from_secs(10);
+/// ... and with no request open after the first: it takes the place of one that asks.
+const IDLE: Duration = Duration::from_secs(2);
 /// While places are short, a part of a request is given up once its client has stopped waiting, and a silent
 /// connection goes before the idle ones once its first request is not to be expected any more.
 const HALF_PRESSED: Duration = Duration::from_millis(400);
@@ -91,6 +92,9 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ClientLimits {
     pub connections: usize,
+    /// Connections between two requests. Clients hold only so many themselves: those that ask once and stay would
+    /// leave them none to ask on.
+    pub idle: usize,
     /// Requests longer than a few KiB that are read at a time.
     pub long_requests: usize,
 }
@@ -148,6 +152,7 @@
 /// The open connections of clients.
 struct Places {
     most: usize,
+    most_idle: usize,
     occupants: RefCell<Occupants>,
     /// A connection has closed or changed what it does.
     changed: Notify,
@@ -181,12 +186,18 @@
         };
         Some((rank, self.since))
     }
+
+    fn leave(&mut self) {
+        self.doing = Doing::Leaving;
+        self.give_way.notify_one();
+    }
 }
 
 impl Places {
     fn new(limits: ClientLimits) -> Self {
         Places {
             most: limits.connections,
+            most_idle: limits.idle,
             occupants: RefCell::default(),
             changed: Notify::new(),
             long: Semaphore::new(limits.long_requests),
@@ -216,6 +227,17 @@
         }
     }
 
+    /// The longest idle one gives way where there are too many.
+    fn bound_idle(&self) {
+        let mut occupants = self.occupants.borrow_mut();
+        let mut idle: Vec<_> = occupants.open.values_mut().filter(|o| o.doing == Doing::Idle).collect();
+        if idle.len() > self.most_idle {
+            if let Some(oldest) = idle.iter_mut().min_by_key(|occupant| occupant.since) {
+                oldest.leave();
+            }
+        }
+    }
+
     fn shed_one(&self) {
         let now = Instant::now();
         let mut occupants = self.occupants.borrow_mut();
@@ -224,8 +246,7 @@
         }
         let ranked = occupants.open.values_mut().filter_map(|o| Some((o.rank(now)?, o)));
         if let Some((_, occupant)) = ranked.min_by_key(|(rank, _)| *rank) {
-            occupant.doing = Doing::Leaving;
-            occupant.give_way.notify_one();
+            occupant.leave();
         }
     }
 }
@@ -246,6 +267,9 @@
             }
             (occupant.doing, occupant.since) = (doing, Instant::now());
         }
+        if doing == Doing::Idle {
+            self.places.bound_idle();
+        }
     }
 }
 
@@ -267,7 +291,7 @@
 }
 
 /// What came of reading on.
-enum Read {
+enum Come {
     More,
     /// The client has gone, or its connection may be closed.
     End,
@@ -320,25 +344,25 @@
             }
             let between = self.buffer.is_empty();
             match self.read(fresh, due).await? {
-                Read::More if between => {
+                Come::More if between => {
                     due = Instant::now() + HALF;
                     self.place.set(Doing::Half);
                 }
-                Read::More => {}
-                Read::End => return Ok(()),
-                Read::Late => return self.refuse("the request did not come to its end").await,
+                Come::More => {}
+                Come::End => return Ok(()),
+                Come::Late => return self.refuse("the request did not come to its end").await,
             }
         }
     }
 
     /// Reads more of a request. When the courier ends, a connection is closed between two requests, but never
     /// with a part of one read.
-    async fn read(&mut self, fresh: bool, due: Instant) -> io::Result<Read> {
+    async fn read(&mut self, fresh: bool, due: Instant) -> io::Result<Come> {
         let between = self.buffer.is_empty();
         if between && *self.closing.borrow() {
             if fresh {
                 let ready = timeout(LAST_REQUEST, self.stream.readable()).await;
-                return if ready.is_ok() { self.read_now() } else { Ok(Read::End) };
+                return if ready.is_ok() { self.read_now() } else { Ok(Come::End) };
             }
             return self.read_now();
         }
@@ -349,31 +373,35 @@
                 // Room is made only when there is something to read: idle connections hold none.
                 ready = self.stream.readable() => ready?,
                 () = give_way.notified() => {
-                    return if between { self.read_now() } else { Ok(Read::End) };
+                    return if between { self.read_now() } else { Ok(Come::End) };
                 }
                 () = tokio::time::sleep_until(due) => {
-                    return if between { self.read_now() } else { Ok(Read::Late) };
+                    return if between { self.read_now() } else { Ok(Come::Late) };
                 }
                 _ = self.closing.changed(), if between => return self.read_now(),
             }
             self.buffer.reserve(READ);
             match self.stream.try_read_buf(&mut self.buffer) {
-                Ok(0) => return Ok(Read::End),
-                Ok(_) => return Ok(Read::More),
+                Ok(0) => return Ok(Come::End),
+                Ok(_) => return Ok(Come::More),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Err(error),
             }
         }
     }
 
-    /// What has come already, without waiting; the end if there is nothing.
-    fn read_now(&mut self) -> io::Result<Read> {
-        self.buffer.reserve(READ);
-        match self.stream.try_read_buf(&mut self.buffer) {
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(Read::End),
+    /// What has come already, without waiting; the end if there is nothing. Asks the system itself: what the
+    /// runtime has not yet been told of would be closed over.
+    fn read_now(&mut self) -> io::Result<Come> {
+        let mut bytes = [0; READ];
+        match (&*SockRef::from(&self.stream)).read(&mut bytes) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(Come::End),
             Err(error) => Err(error),
-            Ok(0) => Ok(Read::End),
-            Ok(_) => Ok(Read::More),
+            Ok(0) => Ok(Come::End),
+            Ok(count) => {
+                self.buffer.extend_from_slice(&bytes[..count]);
+                Ok(Come::More)
+            }
         }
     }
 
--- a/src/bin/gullcart/main.rs
+++ b/src/bin/gullcart/main.rs
@@ -26,6 +26,8 @@
 
 /// Descriptors kept for files, the runtime, the listener, discovery and notices.
 const OTHER_SOCKETS: usize = 32;
+/// Clients hold a third of the descriptors at most: half of that may be idle.
+const IDLE_OF_SOCKETS: usize = 6;
 /// Requests of more than a few KiB, of 68 KiB at most, that are read at a time: an eighth of the memory.
 const LONG_REQUESTS_PER_MB: f64 = 2.0;
 
@@ -127,6 +129,7 @@
 
     let clients = ClientLimits {
         connections: sockets.clients,
+        idle: (config.limits.sockets / IDLE_OF_SOCKETS).max(1),
         long_requests: (config.limits.memory_mb * LONG_REQUESTS_PER_MB) as usize,
     };
     // Clients may come once all that was taken on before has been taken up again.
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -38,6 +38,21 @@
     drop(silent);
 }
 
+/// Those that ask once and stay do not use up what clients may hold, a third of the descriptors: the longest idle
+/// one is closed for each that comes, and the last one stays.
+#[test]
+fn clients_that_ask_once_and_stay_give_way_to_others() {
+    let mut world = World::new(1, 3.0);
+    world.sockets = 256;
+    let courier = world.start();
+    let mut stayed: Vec<Client> = (0..80).map(|_| courier.client().within(Duration::from_secs(1))).collect();
+    for client in &mut stayed {
+        assert_eq!(client.ask(&["PING"]), "+PONG");
+    }
+    assert!(stayed[..30].iter_mut().all(Client::is_closed));
+    assert_eq!(stayed[79].ask(&["PING"]), "+PONG");
+}
+
 /// The error arrives, however much the client goes on sending: closing with bytes unread resets the connection,
 /// which throws away what the client has not read yet.
 #[test]
