Move the program into a workspace of packages with imports in one direction

The daemon was one binary whose files imported each other in a circle, so that nothing could be reused or tested alone. What the daemon's parts say to each other lies in a module below all of them.

--- a/src/bin/cloverstile-wirehost/main.rs
+++ b/crates/cloverstile-wirehost/src/main.rs
@@ -1,8 +1,6 @@
 //! Puts the decision module on the bench's wire: batches on standard input, one reply each on standard output.
 
-mod host;
-mod wire;
-
+use cloverstile_wirehost::{host, wire};
 use std::io::{self, ErrorKind, Read, Write};
 use std::process::ExitCode;
 
--- a/tests/wire.rs
+++ b/crates/cloverstile-wirehost/tests/wire.rs
@@ -1,12 +1,6 @@
 //! The wire page's byte examples, a round trip for every record, and bad input.
 
-#[path = "../src/bin/cloverstile-wirehost/host.rs"]
-#[allow(dead_code)]
-mod host;
-#[path = "../src/bin/cloverstile-wirehost/wire.rs"]
-#[allow(dead_code)]
-mod wire;
-
+use cloverstile_wirehost::{host, wire};
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 use wire::*;
--- a/tests/world/mod.rs
+++ b/crates/gullcart-standins/src/world.rs
@@ -1,6 +1,5 @@
 //! What stands around a courier under test, on loopback sockets: endpoints whose every answer the test decides,
 //! discovery, and clients. All ports are chosen by the system, and tests wait on what arrives.
-#![allow(dead_code)]
 
 use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
@@ -210,6 +209,7 @@
 }
 
 pub struct World {
+    program: String,
     folder: PathBuf,
     endpoints: Vec<SocketAddr>,
     /// Sockets that are bound and do not listen: connecting to one is refused, and nobody else gets its port.
@@ -238,7 +238,7 @@
 
 impl World {
     /// Endpoints of destination 1, all serving, and a disk of some size.
-    pub fn new(endpoints: usize, disk_mb: f64) -> Self {
+    pub fn new(program: &str, endpoints: usize, disk_mb: f64) -> Self {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let own = format!("gullcart-test-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
         let folder = std::env::temp_dir().join(own);
@@ -255,6 +255,7 @@
         let discovery = Agent::start(&send);
         World {
             _cleanup: Cleanup(folder.clone()),
+            program: program.to_owned(),
             folder,
             endpoints: addresses,
             refusing: Vec::new(),
@@ -271,8 +272,8 @@
     }
 
     /// A world in which the module waits long before it gives anything up.
-    pub fn patient(endpoints: usize, disk_mb: f64) -> Self {
-        World { aim: 100, ..World::new(endpoints, disk_mb) }
+    pub fn patient(program: &str, endpoints: usize, disk_mb: f64) -> Self {
+        World { aim: 100, ..World::new(program, endpoints, disk_mb) }
     }
 
     /// Puts an address that refuses connections in an endpoint's place.
@@ -482,7 +483,7 @@
 
 impl<'a> Courier<'a> {
     fn start(world: &'a World) -> Self {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_gullcart"))
+        let mut child = Command::new(&world.program)
             .env("BALANCER_STATE", world.folder.join("state"))
             .env("BALANCER_CONFIG", world.folder.join("config.json"))
             .stderr(Stdio::piped())
--- a/src/bin/gullcart/calls.rs
+++ b/crates/gullcart/src/calls.rs
@@ -18,6 +18,7 @@
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
+use crate::vocabulary::Ended;
 use crate::wire::{Descriptor, Wire, WireStream};
 
 /// Idle connections are closed after this part of the endpoint's own limit, so that no call meets its closing.
@@ -59,16 +60,6 @@
     Withdrawn,
 }
 
-/// How a call ended.
-#[derive(Debug)]
-pub struct Ended {
-    pub outcome: Outcome,
-    pub latency: Duration,
-    /// The message is over.
-    pub complete: bool,
-    pub allowance: Option<Allowance>,
-}
-
 type Sender = SendRequest<Full<Bytes>>;
 
 /// An open connection. Dropping it closes it.
--- a/src/bin/gullcart/clients.rs
+++ b/crates/gullcart/src/clients.rs
@@ -1,7 +1,6 @@
 //! The server for clients: RESP2 requests in, one answer each, on a bounded number of connections.
 
 use bytes::{Buf, Bytes, BytesMut};
-use cloverstile::MessageId;
 use socket2::SockRef;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -16,9 +15,8 @@
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 use tracing::warn;
 
-use crate::driver::Input;
-use crate::journal::Taken;
 use crate::seldom::Seldom;
+use crate::vocabulary::{Answer, Enqueue, Input};
 
 const MOST_WORDS: usize = 16;
 const LONGEST_BODY: usize = 64 << 10;
@@ -52,31 +50,6 @@
 /// While the courier ends, a new connection may take this long to bring its request.
 const LAST_REQUEST: Duration = Duration::from_millis(400);
 
-/// A message that a client hands in.
-#[derive(Debug, PartialEq, Eq)]
-pub struct Enqueue {
-    pub id: String,
-    pub key: u64,
-    pub class: String,
-    pub destination: u16,
-    /// How long it may still be delivered.
-    pub left: Duration,
-    pub idempotency_key: Option<String>,
-    pub again: bool,
-    pub body: Bytes,
-}
-
-/// What the client is told.
-#[derive(Debug)]
-pub enum Answer {
-    /// Taken on by this hand-in, which alone may withdraw it.
-    Taken(MessageId),
-    /// The same message is held already.
-    Held,
-    Busy(Option<Duration>),
-    Error(&'static str),
-}
-
 impl Answer {
     fn wire(&self) -> String {
         match self {
@@ -510,12 +483,6 @@
 }
 
 impl Enqueue {
-    /// Whether a message that is held is this one. What is left of its time differs from try to try.
-    pub fn is_same(&self, held: &Taken) -> bool {
-        (self.key, &self.class, self.destination) == (held.key, &held.class, held.destination)
-            && (&self.idempotency_key, &self.body) == (&held.idempotency_key, &held.body)
-    }
-
     /// `ENQUEUE key id names-and-values body`.
     fn read(words: &[Bytes]) -> Result<Self, &'static str> {
         let [_, key, id, fields, body] = words else {
--- a/src/bin/gullcart/discovery.rs
+++ b/crates/gullcart/src/discovery.rs
@@ -1,13 +1,12 @@
 //! The list of endpoints, the watch on it, and the notices that end messages.
 
 use bytes::Bytes;
-use cloverstile::{DestinationId, Endpoint, EndpointId, KindId, Listing, MessageId, Mode, Parsed, ZoneId};
+use cloverstile::{DestinationId, Endpoint, EndpointId, KindId, Listing, Mode, Parsed, ZoneId};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,8 +17,7 @@
 use tokio::time::timeout;
 use tracing::{error, info, warn};
 
-use crate::driver::Input;
-use crate::journal::Verdict;
+use crate::vocabulary::{Input, Notice, Target, Update, Verdict};
 
 /// The agent is on this machine: what it does not answer in this time it does not answer now.
 const ANSWER: Duration = Duration::from_millis(500);
@@ -33,32 +31,6 @@
 /// A list, or a line of the watch, that is longer is damage.
 const LONGEST_LIST: usize = 4 << 20;
 
-/// An entry of the list.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Target {
-    pub uid: String,
-    pub endpoint: String,
-    pub az: String,
-    pub model: String,
-    pub pod_group: u16,
-    pub state: String,
-    pub capacity_hint: f64,
-}
-
-impl Target {
-    pub fn is_gone(&self) -> bool {
-        self.state == "DELETED"
-    }
-}
-
-/// The whole list, or what changed in it.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct Update {
-    pub rev: u64,
-    pub all: bool,
-    pub targets: Vec<Target>,
-}
-
 /// Numbers for the names that the list uses, and where each endpoint is found.
 pub struct Directory {
     zones: Vec<String>,
@@ -290,14 +262,6 @@
     Ok(serde_json::from_slice(&body.map_err(|_| AgentError::Long)?.to_bytes())?)
 }
 
-/// The end of a message that was not delivered, on its way to the platform.
-#[derive(Debug)]
-pub struct Notice {
-    pub message: MessageId,
-    pub id: String,
-    pub verdict: Verdict,
-}
-
 impl Notice {
     fn line(&self) -> String {
         let mut value = match self.verdict {
--- a/src/bin/gullcart/driver.rs
+++ b/crates/gullcart/src/driver.rs
@@ -10,11 +10,11 @@
 use tokio::time::{interval, sleep_until, Instant};
 use tracing::{error, info, warn};
 
-use crate::calls::{Call, Ended, Pool, Stop};
-use crate::clients::{Answer, Enqueue};
-use crate::discovery::{Directory, Notice, Update};
-use crate::journal::{Held, Journal, JournalError, OutageNote, Taken, Verdict};
+use crate::calls::{Call, Pool, Stop};
+use crate::discovery::Directory;
+use crate::journal::{Held, Journal, JournalError, OutageNote};
 use crate::seldom::Seldom;
+use crate::vocabulary::{Answer, Ended, Enqueue, Input, Notice, Taken, Update, Verdict};
 
 /// Events that one decision takes in at most.
 const BATCH: usize = 256;
@@ -36,18 +36,6 @@
 /// Rounds in which requests that were read before the end are still answered.
 const LAST_ROUNDS: usize = 8;
 
-/// What happens, from all the other parts.
-pub enum Input {
-    Enqueue(Enqueue, oneshot::Sender<Answer>),
-    /// A client was gone before it could be told that its message was taken on, by its own hand-in.
-    Unheard(MessageId),
-    Listed(Update),
-    Ended(MessageId, EndpointId, Ended),
-    /// The platform has these notices.
-    Heard(Vec<MessageId>),
-    Terminate,
-}
-
 /// Where the other parts are reached.
 pub struct Ends {
     /// What happens to this part, also by its own doing.
--- a/src/bin/gullcart/journal.rs
+++ b/crates/gullcart/src/journal.rs
@@ -3,7 +3,6 @@
 //! Every record is written before what it promises. A write need not reach the disk (the folder outlasts the
 //! process, not the machine), but the system call must have returned.
 
-use bytes::Bytes;
 use cloverstile::Outage;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -13,7 +12,7 @@
 use std::path::{Path, PathBuf};
 use thiserror::Error;
 
-use crate::discovery::{Target, Update};
+use crate::vocabulary::{Taken, Target, Update, Verdict};
 
 /// Messages are taken on only while what is live fits into this part of the disk ...
 const LIVE_PART: f64 = 0.43;
@@ -40,29 +39,6 @@
     Full,
 }
 
-/// A message as it was taken on.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Taken {
-    pub id: String,
-    /// Zero in classes without order.
-    pub key: u64,
-    /// By name: its place in the settings may differ after a restart.
-    pub class: String,
-    pub destination: u16,
-    pub idempotency_key: Option<String>,
-    /// Wall time, Unix milliseconds, as are all times here.
-    pub deadline_ms: u64,
-    pub again: bool,
-    pub body: Bytes,
-}
-
-/// How a message ends that was not delivered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Verdict {
-    Failed,
-    Returned { after_ms: u64 },
-}
-
 /// When an attempt was sent, and to which zone.
 pub type Sent = (u64, u8);
 
--- a/src/bin/gullcart/main.rs
+++ b/crates/gullcart/src/lib.rs
@@ -1,4 +1,8 @@
 //! gullcart: a courier that takes messages from clients and delivers them to partners' endpoints.
+//!
+//! Imports run one way: `vocabulary` and `seldom` below all; `wire`, `calls`, `journal`, `discovery` and `clients`
+//! above it, none of which knows the driver; then `driver`, which owns the decisions; then this file.
+#![forbid(unsafe_code)]
 
 mod calls;
 mod clients;
@@ -6,23 +10,23 @@
 mod driver;
 mod journal;
 mod seldom;
+mod vocabulary;
 mod wire;
 
 use cloverstile::{parse_settings_json, SettingError};
 use serde::Deserialize;
 use std::ffi::OsString;
 use std::path::{Path, PathBuf};
-use std::process::ExitCode;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
-use tokio::task::LocalSet;
 use tracing::{error, info};
 
 use crate::clients::ClientLimits;
-use crate::driver::{Driver, Ends, Input, IDLE_OF_SLOTS};
+use crate::driver::{Driver, Ends, IDLE_OF_SLOTS};
 use crate::journal::{Journal, JournalError};
+use crate::vocabulary::{Input, Update};
 
 /// Descriptors kept for files, the runtime, the listener, discovery and notices.
 const OTHER_SOCKETS: usize = 32;
@@ -38,7 +42,7 @@
     discovery: String,
     seed: String,
     limits: Limits,
-    known: discovery::Update,
+    known: Update,
     settings: serde_json::Value,
 }
 
@@ -50,7 +54,7 @@
 }
 
 #[derive(Debug, Error)]
-enum StartError {
+pub enum StartError {
     #[error("{0} is not set")]
     Variable(&'static str),
     #[error("the configuration: {0}")]
@@ -106,7 +110,7 @@
     }
 }
 
-async fn run() -> Result<(), StartError> {
+pub async fn run() -> Result<(), StartError> {
     // Before all else: without a handler the signal would end the process.
     let hang_up = signal(SignalKind::hangup())?;
     let state = PathBuf::from(variable("BALANCER_STATE")?);
@@ -151,21 +155,3 @@
     driver.run(events).await;
     Ok(())
 }
-
-fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            error!(%error, "cannot start");
-            return ExitCode::FAILURE;
-        }
-    };
-    match LocalSet::new().block_on(&runtime, run()) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            error!(%error, "cannot start");
-            ExitCode::FAILURE
-        }
-    }
-}
--- a/tests/answers.rs
+++ b/crates/gullcart/tests/answers.rs
@@ -1,18 +1,18 @@
 //! Answers that are spoilt, or bring more than belongs to them, and endpoints that come and go, over loopback
 //! sockets.
 
-mod world;
-
+use gullcart_standins::world::*;
 use std::io::Write;
 use std::time::{Duration, Instant};
-use world::*;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_gullcart");
 
 const WHOLE: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
 /// A first line that says 200 is true, whatever is wrong behind it; the connection is of no further use.
 #[test]
 fn a_first_line_with_200_delivers() {
-    let world = World::new(1, 3.0);
+    let world = World::new(PROGRAM, 1, 3.0);
     let courier = world.start();
     let mut client = courier.client();
     let mut used = Vec::new();
@@ -40,7 +40,7 @@
 /// believed only of a whole answer.
 #[test]
 fn a_spoilt_answer_may_have_run() {
-    let world = World::new(2, 3.0);
+    let world = World::new(PROGRAM, 2, 3.0);
     let courier = world.start();
     let mut client = courier.client();
     let endless = format!("HTTP/1.1 503 Busy\r\nX-Endless: {}", "x".repeat(100_000));
@@ -67,7 +67,7 @@
 /// A second answer right behind one is no answer to the next call, whether it comes with the first one, ...
 #[test]
 fn bytes_behind_an_answer_answer_nothing() {
-    let world = World::new(1, 3.0);
+    let world = World::new(PROGRAM, 1, 3.0);
     let courier = world.start();
     let mut client = courier.client();
     let twice = [WHOLE, WHOLE].concat();
@@ -83,7 +83,7 @@
 /// ... or while the next call is on its way: the courier finds both at once.
 #[test]
 fn bytes_that_race_with_the_next_call_answer_nothing() {
-    let world = World::new(1, 3.0);
+    let world = World::new(PROGRAM, 1, 3.0);
     let courier = world.start();
     let mut client = courier.client();
     for number in 0..10 {
@@ -110,7 +110,7 @@
 /// then: a connection rests for 5 ms before it is used again.
 #[test]
 fn a_connection_rests_between_two_calls() {
-    let world = World::new(1, 3.0);
+    let world = World::new(PROGRAM, 1, 3.0);
     let courier = world.start();
     let mut client = courier.client();
     assert_eq!(client.enqueue("m0", "0", "salary", 1, b"x"), "+OK");
@@ -131,7 +131,7 @@
 /// Interim answers are passed over, and the connection is kept; without end they are no answer.
 #[test]
 fn interim_answers_are_passed_over() {
-    let world = World::new(1, 3.0);
+    let world = World::new(PROGRAM, 1, 3.0);
     let courier = world.start();
     let mut client = courier.client();
     let hint = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
@@ -151,7 +151,7 @@
 /// its own, and keeps them when the list changes again.
 #[test]
 fn an_address_used_again_gets_connections_of_its_own() {
-    let world = World::new(2, 3.0);
+    let world = World::new(PROGRAM, 2, 3.0);
     let courier = world.start();
     let mut client = courier.client();
     world.remove(1);
@@ -178,7 +178,7 @@
 #[test]
 fn endpoints_that_are_gone_are_forgotten() {
     const TIMES: u32 = 1000;
-    let world = World::new(1, 3.0);
+    let world = World::new(PROGRAM, 1, 3.0);
     let courier = world.start();
     let replace = |rounds: std::ops::Range<u32>| {
         for round in rounds {
@@ -196,7 +196,7 @@
 /// Many endpoints, few descriptors: idle connections give way, and the limit holds.
 #[test]
 fn descriptors_stay_inside_their_limit() {
-    let mut world = World::patient(40, 3.0);
+    let mut world = World::patient(PROGRAM, 40, 3.0);
     (world.apart, world.sockets) = (true, 44);
     let courier = world.start();
     let mut client = courier.client();
--- a/tests/clients.rs
+++ b/crates/gullcart/tests/clients.rs
@@ -1,9 +1,9 @@
 //! What clients are owed, the bad ones among them, over loopback sockets.
 
-mod world;
-
+use gullcart_standins::world::*;
 use std::time::Duration;
-use world::*;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_gullcart");
 
 /// An error or a close is owed within 3 s of connecting.
 const OWED: Duration = Duration::from_secs(3);
@@ -12,7 +12,7 @@
 /// places for two minutes.
 #[test]
 fn silent_and_half_spoken_clients_do_not_keep_their_places() {
-    let world = World::new(1, 3.0);
+    let world = World::new(PROGRAM, 1, 3.0);
     let courier = world.start();
     let mut silent = courier.client().within(OWED);
     let mut half = courier.client().within(OWED);
@@ -26,7 +26,7 @@
 /// at once. They used to wait in the listener's queue, past the 400 ms that a client waits.
 #[test]
 fn silent_connections_give_way_to_clients_that_ask() {
-    let mut world = World::new(1, 3.0);
+    let mut world = World::new(PROGRAM, 1, 3.0);
     world.sockets = 256;
     let courier = world.start();
     let silent: Vec<Client> = (0..300).map(|_| courier.client()).collect();
@@ -42,7 +42,7 @@
 /// one is closed for each that comes, and the last one stays.
 #[test]
 fn clients_that_ask_once_and_stay_give_way_to_others() {
-    let mut world = World::new(1, 3.0);
+    let mut world = World::new(PROGRAM, 1, 3.0);
     world.sockets = 256;
     let courier = world.start();
     let mut stayed: Vec<Client> = (0..80).map(|_| courier.client().within(Duration::from_secs(1))).collect();
@@ -57,7 +57,7 @@
 /// which throws away what the client has not read yet.
 #[test]
 fn an_error_is_heard_behind_a_huge_value() {
-    let world = World::new(1, 3.0);
+    let world = World::new(PROGRAM, 1, 3.0);
     let courier = world.start();
     let mut client = courier.client();
     client.send(b"*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$2\r\nb1\r\n$3\r\nc=x\r\n$60000000\r\n");
@@ -70,7 +70,7 @@
 /// Hundreds of commands at once are each answered, and others are served meanwhile.
 #[test]
 fn a_flood_of_commands_is_answered_and_holds_nobody_up() {
-    let world = World::new(1, 3.0);
+    let world = World::new(PROGRAM, 1, 3.0);
     let courier = world.start();
     let mut flood = courier.client();
     flood.send(&b"*1\r\n$8\r\nFLUSHALL\r\n".repeat(2000));
@@ -85,7 +85,7 @@
 /// under its id is turned away. It used to be answered as taken on.
 #[test]
 fn an_id_stays_with_its_message() {
-    let world = World::new(1, 3.0);
+    let world = World::new(PROGRAM, 1, 3.0);
     let courier = world.start();
     assert_eq!(courier.client().enqueue("i1", "9", "notice,k=i1", 1, b"1"), "+OK");
     let call = world.call();
@@ -99,7 +99,7 @@
 /// A destination that was never listed is an error; one that has lost its endpoints may get others.
 #[test]
 fn unknown_destinations_are_errors_and_empty_ones_are_not() {
-    let mut world = World::patient(2, 3.0);
+    let mut world = World::patient(PROGRAM, 2, 3.0);
     world.apart = true;
     let courier = world.start();
     world.remove(1);
@@ -117,7 +117,7 @@
 /// Without its key a message of a keyed class could not be repeated safely.
 #[test]
 fn keyed_messages_need_their_key() {
-    let world = World::new(1, 3.0);
+    let world = World::new(PROGRAM, 1, 3.0);
     let courier = world.start();
     assert!(courier.client().enqueue("k1", "9", "notice", 1, b"1").starts_with("-ERR "));
     world.no_call();
--- a/tests/courier.rs
+++ b/crates/gullcart/tests/courier.rs
@@ -1,14 +1,14 @@
 //! The courier over loopback sockets: each test guards against one way of breaking a promise.
 
-mod world;
-
+use gullcart_standins::world::*;
 use std::time::{Duration, Instant};
-use world::*;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_gullcart");
 
 /// A message reaches its endpoint as it was handed in, and nothing more is told about it.
 #[test]
 fn delivers_what_a_client_hands_in() {
-    let world = World::new(2, 3.0);
+    let world = World::new(PROGRAM, 2, 3.0);
     let courier = world.start();
     let mut client = courier.client();
     assert_eq!(client.ask(&["PING"]), "+PONG");
@@ -27,7 +27,7 @@
 /// Bad input is answered and harms nobody else: no panic, no recursion, no allocation by an announced length.
 #[test]
 fn malformed_input_is_answered_and_the_process_lives() {
-    let world = World::new(1, 3.0);
+    let world = World::new(PROGRAM, 1, 3.0);
     let courier = world.start();
     let nested = "*1\r\n".repeat(15_000);
     for bad in [
@@ -55,7 +55,7 @@
 /// and without another call.
 #[test]
 fn an_unsafe_message_with_a_call_out_at_the_kill_fails() {
-    let world = World::new(2, 3.0);
+    let world = World::new(PROGRAM, 2, 3.0);
     let courier = world.start();
     assert_eq!(courier.client().enqueue("u1", "0", "salary", 1, b"x"), "+OK");
     let _open = world.call();
@@ -68,7 +68,7 @@
 /// A keyed one goes on under its key, before the message behind it; what was delivered does not come again.
 #[test]
 fn keyed_messages_go_on_in_order_after_a_kill() {
-    let world = World::new(2, 3.0);
+    let world = World::new(PROGRAM, 2, 3.0);
     let courier = world.start();
     let mut client = courier.client();
     assert_eq!(client.enqueue("k0", "9", "notice,k=k0", 1, b"0"), "+OK");
@@ -91,7 +91,7 @@
 /// next one with its key, and after a kill the notice goes out again instead of another call.
 #[test]
 fn a_key_waits_for_the_answer_to_a_notice() {
-    let world = World::new(1, 3.0);
+    let world = World::new(PROGRAM, 1, 3.0);
     let courier = world.start();
     let mut client = courier.client();
     world.hold_notices(true);
@@ -123,7 +123,7 @@
 /// A connection that is refused proves that the call never ran: the unsafe message goes to another endpoint.
 #[test]
 fn an_unsafe_message_goes_on_where_a_connection_is_refused() {
-    let mut world = World::new(2, 3.0);
+    let mut world = World::new(PROGRAM, 2, 3.0);
     world.refuse_connections(0);
     let courier = world.start();
     let mut client = courier.client();
@@ -139,7 +139,7 @@
 /// A connection that breaks after the call was sent may have run it.
 #[test]
 fn an_unsafe_message_fails_at_once_where_a_connection_is_reset() {
-    let world = World::new(2, 3.0);
+    let world = World::new(PROGRAM, 2, 3.0);
     let courier = world.start();
     assert_eq!(courier.client().enqueue("x1", "0", "salary", 1, b"x"), "+OK");
     world.call().reset();
@@ -151,7 +151,7 @@
 /// told, the client may hand the message in again, so that nothing may be sent for it after a restart either.
 #[test]
 fn a_spent_message_is_returned_at_once_and_for_good() {
-    let world = World::new(1, 3.0);
+    let world = World::new(PROGRAM, 1, 3.0);
     world.hold_notices(true);
     let courier = world.start();
     assert_eq!(courier.client().enqueue("s1", "0", "salary", 1, b"x"), "+OK");
@@ -166,7 +166,7 @@
 /// A told wait holds for all messages to that destination.
 #[test]
 fn a_told_wait_is_heeded_by_all_messages() {
-    let world = World::new(2, 3.0);
+    let world = World::new(PROGRAM, 2, 3.0);
     let courier = world.start();
     let mut client = courier.client();
     assert_eq!(client.enqueue("w1", "0", "salary", 1, b"x"), "+OK");
@@ -184,7 +184,7 @@
 /// discovery is silent.
 #[test]
 fn a_drain_is_kept_over_a_restart() {
-    let world = World::new(2, 3.0);
+    let world = World::new(PROGRAM, 2, 3.0);
     let courier = world.start();
     world.drain(0);
     courier.log_until("the list has changed");
@@ -205,7 +205,7 @@
 /// itself in time; what it could not send goes on at the next start.
 #[test]
 fn sigterm_lets_calls_out_end_and_takes_on_until_the_end() {
-    let world = World::new(1, 3.0);
+    let world = World::new(PROGRAM, 1, 3.0);
     let mut courier = world.start();
     let mut idle = courier.client();
     assert_eq!(idle.enqueue("t1", "0", "salary", 1, b"x"), "+OK");
@@ -224,7 +224,7 @@
 /// A hung call does not keep the process beyond SIGKILL, and its message ends at the next start.
 #[test]
 fn sigterm_does_not_wait_for_a_hung_call() {
-    let world = World::new(1, 3.0);
+    let world = World::new(PROGRAM, 1, 3.0);
     let mut courier = world.start();
     assert_eq!(courier.client().enqueue("h1", "0", "salary", 1, b"x"), "+OK");
     let _hung = world.call();
@@ -238,7 +238,7 @@
 /// within the limit, and what was taken on is all there after a kill.
 #[test]
 fn a_full_journal_turns_messages_away_and_keeps_what_it_took() {
-    let world = World::patient(1, 0.3);
+    let world = World::patient(PROGRAM, 1, 0.3);
     let courier = world.start();
     let mut client = courier.client();
     let body = vec![b'x'; 4000];
@@ -258,7 +258,7 @@
 /// A torn or damaged tail of the journal is cut off; what stands before it is kept, and the process starts.
 #[test]
 fn a_torn_journal_is_replayed_up_to_the_tear() {
-    let world = World::new(1, 3.0);
+    let world = World::new(PROGRAM, 1, 3.0);
     let courier = world.start();
     let mut client = courier.client();
     assert_eq!(client.enqueue("j1", "0", "salary", 1, b"x"), "+OK");
@@ -274,7 +274,7 @@
 /// An unwritable disk is a refusal, not a crash.
 #[test]
 fn an_unwritable_journal_turns_messages_away() {
-    let world = World::new(1, 0.0001);
+    let world = World::new(PROGRAM, 1, 0.0001);
     let courier = world.start();
     assert!(courier.client().enqueue("z1", "0", "salary", 1, b"x").starts_with("-BUSY "));
     assert_eq!(courier.client().ask(&["PING"]), "+PONG");
@@ -284,7 +284,7 @@
 /// and told when to come.
 #[test]
 fn no_more_messages_are_held_than_the_settings_allow() {
-    let mut world = World::patient(1, 3.0);
+    let mut world = World::patient(PROGRAM, 1, 3.0);
     world.most_held = 3;
     world.hold_notices(true);
     let courier = world.start();
@@ -309,7 +309,7 @@
 /// still on an open connection would be a second copy.
 #[test]
 fn a_timed_out_call_is_closed_before_the_next_attempt() {
-    let world = World::new(1, 3.0);
+    let world = World::new(PROGRAM, 1, 3.0);
     let courier = world.start();
     assert_eq!(courier.client().enqueue("c1", "9", "notice,k=c1", 1, b"x"), "+OK");
     let first = world.call();
@@ -323,7 +323,7 @@
 /// Silence of discovery is no empty list: messages go on, and the watch is taken up again when it is back.
 #[test]
 fn discovery_may_be_silent() {
-    let world = World::new(2, 3.0);
+    let world = World::new(PROGRAM, 2, 3.0);
     world.silence_discovery(true);
     let courier = world.start();
     let mut client = courier.client();
@@ -340,7 +340,7 @@
 /// A notice is sent until it is answered.
 #[test]
 fn a_notice_is_sent_until_it_is_answered() {
-    let world = World::new(1, 3.0);
+    let world = World::new(PROGRAM, 1, 3.0);
     world.hold_notices(true);
     let courier = world.start();
     assert_eq!(courier.client().enqueue("o1", "0", "salary", 1, b"x"), "+OK");
@@ -363,7 +363,7 @@
 /// The journal of a long day is compacted again and again: it stays inside the disk, and keeps what is held.
 #[test]
 fn a_long_journal_is_compacted() {
-    let world = World::patient(1, 0.1);
+    let world = World::patient(PROGRAM, 1, 0.1);
     let courier = world.start();
     let mut client = courier.client();
     assert_eq!(client.enqueue("kept", "0", "salary", 1, b"x"), "+OK");
@@ -382,7 +382,7 @@
 /// A kept connection that the endpoint has closed is not used: a call on it would be lost.
 #[test]
 fn a_closed_connection_is_not_used_again() {
-    let world = World::new(1, 3.0);
+    let world = World::new(PROGRAM, 1, 3.0);
     let courier = world.start();
     let mut client = courier.client();
     for id in ["y1", "y2", "y3"] {
@@ -397,7 +397,7 @@
 /// A call whose connection comes up only after a wait was told, or a drain, must not go out on it.
 #[test]
 fn calls_still_connecting_are_withdrawn_when_a_wait_is_told() {
-    let mut world = World::new(2, 3.0);
+    let mut world = World::new(PROGRAM, 2, 3.0);
     let hanging = world.hang_connections(0);
     let courier = world.start();
     let mut client = courier.client();
@@ -423,7 +423,7 @@
 /// do, on a day of 27 endpoints).
 #[test]
 fn connections_are_kept_at_more_endpoints_than_slots() {
-    let mut world = World::patient(6, 3.0);
+    let mut world = World::patient(PROGRAM, 6, 3.0);
     (world.slots, world.apart) = (2, true);
     let courier = world.start();
     let mut client = courier.client();
--- a/tests/reload.rs
+++ b/crates/gullcart/tests/reload.rs
@@ -1,14 +1,14 @@
 //! SIGHUP: the courier goes over to another agent of discovery without disturbing anything else.
 
-mod world;
+use gullcart_standins::world::*;
 
-use world::*;
+const PROGRAM: &str = env!("CARGO_BIN_EXE_gullcart");
 
 /// The new agent's list counts, unanswered notices go to it, and neither calls nor clients notice anything. The
 /// signal used to end the process.
 #[test]
 fn sighup_moves_watch_and_notices_to_the_new_agent() {
-    let world = World::new(2, 3.0);
+    let world = World::new(PROGRAM, 2, 3.0);
     let courier = world.start();
     let mut client = courier.client();
     assert_eq!(client.enqueue("h1", "0", "salary", 1, b"x"), "+OK");
@@ -42,7 +42,7 @@
 /// A file that cannot be read changes nothing, and the next one counts.
 #[test]
 fn a_spoilt_configuration_changes_nothing() {
-    let world = World::new(2, 3.0);
+    let world = World::new(PROGRAM, 2, 3.0);
     let courier = world.start();
     let mut client = courier.client();
     world.spoil_configuration();
