--- /dev/null
+++ b/crates/gullcart-standins/src/endpoint.rs
@@ -0,0 +1,374 @@
+//! Endpoints of partners on sockets. Each courier has an address of its own for every endpoint, so that who calls is
+//! known by where the call comes in.
+
+use crate::http::{Reader, Request};
+use crate::ids;
+use crate::partner::{Fate, Partner};
+use crate::Recorder;
+use gullcart_judge::trace::*;
+use hdrhistogram::Histogram;
+use socket2::{Domain, SockRef, Socket, Type};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{spawn_local, JoinHandle};
+use tokio::time::{sleep_until, timeout};
+
+/// A connection that stands idle for so long is closed.
+pub const IDLE: Duration = Duration::from_secs(15);
+/// What a new connection costs the first call on it.
+const HANDSHAKE: Duration = Duration::from_millis(10);
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 256;
+/// Between failures to accept.
+const PAUSE: Duration = Duration::from_millis(20);
+/// The longest lateness that is told apart, in microseconds.
+const LONGEST_LATE_US: u64 = 60_000_000;
+
+/// What a message should look like on arrival.
+pub struct Expected {
+    /// Its key, in keyed classes.
+    pub idempotency_key: Option<String>,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+/// What was handed in under a number, if anything was.
+pub type Expect = Rc<dyn Fn(MessageId) -> Option<Expected>>;
+
+/// What all stand-ins count together.
+pub struct Counters {
+    /// Calls out now.
+    pub out: Cell<u32>,
+    /// Calls so far.
+    pub calls: Cell<u64>,
+    /// Calls turned away so far.
+    pub refused: Cell<u64>,
+    /// Connections accepted so far.
+    pub connections: Cell<u64>,
+    /// How late the stand-ins did what was due, in microseconds.
+    pub late: RefCell<Histogram<u64>>,
+}
+
+impl Default for Counters {
+    fn default() -> Self {
+        let late = Histogram::new_with_bounds(1, LONGEST_LATE_US, 3);
+        let late = RefCell::new(late.expect("the bounds are constants that the histogram allows"));
+        let (out, calls, refused, connections) = Default::default();
+        Counters { out, calls, refused, connections, late }
+    }
+}
+
+impl Counters {
+    /// Something that was due is done now.
+    pub fn late(&self, due: At, now: At) {
+        self.late.borrow_mut().saturating_record(((now - due).as_micros() as u64).max(1));
+    }
+}
+
+/// What endpoints share.
+#[derive(Clone)]
+pub struct Site {
+    /// Where things are written down.
+    pub recorder: Recorder,
+    /// What was handed in.
+    pub expect: Expect,
+    /// Counted together.
+    pub counters: Rc<Counters>,
+}
+
+/// An endpoint, at whatever addresses.
+pub struct Endpoint {
+    /// Its own number.
+    pub id: EndpointId,
+    /// Whose it is.
+    pub partner_id: PartnerId,
+    /// The model behind it.
+    pub partner: Rc<RefCell<Partner>>,
+    /// Its place in the model.
+    pub place: usize,
+    /// Whether its answers report the limit.
+    pub reports: bool,
+    breaks: watch::Sender<u32>,
+}
+
+impl Endpoint {
+    /// An endpoint with no address yet.
+    pub fn new(
+        id: EndpointId,
+        partner_id: PartnerId,
+        partner: Rc<RefCell<Partner>>,
+        place: usize,
+        reports: bool,
+    ) -> Self {
+        Endpoint { id, partner_id, partner, place, reports, breaks: watch::Sender::new(0) }
+    }
+
+    /// Resets all connections to it.
+    pub fn break_connections(&self) {
+        self.breaks.send_modify(|times| *times += 1);
+    }
+}
+
+/// An address at which one courier finds an endpoint. Another may take its place at the same address.
+pub struct Door {
+    address: SocketAddr,
+    /// Bound and not listening: keeps the port while connections are refused.
+    _reserved: Socket,
+    site: Site,
+    courier: CourierId,
+    endpoint: Rc<RefCell<Rc<Endpoint>>>,
+    accepting: RefCell<Option<JoinHandle<()>>>,
+}
+
+fn bound(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_port(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
+
+impl Door {
+    /// A new address, open.
+    pub fn open(site: &Site, courier: CourierId, endpoint: Rc<Endpoint>) -> io::Result<Self> {
+        let reserved = bound(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let address = reserved.local_addr()?;
+        let address = address.as_socket().ok_or_else(|| io::Error::other("an address that is not of IP"))?;
+        let door = Door {
+            address,
+            _reserved: reserved,
+            site: site.clone(),
+            courier,
+            endpoint: Rc::new(RefCell::new(endpoint)),
+            accepting: RefCell::default(),
+        };
+        door.reopen()?;
+        Ok(door)
+    }
+
+    /// Where it is.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Takes connections again.
+    pub fn reopen(&self) -> io::Result<()> {
+        if self.accepting.borrow().is_some() {
+            return Ok(());
+        }
+        let socket = bound(self.address)?;
+        socket.listen(BACKLOG)?;
+        let listener = TcpListener::from_std(socket.into())?;
+        let (site, courier, endpoint) = (self.site.clone(), self.courier, self.endpoint.clone());
+        *self.accepting.borrow_mut() = Some(spawn_local(async move {
+            loop {
+                let Ok((stream, _)) = listener.accept().await else {
+                    tokio::time::sleep(PAUSE).await;
+                    continue;
+                };
+                site.counters.connections.set(site.counters.connections.get() + 1);
+                let (site, endpoint) = (site.clone(), endpoint.borrow().clone());
+                spawn_local(async move {
+                    let connection = Connection { site, courier, endpoint, stream, reader: Reader::default() };
+                    // One that breaks is written down where a call was out on it.
+                    let _ = connection.serve().await;
+                });
+            }
+        }));
+        Ok(())
+    }
+
+    /// Refuses connections. Those that there are stay.
+    pub fn shut(&self) {
+        if let Some(accepting) = self.accepting.borrow_mut().take() {
+            accepting.abort();
+        }
+    }
+
+    /// Another endpoint takes over the address.
+    pub fn hand_over(&self, endpoint: Rc<Endpoint>) {
+        *self.endpoint.borrow_mut() = endpoint;
+    }
+}
+
+impl Drop for Door {
+    fn drop(&mut self) {
+        self.shut();
+    }
+}
+
+struct Connection {
+    site: Site,
+    courier: CourierId,
+    endpoint: Rc<Endpoint>,
+    stream: TcpStream,
+    reader: Reader,
+}
+
+impl Connection {
+    async fn serve(mut self) -> io::Result<()> {
+        self.stream.set_nodelay(true)?;
+        let mut breaks = self.endpoint.breaks.subscribe();
+        let recorder = self.site.recorder.clone();
+        let mut fresh = true;
+        loop {
+            let request = tokio::select! {
+                biased;
+                _ = breaks.changed() => return self.reset(),
+                request = timeout(IDLE, self.reader.next(&mut self.stream, || recorder.now())) => request,
+            };
+            // Idle for too long, or at an end between two requests.
+            let Some(request) = request.unwrap_or(Ok(None))? else { return Ok(()) };
+            let counters = self.site.counters.clone();
+            counters.calls.set(counters.calls.get() + 1);
+            counters.out.set(counters.out.get() + 1);
+            let goes_on = self.call(&request, &mut breaks, std::mem::take(&mut fresh)).await;
+            counters.out.set(counters.out.get() - 1);
+            if !goes_on? {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Ends with a reset.
+    fn reset(&self) -> io::Result<()> {
+        SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+    }
+
+    /// Serves one call; false when the connection is of no further use.
+    async fn call(
+        &mut self,
+        request: &Request,
+        breaks: &mut watch::Receiver<u32>,
+        fresh: bool,
+    ) -> io::Result<bool> {
+        let site = self.site.clone();
+        let call = CallId(site.counters.calls.get());
+        let message = request.header("x-call-id").and_then(ids::message_of);
+        let expected = message.and_then(|message| (site.expect)(message));
+        let intact = expected.as_ref().is_some_and(|expected| {
+            let key = request.header("idempotency-key").map(str::to_owned);
+            expected.idempotency_key == key && expected.body == request.body
+        });
+        let at = site.recorder.note(Event::Call {
+            call,
+            message: message.filter(|_| expected.is_some()),
+            courier: self.courier,
+            endpoint: self.endpoint.id,
+            partner: self.endpoint.partner_id,
+            first_byte: request.first_byte,
+            intact,
+        });
+        if expected.is_none() {
+            self.answer(call, Answer::Error, "400 Bad Request", "").await?;
+            return Ok(false);
+        }
+        let fate = self.endpoint.partner.borrow_mut().call(self.endpoint.place, at);
+        let handshake = if fresh { HANDSHAKE } else { Duration::ZERO };
+        let due = match fate {
+            Fate::Done(at) | Fate::Error(at) | Fate::Reset(at) | Fate::Spoilt(at) => Some(at + handshake),
+            Fate::Refused(_) => Some(at + handshake),
+            Fate::Silent => None,
+        };
+        if let Err(by) = self.wait(due, breaks).await {
+            site.recorder.note(Event::CallCut { call, by });
+            if by == By::Partner {
+                self.reset()?;
+            }
+            return Ok(false);
+        }
+        match fate {
+            Fate::Done(_) => self.answer(call, Answer::Ok, "200 OK", "").await?,
+            Fate::Error(_) => self.answer(call, Answer::Error, "500 Oops", "").await?,
+            Fate::Refused(wait) => {
+                site.counters.refused.set(site.counters.refused.get() + 1);
+                // Never 0, which would be no wait, and never less than what is meant.
+                match wait.map(|wait| wait.as_micros().div_ceil(1000).max(1) as u64) {
+                    Some(ms) => {
+                        let header = format!("X-Come-Back-Ms: {ms}\r\n");
+                        self.answer(call, Answer::Full(Some(ms)), "429 Too Many", &header).await?;
+                    }
+                    None => self.answer(call, Answer::Full(None), "503 Full", "").await?,
+                }
+            }
+            Fate::Reset(_) | Fate::Silent => {
+                site.recorder.note(Event::CallCut { call, by: By::Partner });
+                self.reset()?;
+                return Ok(false);
+            }
+            Fate::Spoilt(_) => {
+                let (answer, bytes) = spoilt(call);
+                self.stream.write_all(bytes).await?;
+                site.recorder.note(Event::CallAnswered { call, answer });
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+
+    /// Waits until an answer is due, and longer while the partner stands still.
+    async fn wait(&mut self, due: Option<At>, breaks: &mut watch::Receiver<u32>) -> Result<(), By> {
+        let recorder = self.site.recorder.clone();
+        let mut due = due;
+        let mut more = Vec::new();
+        loop {
+            let never = recorder.now() + Duration::from_secs(3600);
+            tokio::select! {
+                biased;
+                _ = breaks.changed() => return Err(By::Partner),
+                read = self.stream.read_buf(&mut more) => match read {
+                    // A courier has nothing to say before its answer: it is soon given up.
+                    Ok(count) if count > 0 && more.len() < BACKLOG as usize => {}
+                    _ => return Err(By::Courier),
+                },
+                () = sleep_until(recorder.instant(due.unwrap_or(never))) => {
+                    let stalled = self.endpoint.partner.borrow().stalled(self.endpoint.place);
+                    match (due, stalled.filter(|until| *until > recorder.now())) {
+                        (Some(_), Some(until)) => due = Some(until),
+                        (Some(at), None) => {
+                            self.site.counters.late(at, recorder.now());
+                            return Ok(());
+                        }
+                        (None, _) => {}
+                    }
+                }
+            }
+        }
+    }
+
+    async fn answer(&mut self, call: CallId, answer: Answer, status: &str, header: &str) -> io::Result<()> {
+        let report = if self.endpoint.reports {
+            let (left, limit) = self.endpoint.partner.borrow_mut().report(self.site.recorder.now());
+            format!("X-Load-Report: x0={left:.2},x1={limit:.1}\r\n")
+        } else {
+            String::new()
+        };
+        let text = format!("HTTP/1.1 {status}\r\n{header}{report}Content-Length: 0\r\n\r\n");
+        let written = self.stream.write_all(text.as_bytes()).await;
+        let event = match written {
+            Ok(()) => Event::CallAnswered { call, answer },
+            Err(_) => Event::CallCut { call, by: By::Courier },
+        };
+        self.site.recorder.note(event);
+        written
+    }
+}
+
+/// Damaged answers, in turn: what they mean, and their bytes. Behind each the connection ends.
+fn spoilt(call: CallId) -> (Answer, &'static [u8]) {
+    match call.0 % 5 {
+        0 => (Answer::Spoilt, b"\x00\xff\x07 no answer at all\r\n\r\n"),
+        // Turned away, it seems, but not whole: it is not to be believed.
+        1 => (Answer::Spoilt, b"HTTP/1.1 503 Full\r\nContent-Length: 90\r\n\r\nand then"),
+        2 => (Answer::Spoilt, b"HTTP/1.1 429 Later\r\nX-Come-Back-Ms: 50"),
+        3 => (Answer::Spoilt, b"HTTP/9"),
+        // A first line with 200 delivers, whatever is wrong behind it.
+        _ => (Answer::Ok, b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 7\r\n\r\nok"),
+    }
+}
--- /dev/null
+++ b/crates/gullcart-standins/src/http.rs
@@ -0,0 +1,91 @@
+//! As much of HTTP/1.1 as partners and the register need: requests in, with the time of their first byte.
+
+use gullcart_judge::trace::At;
+use std::io;
+use tokio::io::{AsyncRead, AsyncReadExt};
+
+/// A request's head and body hold at most this.
+const LONGEST: usize = 80 << 10;
+const MOST_HEADERS: usize = 32;
+
+/// A request, with what is asked of it.
+#[derive(Debug)]
+pub struct Request {
+    pub method: String,
+    pub path: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    /// When its first byte came.
+    pub first_byte: At,
+}
+
+impl Request {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
+    }
+}
+
+/// Reads requests from a connection, one after the other.
+#[derive(Default)]
+pub struct Reader {
+    buffer: Vec<u8>,
+    first_byte: Option<At>,
+}
+
+fn bad(what: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, what)
+}
+
+impl Reader {
+    /// The next request; none at a clean end. `now` tells the time.
+    pub async fn next(
+        &mut self,
+        input: &mut (impl AsyncRead + Unpin),
+        now: impl Fn() -> At,
+    ) -> io::Result<Option<Request>> {
+        loop {
+            if let Some((request, length)) = self.parse(self.first_byte.unwrap_or_else(&now))? {
+                self.buffer.drain(..length);
+                self.first_byte = (!self.buffer.is_empty()).then(&now);
+                return Ok(Some(request));
+            }
+            if self.buffer.len() > LONGEST {
+                return Err(bad("the request is too long"));
+            }
+            let before = self.buffer.len();
+            self.buffer.reserve(4096);
+            let count = input.read_buf(&mut self.buffer).await?;
+            if count == 0 {
+                return if before == 0 { Ok(None) } else { Err(bad("half a request")) };
+            }
+            self.first_byte.get_or_insert_with(&now);
+        }
+    }
+
+    fn parse(&self, first_byte: At) -> io::Result<Option<(Request, usize)>> {
+        let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+        let mut parsed = httparse::Request::new(&mut headers);
+        let head = match parsed.parse(&self.buffer).map_err(|error| bad(&error.to_string()))? {
+            httparse::Status::Complete(head) => head,
+            httparse::Status::Partial => return Ok(None),
+        };
+        let text = |value: &[u8]| String::from_utf8_lossy(value).into_owned();
+        let mut request = Request {
+            method: parsed.method.unwrap_or_default().to_owned(),
+            path: parsed.path.unwrap_or_default().to_owned(),
+            headers: parsed.headers.iter().map(|h| (h.name.to_owned(), text(h.value))).collect(),
+            body: Vec::new(),
+            first_byte,
+        };
+        let length = match request.header("content-length") {
+            Some(length) => length.trim().parse().map_err(|_| bad("the length cannot be read"))?,
+            None => 0,
+        };
+        if length > LONGEST {
+            return Err(bad("the body is too long"));
+        }
+        let Some(body) = self.buffer.get(head..head + length) else { return Ok(None) };
+        request.body = body.to_vec();
+        Ok(Some((request, head + length)))
+    }
+}
--- /dev/null
+++ b/crates/gullcart-standins/src/partner.rs
@@ -0,0 +1,435 @@
+//! The model of a partner: what it takes, how long it works, what faults do to it, and how it returns from an outage.
+//! It knows no socket and no clock.
+
+use gullcart_judge::cold::Cold;
+use gullcart_judge::trace::At;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// How many calls a partner takes from all couriers together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Limit {
+    /// So many calls a second, evenly; a fifth of a second's calls may come at once.
+    Rate(f64),
+    /// So many calls in each span, which begin at the same time for all.
+    Count {
+        /// Calls.
+        calls: u32,
+        /// Length of a span.
+        span: Duration,
+    },
+}
+
+impl Limit {
+    /// In calls a second.
+    pub fn per_second(self) -> f64 {
+        match self {
+            Limit::Rate(rate) => rate,
+            Limit::Count { calls, span } => f64::from(calls) / span.as_secs_f64(),
+        }
+    }
+}
+
+/// What a partner is like.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// What it allows.
+    pub limit: Limit,
+    /// What it can do over what it allows, 1 or more.
+    pub spare: f64,
+    /// Mean time for a call.
+    pub pace: Duration,
+    /// Calls that wait at an endpoint whose servers are all busy; more are turned away.
+    pub queue: usize,
+    /// Share of refusals that tell a wait.
+    pub tells_wait: f64,
+    /// The wait that a refusal above a plain rate tells, at least.
+    pub wait: Duration,
+    /// Whether refused calls use up the limit too.
+    pub refused_count: bool,
+    /// Share of its capacity after an outage.
+    pub cold_from: f64,
+    /// Until it has all of it.
+    pub cold: Duration,
+    /// Pushed over by this multiple of what it can do, ...
+    pub fall_multiple: f64,
+    /// ... for so long.
+    pub fall_window: Duration,
+    /// Share of calls that end as errors.
+    pub errors: f64,
+}
+
+/// Something that is wrong with some or all endpoints of a partner, while it lasts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Trouble {
+    /// Takes calls and answers none.
+    Silent,
+    /// Stands still: what is due is answered at its end.
+    Stall,
+    /// Everything takes so many times as long.
+    Slow(f64),
+    /// Refuses this share of the calls; with or without a told wait.
+    Refuse(f64, bool),
+    /// Refuses all until it opens; with or without telling when.
+    Shut(bool),
+    /// Resets this share of the connections once a call was read.
+    Reset(f64),
+    /// Spoils this share of the answers.
+    Spoil(f64),
+    /// Refuses connections, and breaks those that there are.
+    Down,
+}
+
+/// A trouble in force.
+#[derive(Clone, Copy, Debug)]
+struct Active {
+    id: u32,
+    what: Trouble,
+    /// One endpoint, or all.
+    endpoint: Option<usize>,
+    until: At,
+}
+
+/// What becomes of a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fate {
+    /// It is answered with 200 when it is done.
+    Done(At),
+    /// It runs and ends in an error.
+    Error(At),
+    /// It is turned away at once.
+    Refused(Option<Duration>),
+    /// It is never answered.
+    Silent,
+    /// Its connection is reset at that time.
+    Reset(At),
+    /// Its answer is damaged.
+    Spoilt(At),
+}
+
+struct Endpoint {
+    /// When each server is free.
+    servers: Vec<At>,
+    /// When the calls that wait begin.
+    waiting: VecDeque<At>,
+}
+
+/// A partner with its endpoints.
+pub struct Partner {
+    spec: Spec,
+    endpoints: Vec<Endpoint>,
+    servers: usize,
+    rng: fastrand::Rng,
+    tokens: f64,
+    filled: At,
+    span: u64,
+    used: u32,
+    troubles: Vec<Active>,
+    cold: Option<Cold>,
+    fallen: bool,
+}
+
+/// The part of a second's calls that a plain rate takes at once.
+const BURST_S: f64 = 0.2;
+
+impl Partner {
+    /// A warm partner with some endpoints.
+    pub fn new(spec: Spec, endpoints: usize, seed: u64) -> Self {
+        let needed = spec.limit.per_second() * spec.spare * spec.pace.as_secs_f64() / endpoints.max(1) as f64;
+        let servers = (needed.ceil() as usize).max(1);
+        let mut partner = Partner {
+            tokens: (spec.limit.per_second() * BURST_S).max(1.0),
+            spec,
+            endpoints: Vec::new(),
+            servers,
+            rng: fastrand::Rng::with_seed(seed),
+            filled: At(0),
+            span: 0,
+            used: 0,
+            troubles: Vec::new(),
+            cold: None,
+            fallen: false,
+        };
+        for _ in 0..endpoints {
+            partner.add_endpoint();
+        }
+        partner
+    }
+
+    /// One more endpoint, as strong as the others; its place.
+    pub fn add_endpoint(&mut self) -> usize {
+        self.endpoints.push(Endpoint { servers: vec![At(0); self.servers], waiting: VecDeque::new() });
+        self.endpoints.len() - 1
+    }
+
+    /// What all endpoints that serve can do when warm, in calls a second.
+    pub fn capacity(&self) -> f64 {
+        self.spec.limit.per_second() * self.spec.spare
+    }
+
+    /// Its figures.
+    pub fn spec(&self) -> &Spec {
+        &self.spec
+    }
+
+    /// Whether it was pushed over.
+    pub fn is_fallen(&self) -> bool {
+        self.fallen
+    }
+
+    /// Whether connections to an endpoint are refused.
+    pub fn is_down(&self, endpoint: usize) -> bool {
+        self.active(endpoint).any(|active| active.what == Trouble::Down)
+    }
+
+    /// A trouble begins; `until` is when it is meant to end.
+    pub fn begin(&mut self, id: u32, what: Trouble, endpoint: Option<usize>, until: At) {
+        self.troubles.push(Active { id, what, endpoint, until });
+    }
+
+    /// All troubles of that id end.
+    pub fn end(&mut self, id: u32) {
+        self.troubles.retain(|active| active.id != id);
+    }
+
+    /// It comes back from an outage, cold.
+    pub fn come_back(&mut self, now: At) {
+        let Spec { cold_from, cold, fall_multiple, fall_window, .. } = self.spec;
+        self.cold = Some(Cold::new(now, now + cold, self.capacity(), cold_from, fall_multiple, fall_window));
+        for endpoint in &mut self.endpoints {
+            endpoint.waiting.clear();
+            endpoint.servers.fill(now);
+        }
+    }
+
+    /// Share of the capacity that is there now.
+    pub fn share(&self, now: At) -> f64 {
+        self.cold.as_ref().map_or(1.0, |cold| cold.share(now))
+    }
+
+    fn active(&self, endpoint: usize) -> impl Iterator<Item = &Active> {
+        self.troubles.iter().filter(move |active| active.endpoint.is_none_or(|at| at == endpoint))
+    }
+
+    /// Until when an endpoint stands still; none if it does not.
+    pub fn stalled(&self, endpoint: usize) -> Option<At> {
+        self.active(endpoint).filter(|active| active.what == Trouble::Stall).map(|active| active.until).max()
+    }
+
+    /// A call's last byte has come. Troubles come first, then the limit, then the queue.
+    pub fn call(&mut self, endpoint: usize, now: At) -> Fate {
+        let fallen_now = self.cold.as_mut().and_then(|cold| cold.call(now, false)).is_some();
+        if self.cold.as_ref().is_some_and(|cold| cold.is_warm(now)) {
+            self.cold = None;
+        }
+        self.fallen |= fallen_now;
+        let troubles: Vec<Active> = self.active(endpoint).copied().collect();
+        let is = |what| troubles.iter().any(|active| active.what == what);
+        if self.fallen || is(Trouble::Silent) {
+            return Fate::Silent;
+        }
+        let mut slow = 1.0;
+        let (mut reset, mut spoil) = (false, false);
+        for active in &troubles {
+            match active.what {
+                Trouble::Shut(tells) => return Fate::Refused(tells.then(|| active.until - now)),
+                Trouble::Refuse(share, tells) if self.rng.f64() < share => {
+                    return Fate::Refused(tells.then_some(self.spec.wait));
+                }
+                Trouble::Slow(times) => slow *= times,
+                Trouble::Reset(share) => reset |= self.rng.f64() < share,
+                Trouble::Spoil(share) => spoil |= self.rng.f64() < share,
+                _ => {}
+            }
+        }
+        if let Some(wait) = self.above_limit(now) {
+            let tells = self.rng.f64() < self.spec.tells_wait;
+            return Fate::Refused(tells.then_some(wait));
+        }
+        let Some(done) = self.work(endpoint, now, slow) else { return Fate::Refused(None) };
+        if reset {
+            // In the midst of the work: it may have run.
+            return Fate::Reset(now + (done - now) / 2);
+        }
+        if spoil {
+            return Fate::Spoilt(done);
+        }
+        if self.rng.f64() < self.spec.errors {
+            return Fate::Error(done);
+        }
+        Fate::Done(done)
+    }
+
+    /// The wait until there is room again, if the call is above the limit.
+    fn above_limit(&mut self, now: At) -> Option<Duration> {
+        match self.spec.limit {
+            Limit::Rate(rate) => {
+                let most = (rate * BURST_S).max(1.0);
+                self.tokens = (self.tokens + rate * (now - self.filled).as_secs_f64()).min(most);
+                self.filled = now;
+                if self.tokens >= 1.0 {
+                    self.tokens -= 1.0;
+                    return None;
+                }
+                if self.spec.refused_count {
+                    self.tokens = (self.tokens - 1.0).max(-most);
+                }
+                let room = Duration::from_secs_f64((1.0 - self.tokens) / rate.max(1e-3));
+                Some(self.spec.wait.max(room))
+            }
+            Limit::Count { calls, span } => {
+                let micros = (span.as_micros() as u64).max(1);
+                let number = now.0 / micros;
+                if number != self.span {
+                    (self.span, self.used) = (number, 0);
+                }
+                if self.used < calls {
+                    self.used += 1;
+                    return None;
+                }
+                Some(At((number + 1) * micros) - now)
+            }
+        }
+    }
+
+    /// When a call is done that begins as soon as a server is free; none where the queue is full.
+    fn work(&mut self, place: usize, now: At, slow: f64) -> Option<At> {
+        // Between half and twice the mean, most near it.
+        let spread = 0.5 + self.rng.f64() * 0.5 + self.rng.f64() * self.rng.f64() * 1.0;
+        let span = self.spec.pace.mul_f64(spread * slow / self.share(now).max(0.01));
+        let queue = self.spec.queue;
+        let endpoint = self.endpoints.get_mut(place)?;
+        while endpoint.waiting.front().is_some_and(|begins| *begins <= now) {
+            endpoint.waiting.pop_front();
+        }
+        let server = endpoint.servers.iter_mut().min()?;
+        let begins = now.max(*server);
+        if begins > now {
+            if endpoint.waiting.len() >= queue {
+                return None;
+            }
+            endpoint.waiting.push_back(begins);
+        }
+        *server = begins + span;
+        Some(*server)
+    }
+
+    /// What an answer reports: the share of the limit that is left, and the limit in calls a second.
+    pub fn report(&mut self, now: At) -> (f64, f64) {
+        let limit = self.spec.limit.per_second();
+        let left = match self.spec.limit {
+            Limit::Rate(rate) => {
+                let most = (rate * BURST_S).max(1.0);
+                (self.tokens + rate * (now - self.filled).as_secs_f64()).clamp(0.0, most) / most
+            }
+            Limit::Count { calls, span } => {
+                let number = now.0 / (span.as_micros() as u64).max(1);
+                let used = if number == self.span { self.used } else { 0 };
+                1.0 - f64::from(used) / f64::from(calls.max(1))
+            }
+        };
+        (left, limit)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn spec(limit: Limit) -> Spec {
+        Spec {
+            limit,
+            spare: 1.5,
+            pace: Duration::from_millis(100),
+            queue: 2,
+            tells_wait: 1.0,
+            wait: Duration::from_millis(300),
+            refused_count: false,
+            cold_from: 0.2,
+            cold: Duration::from_secs(10),
+            fall_multiple: 2.5,
+            fall_window: Duration::from_secs(2),
+            errors: 0.0,
+        }
+    }
+
+    #[test]
+    fn a_plain_rate_takes_no_more_in_the_long_run() {
+        let mut partner = Partner::new(spec(Limit::Rate(20.0)), 2, 1);
+        let taken = (0..10_000).filter(|ms| {
+            let at = At::ms(*ms);
+            matches!(partner.call((*ms % 2) as usize, at), Fate::Done(_))
+        });
+        let taken = taken.count();
+        assert!((190..=206).contains(&taken), "{taken}");
+    }
+
+    #[test]
+    fn a_count_is_full_until_its_span_ends_and_tells_so() {
+        let span = Duration::from_secs(1);
+        let mut partner = Partner::new(spec(Limit::Count { calls: 3, span }), 3, 1);
+        for call in 0..3 {
+            assert!(matches!(partner.call(call, At::ms(100)), Fate::Done(_)));
+        }
+        assert_eq!(partner.call(0, At::ms(400)), Fate::Refused(Some(Duration::from_millis(600))));
+        assert!(matches!(partner.call(0, At::ms(1001)), Fate::Done(_)));
+    }
+
+    #[test]
+    fn refused_calls_use_up_the_limit_where_they_count() {
+        let first_room = |refused_count| {
+            let mut partner = Partner::new(Spec { refused_count, ..spec(Limit::Rate(10.0)) }, 1, 1);
+            (0..5).for_each(|_| drop(partner.call(0, At(0))));
+            (1..2000).find(|ms| matches!(partner.above_limit(At::ms(*ms)), None))
+        };
+        // Asking each millisecond keeps it empty for ever where that counts.
+        assert!(first_room(false).is_some());
+        assert_eq!(first_room(true), None);
+    }
+
+    #[test]
+    fn a_full_queue_turns_calls_away() {
+        let mut partner = Partner::new(spec(Limit::Count { calls: 100, span: Duration::from_secs(60) }), 1, 1);
+        // 100 calls in 60 s need one server.
+        let fates: Vec<Fate> = (0..4).map(|_| partner.call(0, At(0))).collect();
+        assert!(matches!(fates[..3], [Fate::Done(_), Fate::Done(_), Fate::Done(_)]), "{fates:?}");
+        assert_eq!(fates[3], Fate::Refused(None));
+    }
+
+    #[test]
+    fn a_cold_partner_that_is_pushed_falls_and_stays_down() {
+        let mut partner = Partner::new(spec(Limit::Rate(100.0)), 1, 1);
+        partner.come_back(At::ms(1000));
+        // 2.5 x 20 % x 150/s x 2 s = 150 calls, and a little for chance.
+        let last = (0..400).find(|call| {
+            drop(partner.call(0, At::ms(1000 + call)));
+            partner.is_fallen()
+        });
+        assert!(last.is_some_and(|call| (150..185).contains(&call)), "{last:?}");
+        assert_eq!(partner.call(0, At::ms(60_000)), Fate::Silent);
+        let mut spared = Partner::new(spec(Limit::Rate(100.0)), 1, 1);
+        spared.come_back(At::ms(1000));
+        (0..400).for_each(|call| drop(spared.call(0, At::ms(1000 + call * 20))));
+        assert!(!spared.is_fallen());
+    }
+
+    #[test]
+    fn troubles_overlap_and_end_apart() {
+        let mut partner = Partner::new(spec(Limit::Rate(1000.0)), 2, 1);
+        partner.begin(1, Trouble::Stall, Some(0), At::ms(900));
+        partner.begin(2, Trouble::Silent, None, At::ms(500));
+        assert_eq!(partner.call(0, At::ms(10)), Fate::Silent);
+        assert_eq!((partner.stalled(0), partner.stalled(1)), (Some(At::ms(900)), None));
+        partner.end(2);
+        assert!(matches!(partner.call(0, At::ms(10)), Fate::Done(_)));
+        partner.end(1);
+        assert_eq!(partner.stalled(0), None);
+    }
+
+    #[test]
+    fn a_shut_partner_tells_when_it_opens() {
+        let mut partner = Partner::new(spec(Limit::Rate(100.0)), 1, 1);
+        partner.begin(1, Trouble::Shut(true), None, At::ms(3000));
+        assert_eq!(partner.call(0, At::ms(1000)), Fate::Refused(Some(Duration::from_secs(2))));
+    }
+}
--- /dev/null
+++ b/crates/gullcart-standins/src/register.rs
@@ -0,0 +1,281 @@
+//! The partner register: an agent for each courier, which tells the list and its changes, and takes notices.
+
+use crate::http::{Reader, Request};
+use crate::{ids, Recorder};
+use gullcart_judge::trace::*;
+use serde_json::{json, Value};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{spawn_local, JoinHandle};
+use tokio::time::{sleep, sleep_until, Instant};
+
+/// While nothing changes, an empty line comes this often.
+const EMPTY_LINE: Duration = Duration::from_secs(2);
+/// What the register has to tell counts as told so much later at the latest, unless the register is silent.
+const TOLD_AT_LAST: Duration = Duration::from_secs(6);
+
+/// An entry of the list, as one courier sees it.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Which endpoint.
+    pub endpoint: EndpointId,
+    /// Whose.
+    pub partner: PartnerId,
+    /// Where this courier finds it.
+    pub address: SocketAddr,
+    /// Name of the partner's kind.
+    pub kind: String,
+    /// Name of the location.
+    pub zone: String,
+    /// What the partner takes from all couriers together, in calls a second.
+    pub weight: f64,
+    /// What it is now.
+    pub state: State,
+}
+
+impl Target {
+    fn json(&self) -> Value {
+        let state = match self.state {
+            State::Serving => "SERVING",
+            State::Draining => "DRAINING",
+            State::Gone => "DELETED",
+        };
+        json!({
+            "uid": format!("s-{:08x}", self.endpoint.0), "endpoint": self.address.to_string(), "az": self.zone,
+            "model": self.kind, "pod_group": self.partner.0, "state": state, "capacity_hint": self.weight,
+            "boot_ms": 0,
+        })
+    }
+}
+
+struct Change {
+    rev: u64,
+    target: Target,
+    told: Cell<bool>,
+}
+
+struct Shared {
+    courier: CourierId,
+    recorder: Recorder,
+    targets: RefCell<BTreeMap<EndpointId, Target>>,
+    /// All changes of the run, in their order; a rehearsal has some hundreds at most.
+    changes: RefCell<Vec<Change>>,
+    rev: watch::Sender<u64>,
+    silent: watch::Sender<bool>,
+}
+
+impl Shared {
+    fn list(&self) -> String {
+        let targets = self.targets.borrow();
+        let there: Vec<Value> =
+            targets.values().filter(|target| target.state != State::Gone).map(Target::json).collect();
+        json!({"rev": *self.rev.borrow(), "all": true, "targets": there}).to_string()
+    }
+
+    fn tell(&self, endpoint: EndpointId, state: State) {
+        self.recorder.note(Event::Listed { courier: self.courier, endpoint, state });
+    }
+
+    /// What has changed after a version, as a line of the watch; it counts as told.
+    fn line_after(&self, after: u64) -> Option<(u64, String)> {
+        let changes = self.changes.borrow();
+        let new: Vec<&Change> = changes.iter().filter(|change| change.rev > after).collect();
+        let last = new.last()?.rev;
+        let targets: Vec<Value> = new.iter().map(|change| change.target.json()).collect();
+        for change in &new {
+            change.told.set(true);
+            self.tell(change.target.endpoint, change.target.state);
+        }
+        Some((last, format!("{}\n", json!({"rev": last, "all": false, "targets": targets}))))
+    }
+}
+
+/// The register's agent on one courier's machine.
+pub struct Agent {
+    shared: Rc<Shared>,
+    address: SocketAddr,
+    serving: JoinHandle<()>,
+}
+
+impl Agent {
+    /// An agent that knows a list, at a new address.
+    pub async fn start(recorder: &Recorder, courier: CourierId, targets: Vec<Target>) -> io::Result<Self> {
+        let shared = Rc::new(Shared {
+            courier,
+            recorder: recorder.clone(),
+            targets: RefCell::new(targets.into_iter().map(|target| (target.endpoint, target)).collect()),
+            changes: RefCell::default(),
+            rev: watch::Sender::new(1),
+            silent: watch::Sender::new(false),
+        });
+        Self::listen(shared).await
+    }
+
+    /// The same register at another address; this one breaks all its connections.
+    pub async fn move_on(self) -> io::Result<Self> {
+        self.serving.abort();
+        Self::listen(self.shared.clone()).await
+    }
+
+    async fn listen(shared: Rc<Shared>) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let agent = shared.clone();
+        let serving = spawn_local(async move {
+            // Dropped with this task, so that an agent that moves on ends its connections.
+            let mut connections = tokio::task::JoinSet::new();
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => match accepted {
+                        Ok((stream, _)) => {
+                            let agent = agent.clone();
+                            // A courier that goes away breaks its connections.
+                            connections.spawn_local(async move { drop(serve(&agent, stream).await) });
+                        }
+                        Err(_) => sleep(Duration::from_millis(20)).await,
+                    },
+                    Some(_) = connections.join_next() => {}
+                }
+            }
+        });
+        Ok(Agent { shared, address, serving })
+    }
+
+    /// Where it is.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The list as it is now, in the form of the configuration's `known`.
+    pub fn known(&self) -> String {
+        self.shared.list()
+    }
+
+    /// An entry is new or has changed.
+    pub fn change(&self, target: Target) {
+        let rev = *self.shared.rev.borrow() + 1;
+        self.shared.targets.borrow_mut().insert(target.endpoint, target.clone());
+        self.shared.changes.borrow_mut().push(Change { rev, target, told: Cell::new(false) });
+        self.shared.rev.send_replace(rev);
+        let shared = self.shared.clone();
+        spawn_local(async move {
+            sleep(TOLD_AT_LAST).await;
+            let mut silent = shared.silent.subscribe();
+            let _ = silent.wait_for(|silent| !silent).await;
+            let untold = shared.changes.borrow().iter().find(|c| c.rev == rev && !c.told.get()).map(|c| {
+                c.told.set(true);
+                (c.target.endpoint, c.target.state)
+            });
+            if let Some((endpoint, state)) = untold {
+                shared.tell(endpoint, state);
+            }
+        });
+    }
+
+    /// Takes connections and says nothing, but that it goes on taking notices; or speaks again.
+    pub fn silence(&self, silent: bool) {
+        self.shared.silent.send_replace(silent);
+    }
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        self.serving.abort();
+    }
+}
+
+async fn serve(agent: &Shared, mut stream: TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut reader = Reader::default();
+    while let Some(request) = reader.next(&mut stream, || agent.recorder.now()).await? {
+        if request.method == "POST" && request.path == "/v1/notices" {
+            notices(agent, &mut stream, &request).await?;
+        } else if request.method == "GET" && request.path == "/v1/endpoints" {
+            speaks(agent).await;
+            for target in agent.targets.borrow().values().filter(|target| target.state != State::Serving) {
+                agent.tell(target.endpoint, target.state);
+            }
+            let list = agent.list();
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
+            stream.write_all(format!("{head}{list}").as_bytes()).await?;
+        } else if let Some(after) = request.path.strip_prefix("/v1/endpoints?watch=1&after=") {
+            let after = after.parse().map_err(|_| io::Error::other("a version that cannot be read"))?;
+            return watch_from(agent, stream, after).await;
+        } else {
+            stream.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").await?;
+        }
+    }
+    Ok(())
+}
+
+async fn speaks(agent: &Shared) {
+    let mut silent = agent.silent.subscribe();
+    // The sender lives as long as the agent.
+    let _ = silent.wait_for(|silent| !silent).await;
+}
+
+async fn watch_from(agent: &Shared, mut stream: TcpStream, mut after: u64) -> io::Result<()> {
+    let chunk = |line: &str| format!("{:x}\r\n{line}\r\n", line.len());
+    speaks(agent).await;
+    stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
+    let mut rev = agent.rev.subscribe();
+    let mut empty = Instant::now();
+    loop {
+        speaks(agent).await;
+        rev.borrow_and_update();
+        if let Some((last, line)) = agent.line_after(after) {
+            after = last;
+            stream.write_all(chunk(&line).as_bytes()).await?;
+            empty = Instant::now() + EMPTY_LINE;
+        }
+        if Instant::now() >= empty {
+            stream.write_all(chunk("\n").as_bytes()).await?;
+            empty = Instant::now() + EMPTY_LINE;
+        }
+        let mut byte = [0];
+        tokio::select! {
+            changed = rev.changed() => changed.map_err(io::Error::other)?,
+            () = sleep_until(empty) => {}
+            gone = stream.readable() => {
+                gone?;
+                if matches!(stream.try_read(&mut byte), Ok(0)) {
+                    return Ok(());
+                }
+            }
+        }
+    }
+}
+
+async fn notices(agent: &Shared, stream: &mut TcpStream, request: &Request) -> io::Result<()> {
+    let mut heard = Vec::new();
+    for line in request.body.split(|byte| *byte == b'\n').filter(|line| !line.trim_ascii().is_empty()) {
+        let Some((id, ended)) = read_notice(line) else {
+            return stream.write_all(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n").await;
+        };
+        let message = ids::message_of(&id);
+        agent.recorder.note(Event::Notice { message, courier: agent.courier, ended });
+        heard.extend(message);
+    }
+    stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").await?;
+    for message in heard {
+        agent.recorder.note(Event::NoticeAnswered { message });
+    }
+    Ok(())
+}
+
+fn read_notice(line: &[u8]) -> Option<(String, Ended)> {
+    let value: Value = serde_json::from_slice(line).ok()?;
+    let ended = match value.get("state")?.as_str()? {
+        "failed" => Ended::Failed,
+        "returned" => Ended::Returned(value.get("after_ms").and_then(Value::as_u64)),
+        _ => return None,
+    };
+    Some((value.get("id")?.as_str()?.to_owned(), ended))
+}
