Keep a slow start behind a short spell, and add broken couriers that rehearsals catch

The first rehearsal of a cold return accused the honest courier: refusals of a cold partner opened a spell, and with the next success, a moment later, the slow start was forgotten, so that 85 calls went at once. Now a short spell leaves the slow start as it was and a long one begins it anew.

--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -529,8 +529,8 @@
             let spell = route.spell.get_or_insert(Spell { began: route.last_answer, ..Spell::default() });
             spell.failed = true;
             spell.lost |= !matches!(finished.outcome, Outcome::Full(_));
+            // A slow start goes on behind a short spell, and begins anew behind a long one.
             route.plan_trial(now, settings, chance);
-            route.returned = None;
         }
     }
 
--- a/crates/cloverstile/tests/rules.rs
+++ b/crates/cloverstile/tests/rules.rs
@@ -238,6 +238,37 @@
     assert!(sent > 0.0 && sent <= rules.tip_multiple * capacity * rules.fall.as_secs_f64(), "{sent}");
 }
 
+/// Rehearsal cold-return, seed 1: a cold partner's refusals opened a spell for a moment, and with its end the slow
+/// start was forgotten: 85 calls went at once.
+#[test]
+fn a_short_spell_in_a_slow_start_does_not_end_it() {
+    let mut bench = one(safe());
+    (0..390).for_each(|id| bench.accept(id, 0, 1, None));
+    for (id, to, _) in bench.routes() {
+        bench.finish(id, to, Outcome::ConnectFailed, ms(10));
+    }
+    let began = bench.now;
+    let mut outcomes = [Outcome::Ok, Outcome::ConnectFailed, Outcome::Ok].into_iter();
+    let mut next = Outcome::ConnectFailed;
+    let rules = bench.settings.rules.clone();
+    // Out for six seconds; then a success, a failure, and a success a moment later.
+    let (mut sent, mut back) = (0.0, None);
+    while back.is_none_or(|back| bench.now - back < rules.fall) {
+        bench.now = bench.now + ms(5);
+        for (id, to, _) in bench.routes() {
+            if bench.now - began >= Duration::from_secs(6) {
+                next = outcomes.next().unwrap_or(Outcome::Ok);
+                back.get_or_insert(bench.now);
+                sent += 1.0;
+            }
+            bench.finish(id, to, next, ms(5));
+        }
+    }
+    assert_eq!(outcomes.next(), None, "the spell was over in time");
+    let capacity = 100.0 * (rules.cold_from + (1.0 - rules.cold_from) * 0.2);
+    assert!(sent <= rules.tip_multiple * capacity * rules.fall.as_secs_f64(), "{sent}");
+}
+
 /// Hang of a destination: the silence stops further calls long before a time-out would.
 #[test]
 fn a_silent_destination_is_sent_no_more_than_trials() {
--- a/crates/gullcart-judge/src/judge.rs
+++ b/crates/gullcart-judge/src/judge.rs
@@ -134,6 +134,11 @@
         }
     }
 
+    /// The rule of a short name.
+    pub fn of(name: &str) -> Option<Rule> {
+        Rule::ALL.into_iter().find(|rule| rule.name() == name)
+    }
+
     /// Its words.
     pub fn words(self) -> &'static str {
         match self {
@@ -224,6 +229,16 @@
     proof: VecDeque<Entry>,
 }
 
+impl Outage {
+    /// Keeps the first two lines, the beginning and a failure seen, and the last ones.
+    fn note(&mut self, entry: Entry) {
+        while self.proof.len() >= COLD_PROOF {
+            self.proof.remove(2);
+        }
+        self.proof.push_back(entry);
+    }
+}
+
 /// Judges a trace. Feed it every entry in the order of time, then [`Judge::finish`].
 pub struct Judge {
     figures: Figures,
@@ -349,7 +364,7 @@
                 if let Some(outage) = self.outages.get_mut(&partner) {
                     let (multiple, window) = (self.figures.fall_multiple, self.figures.fall_window);
                     outage.cold = Some(Cold::new(at, warm, capacity, cold_from, multiple, window));
-                    outage.proof.push_back(entry);
+                    outage.note(entry);
                 }
             }
             Event::Process { courier, what } => self.process(entry, courier, what),
@@ -584,10 +599,7 @@
 
     fn spares_cold(&mut self, entry: Entry, id: MessageId, courier: CourierId, partner: PartnerId) {
         let Some(outage) = self.outages.get_mut(&partner) else { return };
-        if outage.proof.len() == COLD_PROOF {
-            outage.proof.remove(2);
-        }
-        outage.proof.push_back(entry);
+        outage.note(entry);
         let seen = outage.seen.contains(&courier);
         let Some(cold) = &mut outage.cold else { return };
         if cold.is_warm(entry.at) {
@@ -611,7 +623,7 @@
     fn saw_failure(&mut self, courier: CourierId, partner: PartnerId, entry: Entry) {
         if let Some(outage) = self.outages.get_mut(&partner).filter(|outage| outage.cold.is_none()) {
             if outage.seen.insert(courier) {
-                outage.proof.push_back(entry);
+                outage.note(entry);
             }
         }
     }
--- a/crates/gullcart-rehearsal/src/day.rs
+++ b/crates/gullcart-rehearsal/src/day.rs
@@ -246,7 +246,11 @@
         .collect();
     let most = surges.iter().map(|(.., times)| times.max(1.0)).product::<f64>();
     let times = |now: f64| {
-        surges.iter().filter(|(from, to, _)| (*from..*to).contains(&now)).map(|(.., times)| *times).product::<f64>()
+        surges
+            .iter()
+            .filter(|(from, to, _)| (*from..*to).contains(&now))
+            .map(|(.., times)| *times)
+            .product::<f64>()
     };
     let demand: Vec<f64> = (0..scenario.partners.len()).map(|place| scenario.demand(place)).collect();
     let shares: Vec<f64> = scenario.classes.iter().map(|class| class.share).collect();
--- a/crates/gullcart-rehearsal/src/page.rs
+++ b/crates/gullcart-rehearsal/src/page.rs
@@ -40,7 +40,9 @@
 fn inline(svg: String, title: &str, drawn: Drawn) -> String {
     match drawn {
         Ok(()) => format!("<figure>{svg}</figure>\n"),
-        Err(error) => format!("<p>{}: the plot could not be drawn: {}</p>\n", escape(title), escape(&error.to_string())),
+        Err(error) => {
+            format!("<p>{}: the plot could not be drawn: {}</p>\n", escape(title), escape(&error.to_string()))
+        }
     }
 }
 
@@ -66,7 +68,8 @@
     chart.configure_mesh().light_line_style(WHITE).x_desc("s").label_style(FONT).draw()?;
     for (place, line) in lines.iter().enumerate() {
         let colour = COLOURS[place % COLOURS.len()];
-        let series = chart.draw_series(LineSeries::new(line.points.iter().copied(), colour.stroke_width(2)))?;
+        let series =
+            chart.draw_series(LineSeries::new(line.points.iter().copied(), colour.stroke_width(2)))?;
         if lines.len() > 1 {
             series
                 .label(&line.name)
@@ -135,7 +138,13 @@
         .x_label_area_size(24)
         .y_label_area_size(52)
         .build_cartesian_2d(0.0..right.max(1.0), 0.0..top)?;
-    let percent = |x: &f64| format!("{:.4}", 100.0 * (1.0 - 10f64.powf(-x))).trim_end_matches(['0']).trim_end_matches('.').to_owned() + " %";
+    let percent = |x: &f64| {
+        format!("{:.4}", 100.0 * (1.0 - 10f64.powf(-x)))
+            .trim_end_matches(['0'])
+            .trim_end_matches('.')
+            .to_owned()
+            + " %"
+    };
     chart
         .configure_mesh()
         .light_line_style(WHITE)
@@ -156,9 +165,7 @@
 pub fn page(report: &Report) -> String {
     let (verdict, class) = match report.verdict {
         Verdict::Kept => ("Kept: no rule was broken, and service is over the floor.".to_owned(), "kept"),
-        Verdict::Broken => {
-            (format!("Broken: {} breaches.", report.broken.values().sum::<u64>()), "broken")
-        }
+        Verdict::Broken => (format!("Broken: {} breaches.", report.broken.values().sum::<u64>()), "broken"),
         Verdict::UnderFloor => (
             format!("Service {:.3} is under the floor of {:.2}.", report.service.service, report.floor),
             "broken",
@@ -208,7 +215,8 @@
     figures(&mut html, report);
     html.push_str("<h2>Over time</h2>\n");
     html.push_str(&service(report));
-    let lines = vec![latency("worst of the second", |(_, worst)| worst), latency("median", |(median, _)| median)];
+    let lines =
+        vec![latency("worst of the second", |(_, worst)| worst), latency("median", |(median, _)| median)];
     html.push_str(&over_time(report, "Latency from the intended send, ms, by the second of delivery", lines));
     let lines = vec![
         line("calls in flight", &|sample| f64::from(sample.out)),
@@ -235,10 +243,7 @@
             "... of the whole, the worst 10 s, the worst class",
             format!("{:.3}, {:.3}, {:.3}", service.whole, service.worst_window, service.worst_class),
         ),
-        (
-            "Messages meant to be sent, delivered",
-            format!("{}, {}", counts.messages, counts.delivered),
-        ),
+        ("Messages meant to be sent, delivered", format!("{}, {}", counts.messages, counts.delivered)),
         (
             "Ended as failed, returned, refused at once",
             format!("{}, {}, {}", counts.failed, counts.returned, counts.busy),
@@ -294,7 +299,9 @@
         html.push_str("<p>None.</p>\n");
         return;
     }
-    html.push_str("<table><tr><th class=\"n\">at, s</th><th>rule</th><th>courier</th><th>what happened</th></tr>\n");
+    html.push_str(
+        "<table><tr><th class=\"n\">at, s</th><th>rule</th><th>courier</th><th>what happened</th></tr>\n",
+    );
     for breach in report.breaches.iter().take(SHOWN) {
         let _ = writeln!(
             html,
--- a/crates/gullcart-rehearsal/src/report.rs
+++ b/crates/gullcart-rehearsal/src/report.rs
@@ -9,6 +9,9 @@
 /// A run is void if the kit itself was later than this with one in a hundred of what it had to do, in milliseconds.
 pub const LATE_MS: f64 = 25.0;
 
+/// Trace lines of the first breach that the summary shows.
+const PROOF_LINES: usize = 12;
+
 /// How a run is to be taken.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -166,7 +169,11 @@
     /// The closing summary.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Report { service, counts, latency, .. } = self;
-        writeln!(f, "rehearsal {}, seed {}: {:.0} s in {:.0} s", self.scenario, self.seed, self.seconds, self.took)?;
+        writeln!(
+            f,
+            "rehearsal {}, seed {}: {:.0} s in {:.0} s",
+            self.scenario, self.seed, self.seconds, self.took
+        )?;
         writeln!(
             f,
             "  service   {:.3} (whole {:.3}, worst 10 s {:.3}, worst class {:.3}; floor {:.2})",
@@ -200,9 +207,12 @@
         }
         if let Some(first) = self.breaches.first() {
             writeln!(f, "  first     at {:.3} s, courier {}: {}", first.at, first.courier, first.what)?;
-            for line in &first.proof {
+            for line in first.proof.iter().take(PROOF_LINES) {
                 writeln!(f, "              {line}")?;
             }
+            if first.proof.len() > PROOF_LINES {
+                writeln!(f, "              ... and {} more in the report", first.proof.len() - PROOF_LINES)?;
+            }
         }
         match (&self.verdict, &self.void) {
             (Verdict::Kept, _) => write!(f, "kept: no rule was broken, and service is over the floor"),
--- a/crates/gullcart-rehearsal/src/run.rs
+++ b/crates/gullcart-rehearsal/src/run.rs
@@ -5,7 +5,7 @@
 use crate::report::{Counts, Lateness, Report, Sample, Shown, Verdict, LATE_MS};
 use crate::scenario::{Effect, Replace, Scenario};
 use gullcart_judge::trace::*;
-use gullcart_judge::{ClassRules, Figures, Judge, Service, ServiceFigures, Weights, Worth};
+use gullcart_judge::{ClassRules, Figures, Judge, Rule, Service, ServiceFigures, Weights, Worth};
 use gullcart_standins::client::{Clients, HandIn};
 use gullcart_standins::endpoint::{Counters, Door, Endpoint, Expect, Expected, Site};
 use gullcart_standins::partner::{Limit, Partner, Spec, Trouble};
@@ -22,7 +22,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::sync::{Mutex, Notify};
+use tokio::sync::Mutex;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
@@ -40,6 +40,8 @@
 const AFTERMATH: Duration = Duration::from_millis(1300);
 /// Hand-ins are remembered for so long after their time, to check what arrives.
 const REMEMBERED: Duration = Duration::from_secs(10);
+/// From the last courier's readiness to the beginning of the day.
+const LEAD: Duration = Duration::from_millis(200);
 /// How often a run looks whether it may end.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -50,6 +52,18 @@
     TheEnd,
     /// At the first breach, if that comes sooner.
     TheFirstBreach,
+    /// At the first breach of one rule, if that comes sooner.
+    BreachOf(Rule),
+}
+
+impl Until {
+    fn is_reached(self, judge: &Judge) -> bool {
+        match self {
+            Until::TheEnd => false,
+            Until::TheFirstBreach => !judge.counts().is_empty(),
+            Until::BreachOf(rule) => judge.counts().contains_key(&rule),
+        }
+    }
 }
 
 /// How to run.
@@ -137,8 +151,6 @@
     /// Latencies of the last second, in milliseconds.
     recent: Vec<f64>,
     next: u64,
-    /// When the day began: the times of service count from it.
-    begun: At,
 }
 
 impl Book {
@@ -200,7 +212,7 @@
         if !std::mem::replace(&mut origin.delivered, true) {
             let arrival = origin.arrival;
             self.counts.delivered += 1;
-            self.service.delivered(arrival.class, since(self.begun, arrival.at), since(self.begun, at));
+            self.service.delivered(arrival.class, arrival.at, at);
             self.recent.push((at - arrival.at).as_secs_f64() * 1e3);
         }
     }
@@ -255,7 +267,6 @@
     /// Clients' tasks that are under way.
     busy: Cell<u64>,
     remarks: RefCell<Vec<String>>,
-    stop: Notify,
 }
 
 /// Plays a day. `progress` is told every second.
@@ -269,11 +280,11 @@
     for courier in 0..world.places.len() {
         world.start(courier).await?;
     }
-    // Times of the day count from here; what came before was the start of the couriers.
-    let begun = world.recorder.now() + Duration::from_millis(300);
-    let samples = world.clone().play(begun, options.until, &mut progress).await;
+    // Times count from here; what came before was the start of the couriers.
+    world.recorder.begin(Instant::now() + LEAD);
+    let samples = world.clone().play(options.until, &mut progress).await;
     world.end().await;
-    Ok(world.report(begun, samples, options.until))
+    Ok(world.report(samples, options.until))
 }
 
 /// A folder that is removed at the end.
@@ -361,7 +372,6 @@
             returned: Vec::new(),
             recent: Vec::new(),
             next: 0,
-            begun: At(0),
         }));
         let heard = book.clone();
         let recorder = Recorder::new(move |entry| heard.borrow_mut().hear(entry));
@@ -420,7 +430,6 @@
             late: RefCell::new(late.expect("the bounds are constants that the histogram allows")),
             busy: Cell::new(0),
             remarks: RefCell::default(),
-            stop: Notify::new(),
         });
         for partner in 0..world.partners.len() {
             world.endpoints.borrow_mut().push(Vec::new());
@@ -542,43 +551,36 @@
     }
 
     /// Plays the day until nothing is owed any more.
-    async fn play(
-        self: Rc<Self>,
-        begun: At,
-        until: Until,
-        progress: &mut impl FnMut(&Progress),
-    ) -> Vec<Sample> {
-        self.book.borrow_mut().begun = begun;
+    async fn play(self: Rc<Self>, until: Until, progress: &mut impl FnMut(&Progress)) -> Vec<Sample> {
         let world = self.clone();
-        let arriving = spawn_local(async move { world.arrive(begun).await });
+        let arriving = spawn_local(async move { world.arrive().await });
         let world = self.clone();
         let acting = spawn_local(async move {
             for (at, action) in world.day.actions.clone() {
-                sleep_until(world.recorder.instant(begun + Duration::from_micros(at.0))).await;
+                sleep_until(world.recorder.instant(at)).await;
                 world.act(action);
             }
         });
         let deadline = self.scenario.classes.iter().map(|class| class.deadline_s).fold(0.0, f64::max);
         // A courier that was away tells late ends only after it is back.
-        let last = begun + Duration::from_secs_f64(self.scenario.seconds + deadline + 5.0);
+        let last = At(0) + Duration::from_secs_f64(self.scenario.seconds + deadline + 5.0);
         let mut samples = Vec::new();
-        let mut next = begun;
+        let mut next = At(0);
         let (mut calls, mut refused) = (0, 0);
         let mut quiet_since = None;
         loop {
-            let stopped = timeout(LOOK, self.stop.notified()).await.is_ok();
+            sleep(LOOK).await;
             let now = self.recorder.now();
             self.book.borrow_mut().judge.advance(now);
             self.serve_returned();
             self.book.borrow_mut().forget(now);
             if now >= next {
                 next = next + Duration::from_secs(1);
-                let sample = self.sample(begun, now, &mut calls, &mut refused);
-                progress(&self.progress(begun, now, &sample));
+                let sample = self.sample(now, &mut calls, &mut refused);
+                progress(&self.progress(now, &sample));
                 samples.push(sample);
             }
-            let broken = !self.book.borrow().judge.breaches().is_empty();
-            if stopped || (broken && until == Until::TheFirstBreach) {
+            if until.is_reached(&self.book.borrow().judge) {
                 arriving.abort();
                 acting.abort();
                 return samples;
@@ -596,7 +598,7 @@
         }
     }
 
-    fn sample(&self, begun: At, now: At, calls: &mut u64, refused: &mut u64) -> Sample {
+    fn sample(&self, now: At, calls: &mut u64, refused: &mut u64) -> Sample {
         let counters = &self.site.counters;
         let mut recent = std::mem::take(&mut self.book.borrow_mut().recent);
         recent.sort_by(f64::total_cmp);
@@ -605,7 +607,7 @@
             kb.map(|kb| kb as f64 / 1024.0)
         };
         let sample = Sample {
-            at: (now - begun).as_secs_f64(),
+            at: now.seconds(),
             out: counters.out.get(),
             owed: self.book.borrow().judge.owed(),
             calls: counters.calls.get() - *calls,
@@ -617,8 +619,8 @@
         sample
     }
 
-    fn progress(&self, begun: At, now: At, sample: &Sample) -> Progress {
-        let at = (now - begun).as_secs_f64();
+    fn progress(&self, now: At, sample: &Sample) -> Progress {
+        let at = now.seconds();
         let book = self.book.borrow();
         let in_force = self.day.windows.iter().filter(|window| (window.from..window.to).contains(&at));
         Progress {
@@ -632,17 +634,16 @@
     }
 
     /// Open loop: each message is sent when it is due, whatever became of those before.
-    async fn arrive(self: &Rc<Self>, begun: At) {
+    async fn arrive(self: &Rc<Self>) {
         for place in 0..self.day.arrivals.len() {
-            let mut arrival = self.day.arrivals[place];
-            arrival.at = begun + Duration::from_micros(arrival.at.0);
+            let arrival = self.day.arrivals[place];
             sleep_until(self.recorder.instant(arrival.at)).await;
             let late = self.recorder.now() - arrival.at;
             self.late.borrow_mut().saturating_record((late.as_micros() as u64).max(1));
             let origin = {
                 let mut book = self.book.borrow_mut();
                 book.counts.messages += 1;
-                book.service.asked(arrival.class, since(begun, arrival.at));
+                book.service.asked(arrival.class, arrival.at);
                 let retries = u32::from(self.scenario.traffic.retries);
                 book.origins.push(Origin { arrival, retries, tries: 0, delivered: false });
                 book.origins.len() - 1
@@ -751,7 +752,9 @@
     async fn is_away(&self, courier: usize) -> bool {
         let ended = self.places[courier].process.borrow().as_ref().map(Courier::ended);
         match ended {
-            Some(mut ended) => timeout(Duration::from_millis(100), ended.wait_for(|ended| *ended)).await.is_ok(),
+            Some(mut ended) => {
+                timeout(Duration::from_millis(100), ended.wait_for(|ended| *ended)).await.is_ok()
+            }
             None => true,
         }
     }
@@ -785,12 +788,6 @@
         let now = self.recorder.now();
         match action {
             Action::Begin { id, trouble, partner, endpoint, until } => {
-                // Times of the day count from its beginning, those of the partner from the clock's.
-                let planned = self.day.actions.iter().find_map(|(at, other)| match other {
-                    Action::Begin { id: this, partner: that, .. } if (*this, *that) == (id, partner) => Some(*at),
-                    _ => None,
-                });
-                let until = now + (until - planned.unwrap_or(until));
                 self.partners[partner].borrow_mut().begin(id, trouble, endpoint, until);
                 if trouble == Trouble::Down {
                     self.reopen(partner);
@@ -1048,10 +1045,10 @@
         }
     }
 
-    fn report(&self, begun: At, samples: Vec<Sample>, until: Until) -> Report {
+    fn report(&self, samples: Vec<Sample>, until: Until) -> Report {
         let now = self.recorder.now();
         let mut book = self.book.borrow_mut();
-        let ended_early = until == Until::TheFirstBreach && !book.judge.breaches().is_empty();
+        let ended_early = until.is_reached(&book.judge);
         if !ended_early {
             book.judge.finish(now);
         }
@@ -1059,7 +1056,9 @@
         let (clients, partners) = (lateness(&self.late.borrow()), lateness(&counters.late.borrow()));
         let late = clients.p99.max(partners.p99);
         let void = (late > LATE_MS).then(|| {
-            format!("the kit itself was late by {late:.0} ms at p99; over {LATE_MS:.0} ms nothing can be said")
+            format!(
+                "the kit itself was late by {late:.0} ms at p99; over {LATE_MS:.0} ms nothing can be said"
+            )
         });
         let service = book.service.figures(Weights::default());
         let broken = book.judge.counts().clone();
@@ -1072,17 +1071,14 @@
         } else {
             Verdict::Kept
         };
-        let mut breaches: Vec<Shown> = book.judge.breaches().iter().map(Shown::from).collect();
-        for breach in &mut breaches {
-            breach.at -= begun.seconds();
-        }
+        let breaches = book.judge.breaches().iter().map(Shown::from).collect();
         let names = self.scenario.classes.iter().map(|class| class.name.clone());
         Report {
             scenario: self.scenario.name.clone(),
             about: self.scenario.about.clone(),
             seed: self.seed,
             seconds: self.scenario.seconds,
-            took: (now - begun).as_secs_f64(),
+            took: now.seconds(),
             ended_early,
             verdict,
             void,
@@ -1108,11 +1104,6 @@
     }
 }
 
-/// A time of the clock, counted from another.
-fn since(begun: At, at: At) -> At {
-    At((at - begun).as_micros() as u64)
-}
-
 fn partner_id(place: usize) -> PartnerId {
     PartnerId(place as u16 + 1)
 }
--- a/crates/gullcart-rehearsal/src/scenario.rs
+++ b/crates/gullcart-rehearsal/src/scenario.rs
@@ -544,7 +544,9 @@
             Err(what) => wrong("targets", what),
             Ok(targets) if matches!(fault.kind, Outage) => {
                 let one = targets.iter().find(|target| !matches!(target, Target::Partner(_)));
-                one.map_or(Ok(()), |_| wrong("targets", "an outage takes all endpoints of a partner".to_owned()))
+                one.map_or(Ok(()), |_| {
+                    wrong("targets", "an outage takes all endpoints of a partner".to_owned())
+                })
             }
             Ok(_) => Ok(()),
         }
@@ -570,9 +572,14 @@
                 let other = other.ok_or_else(|| wrong(format!("there is no fault '{name}'")))?;
                 let phases = self.phases(other);
                 let number: usize = phase.map_or(Ok(1), str::parse).unwrap_or(0);
-                let (from, to) = number.checked_sub(1).and_then(|at| phases.get(at)).copied().ok_or_else(|| {
-                    wrong(format!("'{name}' has phases 1 to {}, not '{}'", phases.len(), phase.unwrap_or("")))
-                })?;
+                let (from, to) =
+                    number.checked_sub(1).and_then(|at| phases.get(at)).copied().ok_or_else(|| {
+                        wrong(format!(
+                            "'{name}' has phases 1 to {}, not '{}'",
+                            phases.len(),
+                            phase.unwrap_or("")
+                        ))
+                    })?;
                 let last = phases.last().map_or(0.0, |(_, to)| *to);
                 if let Some(begin) = known.get(name) {
                     let offset = match (fault.during.is_some(), phase) {
@@ -601,10 +608,11 @@
                 (0..endpoints).map(|at| at as f64 * fault.step_s).map(|from| (from, from + length)).collect()
             }
             FaultKind::Outage => {
-                let cold = self.targets(fault).unwrap_or_default().into_iter().filter_map(|target| match target {
-                    Target::Partner(place) => Some(self.partners[place].cold_s),
-                    _ => None,
-                });
+                let cold =
+                    self.targets(fault).unwrap_or_default().into_iter().filter_map(|target| match target {
+                        Target::Partner(place) => Some(self.partners[place].cold_s),
+                        _ => None,
+                    });
                 vec![(0.0, length), (length, length + cold.fold(0.0, f64::max))]
             }
             FaultKind::Term | FaultKind::Kill => vec![(0.0, length), (length, length + 1.0)],
@@ -634,7 +642,13 @@
 /// Table, its place among those of one name, key, and what is wrong.
 type Wrong = (&'static str, usize, &'static str, String);
 
-fn range(table: &'static str, place: usize, key: &'static str, range: [f64; 2], most: f64) -> Result<(), Wrong> {
+fn range(
+    table: &'static str,
+    place: usize,
+    key: &'static str,
+    range: [f64; 2],
+    most: f64,
+) -> Result<(), Wrong> {
     let [from, to] = range;
     if 0.0 <= from && from <= to && to <= most {
         return Ok(());
@@ -687,7 +701,9 @@
         return wrong("pace_ms", "must lie between 1 and 60000");
     }
     match (partner.rate, partner.count) {
-        (Some(rate), None) if !(0.1..=1e5).contains(&rate) => return wrong("rate", "must lie between 0.1 and 100000"),
+        (Some(rate), None) if !(0.1..=1e5).contains(&rate) => {
+            return wrong("rate", "must lie between 0.1 and 100000")
+        }
         (None, Some(0)) => return wrong("count", "must be 1 or more"),
         (Some(_), None) | (None, Some(_)) => {}
         _ => return wrong("rate", "either 'rate' or 'count' with 'span_s' must be there"),
@@ -723,7 +739,11 @@
 fn key_at(text: &str, at: usize) -> String {
     let line = text.lines().nth(line_at(text, at) - 1).unwrap_or_default().trim();
     let key = line.split_once('=').map_or(line, |(key, _)| key);
-    if key.is_empty() { "the file".to_owned() } else { key.trim().to_owned() }
+    if key.is_empty() {
+        "the file".to_owned()
+    } else {
+        key.trim().to_owned()
+    }
 }
 
 /// Finds the line of a key; of its table where the key is not there.
--- a/crates/gullcart-rehearsal/src/shipped.rs
+++ b/crates/gullcart-rehearsal/src/shipped.rs
@@ -18,7 +18,7 @@
     };
 }
 
-scenarios!["smoke"];
+scenarios!["smoke", "gauntlet", "cold-return", "overlap", "mid-drain", "restarts", "payday", "christmas"];
 
 /// The one of that name.
 pub fn shipped(name: &str) -> Option<&'static Shipped> {
--- a/crates/gullcart-standins/src/endpoint.rs
+++ b/crates/gullcart-standins/src/endpoint.rs
@@ -175,7 +175,8 @@
                 site.counters.connections.set(site.counters.connections.get() + 1);
                 let (site, endpoint) = (site.clone(), endpoint.borrow().clone());
                 spawn_local(async move {
-                    let connection = Connection { site, courier, endpoint, stream, reader: Reader::default() };
+                    let connection =
+                        Connection { site, courier, endpoint, stream, reader: Reader::default() };
                     // One that breaks is written down where a call was out on it.
                     let _ = connection.serve().await;
                 });
--- a/crates/gullcart-standins/src/http.rs
+++ b/crates/gullcart-standins/src/http.rs
@@ -21,7 +21,10 @@
 
 impl Request {
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
+        self.headers
+            .iter()
+            .find(|(known, _)| known.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
     }
 }
 
--- a/crates/gullcart-standins/src/ids.rs
+++ b/crates/gullcart-standins/src/ids.rs
@@ -51,7 +51,9 @@
             let id = wire_id(MessageId(number));
             assert_eq!(message_of(&id), Some(MessageId(number)), "{id}");
         }
-        for foreign in ["", "0", "0000000000000000", "zzzzzzzzzzzzzzzz", "9e3779b97f4a7c16", "00ff00ff00ff00ff"] {
+        for foreign in
+            ["", "0", "0000000000000000", "zzzzzzzzzzzzzzzz", "9e3779b97f4a7c16", "00ff00ff00ff00ff"]
+        {
             assert_eq!(message_of(foreign), None, "{foreign}");
         }
     }
--- a/crates/gullcart-standins/src/partner.rs
+++ b/crates/gullcart-standins/src/partner.rs
@@ -379,8 +379,10 @@
     fn refused_calls_use_up_the_limit_where_they_count() {
         let first_room = |refused_count| {
             let mut partner = Partner::new(Spec { refused_count, ..spec(Limit::Rate(10.0)) }, 1, 1);
-            (0..5).for_each(|_| drop(partner.call(0, At(0))));
-            (1..2000).find(|ms| matches!(partner.above_limit(At::ms(*ms)), None))
+            for _ in 0..5 {
+                let _ = partner.call(0, At(0));
+            }
+            (1..2000).find(|ms| partner.above_limit(At::ms(*ms)).is_none())
         };
         // Asking each millisecond keeps it empty for ever where that counts.
         assert!(first_room(false).is_some());
@@ -389,7 +391,8 @@
 
     #[test]
     fn a_full_queue_turns_calls_away() {
-        let mut partner = Partner::new(spec(Limit::Count { calls: 100, span: Duration::from_secs(60) }), 1, 1);
+        let mut partner =
+            Partner::new(spec(Limit::Count { calls: 100, span: Duration::from_secs(60) }), 1, 1);
         // 100 calls in 60 s need one server.
         let fates: Vec<Fate> = (0..4).map(|_| partner.call(0, At(0))).collect();
         assert!(matches!(fates[..3], [Fate::Done(_), Fate::Done(_), Fate::Done(_)]), "{fates:?}");
@@ -402,14 +405,16 @@
         partner.come_back(At::ms(1000));
         // 2.5 x 20 % x 150/s x 2 s = 150 calls, and a little for chance.
         let last = (0..400).find(|call| {
-            drop(partner.call(0, At::ms(1000 + call)));
+            let _ = partner.call(0, At::ms(1000 + call));
             partner.is_fallen()
         });
         assert!(last.is_some_and(|call| (150..185).contains(&call)), "{last:?}");
         assert_eq!(partner.call(0, At::ms(60_000)), Fate::Silent);
         let mut spared = Partner::new(spec(Limit::Rate(100.0)), 1, 1);
         spared.come_back(At::ms(1000));
-        (0..400).for_each(|call| drop(spared.call(0, At::ms(1000 + call * 20))));
+        for call in 0..400 {
+            let _ = spared.call(0, At::ms(1000 + call * 20));
+        }
         assert!(!spared.is_fallen());
     }
 
--- a/crates/gullcart-standins/src/recorder.rs
+++ b/crates/gullcart-standins/src/recorder.rs
@@ -1,7 +1,7 @@
 //! Where stand-ins write down what happens.
 
 use gullcart_judge::trace::{At, Entry, Event};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -11,24 +11,30 @@
 /// The clock of a rehearsal, and who hears what happens. Copies share both.
 #[derive(Clone)]
 pub struct Recorder {
-    begun: Instant,
+    begun: Rc<Cell<Option<Instant>>>,
     hear: Rc<RefCell<Hear>>,
 }
 
 impl Recorder {
-    /// A clock that starts now. `hear` gets every entry in the order of time; it must not record itself.
+    /// A clock that stands at 0 until [`Recorder::begin`]. `hear` gets every entry in the order of time; it must not record itself.
     pub fn new(hear: impl FnMut(Entry) + 'static) -> Self {
-        Recorder { begun: Instant::now(), hear: Rc::new(RefCell::new(hear)) }
+        Recorder { begun: Rc::default(), hear: Rc::new(RefCell::new(hear)) }
     }
 
     /// Time since the beginning.
     pub fn now(&self) -> At {
-        At(self.begun.elapsed().as_micros() as u64)
+        let begun = self.begun.get();
+        At(begun.map_or(0, |begun| Instant::now().saturating_duration_since(begun).as_micros() as u64))
+    }
+
+    /// Starts the clock at some moment, which may be still to come.
+    pub fn begin(&self, at: Instant) {
+        self.begun.set(Some(at));
     }
 
     /// The moment of a time.
     pub fn instant(&self, at: At) -> Instant {
-        self.begun + Duration::from_micros(at.0)
+        self.begun.get().unwrap_or_else(Instant::now) + Duration::from_micros(at.0)
     }
 
     /// Writes down what happens now.
--- a/crates/gullcart/src/discovery.rs
+++ b/crates/gullcart/src/discovery.rs
@@ -63,6 +63,13 @@
         self.entries.get(&id).and_then(|entry| entry.address)
     }
 
+    /// The address of some endpoint of another destination.
+    #[cfg(feature = "broken")]
+    pub fn elsewhere(&self, id: EndpointId) -> Option<SocketAddr> {
+        let own = self.destination(id)?;
+        self.entries.values().find(|entry| entry.destination != own && entry.mode == Mode::Ready)?.address
+    }
+
     pub fn zone(&self, id: EndpointId) -> ZoneId {
         self.entries.get(&id).map_or(ZoneId(0), |entry| entry.zone)
     }
--- a/crates/gullcart/src/driver.rs
+++ b/crates/gullcart/src/driver.rs
@@ -10,6 +10,8 @@
 use tokio::time::{interval, sleep_until, Instant};
 use tracing::{error, info, warn};
 
+#[cfg(feature = "broken")]
+use crate::broken::{Broken, Fault, DEAF_FOR};
 use crate::calls::{Call, Pool, Stop};
 use crate::discovery::Directory;
 use crate::journal::{Held, Journal, JournalError, OutageNote};
@@ -42,6 +44,8 @@
     pub inputs: UnboundedSender<Input>,
     pub notices: UnboundedSender<Notice>,
     pub closing: watch::Sender<bool>,
+    #[cfg(feature = "broken")]
+    pub broken: Broken,
 }
 
 /// The module's clock, and wall time for what crosses processes.
@@ -135,6 +139,8 @@
     late: Seldom,
     outage_lines: Seldom,
     wait_lines: Seldom,
+    #[cfg(feature = "broken")]
+    broken: Broken,
 }
 
 impl Driver {
@@ -145,8 +151,9 @@
         known: Update,
         journal: Journal,
         endpoint_sockets: usize,
-        Ends { inputs, notices, closing }: Ends,
+        ends: Ends,
     ) -> Self {
+        let Ends { inputs, notices, closing, .. } = ends;
         parsed.settings.answers_take_time = true;
         let directory = Directory::new(&parsed);
         let settings = parsed.settings;
@@ -181,6 +188,8 @@
             late: Seldom::default(),
             outage_lines: Seldom::default(),
             wait_lines: Seldom::default(),
+            #[cfg(feature = "broken")]
+            broken: ends.broken,
         };
         driver.restore(known);
         driver
@@ -224,6 +233,12 @@
             self.courier.handle(now, Event::Recalled(outage));
         }
         let held: Vec<(u32, Held)> = self.journal.image.held.iter().map(|(n, h)| (*n, h.clone())).collect();
+        #[cfg(feature = "broken")]
+        let held: Vec<(u32, Held)> = match () {
+            () if self.broken.is(Fault::ForgetsAtRestart) => Vec::new(),
+            () if self.broken.is(Fault::ReordersAtRestart) => held.into_iter().rev().collect(),
+            () => held,
+        };
         for (number, held) in &held {
             self.restore_message(now, *number, held);
         }
@@ -348,6 +363,17 @@
                 }
             }
             Input::Unheard(message) => self.unheard(now, message),
+            #[cfg(feature = "broken")]
+            Input::Listed(update) if self.broken.is(Fault::LateToDrains) && !update.all => {
+                let inputs = self.inputs.clone();
+                tokio::task::spawn_local(async move {
+                    tokio::time::sleep(DEAF_FOR).await;
+                    // Once more around: a whole list is not held up.
+                    let _ = inputs.send(Input::HeardAtLast(update));
+                });
+            }
+            #[cfg(feature = "broken")]
+            Input::HeardAtLast(update) => self.listed(now, update),
             Input::Listed(update) => self.listed(now, update),
             Input::Ended(message, endpoint, ended) => self.ended(now, message, endpoint, ended),
             Input::Heard(messages) => {
@@ -407,6 +433,8 @@
                 self.counts.taken += 1;
                 self.known.insert(id, Known { number, shared: false });
                 let taken = self.journal.image.held.get(&number).map(|held| &held.taken);
+                #[cfg(feature = "broken")]
+                let taken = taken.filter(|_| !self.broken.is_seldom(Fault::Swallows));
                 if let Some(accepted) = taken.and_then(|taken| self.accepted(number, taken)) {
                     self.courier.handle(now, Event::Accept(accepted));
                 }
@@ -431,6 +459,8 @@
     }
 
     fn listed(&mut self, now: Time, update: Update) {
+        #[cfg(feature = "broken")]
+        let update = self.broken.listed(update);
         // A watch that begins anew often has nothing new to tell.
         if update.targets.is_empty() && !update.all {
             return;
@@ -464,6 +494,8 @@
     }
 
     fn ended(&mut self, now: Time, message: MessageId, endpoint: EndpointId, ended: Ended) {
+        #[cfg(feature = "broken")]
+        let ended = self.broken.ended(ended);
         let Some(out) = self.out.remove(&message) else { return };
         if let Outcome::Full(Some(wait)) = ended.outcome {
             let destination = self.directory.destination(endpoint);
@@ -562,7 +594,27 @@
             return;
         };
         self.counts.calls += 1;
+        #[cfg(feature = "broken")]
+        let address = match self.broken.is_seldom(Fault::GoesAstray) {
+            true => self.directory.elsewhere(endpoint).unwrap_or(address),
+            false => address,
+        };
         let Taken { id, idempotency_key, body, .. } = taken;
+        #[cfg(feature = "broken")]
+        let idempotency_key = idempotency_key.map(|key| match attempt > 0 && self.broken.is(Fault::NewKey) {
+            true => format!("{key}{attempt}"),
+            false => key,
+        });
+        #[cfg(feature = "broken")]
+        if self.broken.is(Fault::SideBySide) {
+            let (id, idempotency_key, body) = (id.clone(), idempotency_key.clone(), body.clone());
+            let beside = Call { endpoint, address, id, idempotency_key, body, try_for };
+            let pool = self.pool.clone();
+            tokio::task::spawn_local(async move {
+                let (_never, stopped) = oneshot::channel();
+                pool.call(beside, stopped, Rc::default()).await;
+            });
+        }
         let call = Call { endpoint, address, id, idempotency_key, body, try_for };
         let (pool, inputs) = (self.pool.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
@@ -574,13 +626,42 @@
     /// Gives a message its end. It is in the journal before it is told: who was told that a message came back
     /// may hand it in again, and it must not be sent after that.
     fn owe(&mut self, message: MessageId, verdict: Verdict) {
+        #[cfg(feature = "broken")]
+        let verdict = self.broken.verdict(verdict);
         let written = self.journal.owe(message.0, verdict);
         self.note(written);
         if let Some(held) = self.journal.image.held.get(&message.0) {
+            #[cfg(feature = "broken")]
+            if self.tells_badly(message, held, verdict) {
+                return;
+            }
             let _ = self.notices.send(Notice { message, id: held.taken.id.clone(), verdict });
         }
     }
 
+    /// Whether an end is told in a broken way, or not at all.
+    #[cfg(feature = "broken")]
+    fn tells_badly(&self, message: MessageId, held: &Held, verdict: Verdict) -> bool {
+        let (id, notices) = (held.taken.id.clone(), self.notices.clone());
+        if self.broken.is(Fault::EndsTwice) {
+            let verdict = match verdict {
+                Verdict::Failed => Verdict::Returned { after_ms: 100 },
+                Verdict::Returned { .. } => Verdict::Failed,
+            };
+            let _ = notices.send(Notice { message, id, verdict });
+            return false;
+        }
+        if self.broken.is(Fault::KeepsBack) && verdict == Verdict::Failed {
+            let due = self.clock.instant(self.clock.of_wall(held.taken.deadline_ms));
+            tokio::task::spawn_local(async move {
+                sleep_until(due - Duration::from_millis(100)).await;
+                let _ = notices.send(Notice { message, id, verdict });
+            });
+            return true;
+        }
+        self.broken.is(Fault::NeverTells) && verdict == Verdict::Failed
+    }
+
     /// Writes down what is to be remembered of outages, when it has changed.
     fn note_outages(&mut self) {
         let clock = &self.clock;
--- a/crates/gullcart/src/journal.rs
+++ b/crates/gullcart/src/journal.rs
@@ -171,6 +171,8 @@
     /// Bytes that a compacted file would need at most.
     live: u64,
     disk: u64,
+    #[cfg(feature = "broken")]
+    early_ok: bool,
     pub image: Image,
 }
 
@@ -195,7 +197,21 @@
         }
         file.set_len(size)?;
         let live = image.held.values().map(cost).sum();
-        Ok(Journal { path, file, size, live, disk, image })
+        Ok(Journal {
+            path,
+            file,
+            size,
+            live,
+            disk,
+            #[cfg(feature = "broken")]
+            early_ok: false,
+            image,
+        })
+    }
+
+    #[cfg(feature = "broken")]
+    pub fn answering_early(self, early_ok: bool) -> Self {
+        Journal { early_ok, ..self }
     }
 
     /// Takes a message on and gives it its number; after this it outlasts the process.
@@ -246,6 +262,11 @@
 
     /// Writes at a place of its own keeping: what a failed write left behind is written over by the next one.
     fn append(&mut self, record: Record) -> Result<(), JournalError> {
+        #[cfg(feature = "broken")]
+        if self.early_ok && matches!(record, Record::Take(..)) {
+            self.image.apply(record);
+            return Ok(());
+        }
         let bytes = frame(&record)?;
         let more = bytes.len() as u64;
         let mut compacted = Ok(());
--- a/crates/gullcart/src/lib.rs
+++ b/crates/gullcart/src/lib.rs
@@ -4,6 +4,8 @@
 //! above it, none of which knows the driver; then `driver`, which owns the decisions; then this file.
 #![forbid(unsafe_code)]
 
+#[cfg(feature = "broken")]
+mod broken;
 mod calls;
 mod clients;
 mod discovery;
@@ -65,6 +67,9 @@
     Setting(#[from] SettingError),
     #[error(transparent)]
     Journal(#[from] JournalError),
+    #[cfg(feature = "broken")]
+    #[error("{0}")]
+    Broken(String),
     #[error("cannot listen at {0}: {1}")]
     Listen(String, std::io::Error),
 }
@@ -117,18 +122,30 @@
     let path = PathBuf::from(variable("BALANCER_CONFIG")?);
     let config = read_config(&path)?;
     let parsed = parse_settings_json(&config.settings)?;
+    #[cfg(feature = "broken")]
+    let broken = broken::Broken::chosen().map_err(StartError::Broken)?;
+    #[cfg(feature = "broken")]
+    let parsed = broken.settings(parsed);
     let slots = parsed.settings.call_slots;
     // Any text serves as a seed, but two couriers must not act alike.
     let seed = u64::from_str_radix(&config.seed, 16)
         .unwrap_or_else(|_| u64::from(crc32fast::hash(config.seed.as_bytes())));
     let journal = Journal::open(&state, (config.limits.disk_mb * 1e6) as u64)?;
 
+    #[cfg(feature = "broken")]
+    let journal = journal.answering_early(broken.is(broken::Fault::EarlyOk));
     let mut terminate = signal(SignalKind::terminate())?;
     let (inputs, events) = mpsc::unbounded_channel();
     let (notices, owed) = mpsc::unbounded_channel();
     let (closing, closes) = watch::channel(false);
     let sockets = Sockets::deal(config.limits.sockets, slots);
-    let ends = Ends { inputs: inputs.clone(), notices, closing };
+    let ends = Ends {
+        inputs: inputs.clone(),
+        notices,
+        closing,
+        #[cfg(feature = "broken")]
+        broken,
+    };
     let driver = Driver::new(parsed, seed, config.known, journal, sockets.endpoints, ends);
 
     let clients = ClientLimits {
--- a/crates/gullcart/src/vocabulary.rs
+++ b/crates/gullcart/src/vocabulary.rs
@@ -113,6 +113,9 @@
     /// A client was gone before it could be told that its message was taken on, by its own hand-in.
     Unheard(MessageId),
     Listed(Update),
+    /// A change of the list that was kept back.
+    #[cfg(feature = "broken")]
+    HeardAtLast(Update),
     Ended(MessageId, EndpointId, Ended),
     /// The platform has these notices.
     Heard(Vec<MessageId>),
--- a/crates/gullcartctl/src/main.rs
+++ b/crates/gullcartctl/src/main.rs
@@ -39,9 +39,11 @@
     let result = match Cli::parse().command {
         Command::Rehearse(arguments) => rehearse::rehearse(&arguments),
         Command::Prove(arguments) => prove::prove(&arguments),
-        Command::CourierGuard { program, arguments } => {
-            Err(format!("cannot run {}: {}", program.display(), gullcart_standins::process::guard(&program, &arguments)))
-        }
+        Command::CourierGuard { program, arguments } => Err(format!(
+            "cannot run {}: {}",
+            program.display(),
+            gullcart_standins::process::guard(&program, &arguments)
+        )),
     };
     result.unwrap_or_else(|error| {
         eprintln!("gullcartctl: {error}");
@@ -51,6 +53,7 @@
 
 /// The program of that name that lies beside this one.
 fn beside(name: &str) -> Result<PathBuf, String> {
-    let own = std::env::current_exe().map_err(|error| format!("cannot tell where this program is: {error}"))?;
+    let own =
+        std::env::current_exe().map_err(|error| format!("cannot tell where this program is: {error}"))?;
     Ok(own.with_file_name(name))
 }
--- a/crates/gullcartctl/src/rehearse.rs
+++ b/crates/gullcartctl/src/rehearse.rs
@@ -1,6 +1,7 @@
 //! `gullcartctl rehearse`.
 
 use clap::Args;
+use gullcart_judge::Rule;
 use gullcart_rehearsal::{page, run, shipped, Options, Progress, Report, Scenario, Until, Verdict, SHIPPED};
 use gullcart_standins::process::Launch;
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
@@ -8,7 +9,9 @@
 use std::process::ExitCode;
 use tokio::task::LocalSet;
 
-/// Where the progress line goes when nobody looks: a line every so many seconds.
+/// Whatever rule.
+const ANY: &str = "any";
+/// Where nobody looks, a line comes every so many seconds.
 const SELDOM_S: f64 = 30.0;
 
 #[derive(Args)]
@@ -41,9 +44,9 @@
     /// The daemon [default: the gullcart beside this program]
     #[arg(long, value_name = "PATH")]
     program: Option<PathBuf>,
-    /// End at the first breach
-    #[arg(long)]
-    until_breach: bool,
+    /// End at the first breach, or at the first of one rule
+    #[arg(long, value_name = "RULE", num_args = 0..=1, default_missing_value = ANY)]
+    until_breach: Option<String>,
     /// No progress line
     #[arg(long, short)]
     quiet: bool,
@@ -63,7 +66,14 @@
         return Ok(ExitCode::SUCCESS);
     }
     let scenario = read(arguments.scenario.as_deref().unwrap_or_default())?;
-    let until = if arguments.until_breach { Until::TheFirstBreach } else { Until::TheEnd };
+    let until = match arguments.until_breach.as_deref() {
+        None => Until::TheEnd,
+        Some(ANY) => Until::TheFirstBreach,
+        Some(name) => Until::BreachOf(Rule::of(name).ok_or_else(|| {
+            let names: Vec<&str> = Rule::ALL.iter().map(|rule| rule.name()).collect();
+            format!("no rule '{name}'; there are {}", names.join(", "))
+        })?),
+    };
     let options = Options { launch: launch(arguments.program.as_deref(), &[])?, seed: arguments.seed, until };
     let mut shown = Shown::new(&scenario, arguments.quiet);
     let report = play(&scenario, options, |progress| shown.show(progress))?;
@@ -98,7 +108,8 @@
     let scenario = match shipped(name) {
         Some(shipped) => Scenario::read(name, shipped.text),
         None if Path::new(name).is_file() => {
-            let text = std::fs::read_to_string(name).map_err(|error| format!("cannot read {name}: {error}"))?;
+            let text =
+                std::fs::read_to_string(name).map_err(|error| format!("cannot read {name}: {error}"))?;
             Scenario::read(name, &text)
         }
         None => return Err(unknown(name)),
@@ -113,15 +124,23 @@
         None => crate::beside("gullcart")?,
     };
     if !program.is_file() {
-        return Err(format!("there is no daemon at {}: build it, or name one with --program", program.display()));
+        return Err(format!(
+            "there is no daemon at {}: build it, or name one with --program",
+            program.display()
+        ));
     }
-    let own = std::env::current_exe().map_err(|error| format!("cannot tell where this program is: {error}"))?;
+    let own =
+        std::env::current_exe().map_err(|error| format!("cannot tell where this program is: {error}"))?;
     let guard = vec![own.into_os_string(), "courier-guard".into()];
     Ok(Launch { program, guard, variables: variables.to_vec() })
 }
 
 /// Plays a scenario; Ctrl-C and SIGTERM end it and all that it started.
-pub fn play(scenario: &Scenario, options: Options, progress: impl FnMut(&Progress)) -> Result<Report, String> {
+pub fn play(
+    scenario: &Scenario,
+    options: Options,
+    progress: impl FnMut(&Progress),
+) -> Result<Report, String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|error| format!("cannot start: {error}"))?;
     LocalSet::new().block_on(&runtime, async {
