--- a/crates/gullcart-rehearsal/src/shipped.rs
+++ b/crates/gullcart-rehearsal/src/shipped.rs
@@ -18,7 +18,17 @@
     };
 }
 
-scenarios!["smoke", "gauntlet", "cold-return", "overlap", "mid-drain", "restarts", "payday", "christmas"];
+scenarios![
+    "smoke",
+    "gauntlet",
+    "cold-return",
+    "overlap",
+    "mid-drain",
+    "restarts",
+    "busy",
+    "payday",
+    "christmas"
+];
 
 /// The one of that name.
 pub fn shipped(name: &str) -> Option<&'static Shipped> {
--- a/crates/gullcartctl/src/prove.rs
+++ b/crates/gullcartctl/src/prove.rs
@@ -66,9 +66,9 @@
     /// Only these faults, and 'none' for the honest build
     #[arg(long, value_delimiter = ',', value_name = "FAULT")]
     only: Vec<String>,
-    /// Further scenarios for the honest build
+    /// Scenarios for the honest build [default: all short ones that ship]
     #[arg(long, value_delimiter = ',', value_name = "SCENARIO")]
-    also: Vec<String>,
+    honest: Vec<String>,
     /// Runs side by side [default: one for each core]
     #[arg(long)]
     jobs: Option<usize>,
@@ -147,7 +147,10 @@
 }
 
 fn honest_scenarios(arguments: &Arguments) -> Vec<String> {
-    SHORT.iter().map(|name| (*name).to_owned()).chain(arguments.also.iter().cloned()).collect()
+    if arguments.honest.is_empty() {
+        return SHORT.iter().map(|name| (*name).to_owned()).collect();
+    }
+    arguments.honest.clone()
 }
 
 /// All runs, seed by seed, so that a cut leaves some seeds of everything.
