--- a/crates/gullcart/src/broken.rs
+++ b/crates/gullcart/src/broken.rs
@@ -60,7 +60,7 @@
     LateToDrains = "late-to-drains",
     /// A returning partner is held to be warm at once.
     RushesCold = "rushes-cold",
-    /// A returning partner is held to stand ten times as much.
+    /// A returning partner is held to stand a hundred times as much.
     OverestimatesCold = "overestimates-cold",
     /// Messages of one key do not wait for each other.
     Overtakes = "overtakes",
@@ -126,7 +126,7 @@
                 settings.rules.cold_from = 1.0;
                 settings.rules.tip_multiple = 1000.0;
             }
-            Some(Fault::OverestimatesCold) => settings.rules.tip_multiple *= 10.0,
+            Some(Fault::OverestimatesCold) => settings.rules.tip_multiple *= 100.0,
             Some(Fault::Overtakes) => settings.classes.iter_mut().for_each(|class| class.in_order = false),
             Some(Fault::NoRest) => settings.rules.order_settle = Duration::ZERO,
             _ => {}
--- a/crates/gullcartctl/src/prove.rs
+++ b/crates/gullcartctl/src/prove.rs
@@ -102,6 +102,9 @@
     /// Until the breach of that rule.
     seconds: Option<f64>,
     broken: Vec<String>,
+    /// The first breach in words.
+    #[serde(default)]
+    what: Option<String>,
 }
 
 pub fn prove(arguments: &Arguments) -> Result<ExitCode, String> {
@@ -204,10 +207,8 @@
             let mut file = file.lock().map_err(|_| "another run panicked")?;
             file.write_all(line.as_bytes()).map_err(|error| format!("cannot keep a result: {error}"))?;
             if !run.good {
-                bar.println(format!(
-                    "{} in {}, seed {}: {:?}",
-                    run.fault, run.scenario, run.seed, run.broken
-                ));
+                let told = run.what.as_deref().unwrap_or("no breach of that rule");
+                bar.suspend(|| eprintln!("{} in {}, seed {}: {told}", run.fault, run.scenario, run.seed));
             }
             bar.set_message(format!("{} {}", task.fault, task.seed));
             bar.inc(1);
@@ -261,6 +262,7 @@
         service: report["service"]["service"].as_f64().unwrap_or(0.0),
         seconds: first.and_then(|breach| breach["at"].as_f64()),
         broken,
+        what: report["breaches"][0]["what"].as_str().map(str::to_owned),
     })
 }
 
