--- a/crates/gullcart-standins/src/endpoint.rs
+++ b/crates/gullcart-standins/src/endpoint.rs
@@ -351,12 +351,13 @@
             String::new()
         };
         let text = format!("HTTP/1.1 {status}\r\n{header}{report}Content-Length: 0\r\n\r\n");
+        let at = self.site.recorder.now();
         let written = self.stream.write_all(text.as_bytes()).await;
         let event = match written {
             Ok(()) => Event::CallAnswered { call, answer },
             Err(_) => Event::CallCut { call, by: By::Courier },
         };
-        self.site.recorder.note(event);
+        self.site.recorder.note_at(at, event);
         written
     }
 }
--- a/crates/gullcart-standins/src/recorder.rs
+++ b/crates/gullcart-standins/src/recorder.rs
@@ -40,7 +40,13 @@
     /// Writes down what happens now.
     pub fn note(&self, event: Event) -> At {
         let at = self.now();
-        (self.hear.borrow_mut())(Entry { at, event });
+        self.note_at(at, event);
         at
     }
+
+    /// Writes down what happened a moment ago: what an answer tells holds from when it was written, not from when the
+    /// kit came round to note it.
+    pub fn note_at(&self, at: At, event: Event) {
+        (self.hear.borrow_mut())(Entry { at, event });
+    }
 }
