--- a/crates/gullcart-judge/src/judge.rs
+++ b/crates/gullcart-judge/src/judge.rs
@@ -185,6 +185,8 @@
     /// From SIGTERM or its end until it is ready again.
     away: bool,
     ready: At,
+    /// A new process tells what it finds in its journal before it is ready.
+    started: At,
     /// Checks that wait until it is ready.
     waiting: Vec<(Check, MessageId)>,
 }
@@ -683,7 +685,7 @@
             return self.accuse(Rule::FinalAnswer, courier, None, what, [entry]);
         };
         let effect = self.class_of(id).effect;
-        let restarted = self.couriers.get(&courier).map_or(At(0), |courier| courier.ready);
+        let restarted = self.couriers.get(&courier).map_or(At(0), |courier| courier.started);
         // The answer may not have arrived, as when the register moves: a notice is then sent once more.
         let slack = self.figures.at_once;
         let matters = self.matters(id);
@@ -716,7 +718,7 @@
         let ready_slack = self.figures.ready_slack;
         let state = self.couriers.entry(courier).or_default();
         match what {
-            Process::Started => {}
+            Process::Started => state.started = entry.at,
             Process::Terminated => state.away = true,
             Process::Ready => {
                 state.away = false;
