--- a/crates/gullcart-judge/src/lib.rs
+++ b/crates/gullcart-judge/src/lib.rs
@@ -7,10 +7,14 @@
 #![warn(missing_docs)]
 
 pub mod cold;
+mod figures;
 mod judge;
 mod message;
+mod rule;
 mod service;
 pub mod trace;
 
-pub use judge::{Breach, ClassRules, Effect, Figures, Judge, Rule, MOST_BREACHES};
+pub use figures::{ClassRules, Effect, Figures};
+pub use judge::{Judge, MOST_BREACHES};
+pub use rule::{Breach, Rule};
 pub use service::{Latency, Second, Service, ServiceFigures, Weights, Worth};
--- /dev/null
+++ b/crates/gullcart-rehearsal/src/run/couriers.rs
@@ -0,0 +1,158 @@
+//! Couriers started, ended and killed.
+
+use super::*;
+use rustix::process::Signal;
+use tokio::time::timeout;
+
+impl World {
+    pub(super) fn process(&self, courier: usize, what: Process) {
+        self.recorder.note(Event::Process { courier: CourierId(courier as u8), what });
+    }
+
+    pub(super) async fn start(self: &Rc<Self>, courier: usize) -> Result<(), RunError> {
+        let place = &self.places[courier];
+        let config = self.configure(courier).map_err(doing("a courier's configuration"))?;
+        self.process(courier, Process::Started);
+        let ending = Rc::new(Cell::new(false));
+        *place.ending.borrow_mut() = ending.clone();
+        let started = Courier::start(&self.launch, &config, &place.folder.join("state")).await;
+        let process = started.map_err(|error| RunError::Start { courier, error })?;
+        place.clients.find(Some(process.address()));
+        let mut ended = process.ended();
+        let log = process.log();
+        *place.process.borrow_mut() = Some(process);
+        let world = self.clone();
+        spawn_local(async move {
+            // The sender goes only after it has told.
+            let _ = ended.wait_for(|ended| *ended).await;
+            let place = &world.places[courier];
+            if !ending.get() {
+                world.process(courier, Process::Crashed);
+                place.serving.set(false);
+                place.clients.find(None);
+                let last = log.borrow().back().cloned().unwrap_or_default();
+                world.remark(format!("courier {courier} ended by itself; its last line: {last}"));
+            }
+        });
+        while !place.clients.ping().await {
+            if place.process.borrow().as_ref().is_none_or(Courier::has_ended) {
+                return Ok(());
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+        self.process(courier, Process::Ready);
+        place.serving.set(true);
+        Ok(())
+    }
+
+    pub(super) async fn terminate(self: &Rc<Self>, courier: usize) {
+        let place = &self.places[courier];
+        place.ending.borrow().set(true);
+        place.signalled.set(Some(Instant::now()));
+        self.process(courier, Process::Terminated);
+        let ended = {
+            let process = place.process.borrow();
+            let Some(process) = &*process else { return };
+            process.signal(Signal::TERM);
+            process.ended()
+        };
+        sleep(FRONT_NOTICES).await;
+        place.serving.set(false);
+        let mut waiting = ended;
+        if timeout(END - FRONT_NOTICES, waiting.wait_for(|ended| *ended)).await.is_err() {
+            self.remark(format!("courier {courier} was still there 3.7 s after SIGTERM, and was killed"));
+            if let Some(process) = &*place.process.borrow() {
+                process.signal(Signal::KILL);
+            }
+        }
+        place.clients.find(None);
+        self.process(courier, Process::Ended);
+    }
+
+    pub(super) fn kill(self: &Rc<Self>, courier: usize, folder_lost: bool) {
+        let place = &self.places[courier];
+        place.ending.borrow().set(true);
+        place.signalled.set(Some(Instant::now()));
+        place.serving.set(false);
+        if let Some(process) = &*place.process.borrow() {
+            process.signal(Signal::KILL);
+        }
+        place.clients.find(None);
+        self.process(courier, Process::Ended);
+        if folder_lost {
+            let state = place.folder.join("state");
+            let lost = std::fs::remove_dir_all(&state).and_then(|()| std::fs::create_dir_all(&state));
+            if let Err(error) = lost {
+                self.remark(format!("a courier's folder could not be lost: {error}"));
+            }
+            self.hand_again(courier);
+            self.process(courier, Process::FolderLost);
+        }
+    }
+
+    /// What a lost courier held comes again to a live one, but what must not be repeated and may have run.
+    pub(super) fn hand_again(self: &Rc<Self>, courier: usize) {
+        let held: Vec<usize> = {
+            let book = self.book.borrow();
+            let of = |(message, handed): (&MessageId, &Handed)| {
+                let class = book.origins[handed.origin].arrival.class;
+                let unsafe_class = self.scenario.classes[class].effect == Effect::Unsafe;
+                let mine = handed.courier == courier && handed.taken && !handed.over;
+                (mine && !(unsafe_class && book.judge.may_have_run(*message))).then_some(handed.origin)
+            };
+            book.handed.iter().filter_map(of).collect()
+        };
+        for origin in held {
+            let (from, to) = HANDED_AGAIN_MS;
+            let after = self.rng.borrow_mut().u64(from..to);
+            self.send(origin, false, true, Duration::from_millis(after));
+        }
+    }
+
+    pub(super) async fn start_again(self: &Rc<Self>, courier: usize) {
+        let place = &self.places[courier];
+        let ended = place.process.borrow().as_ref().map(Courier::ended);
+        if let Some(mut ended) = ended {
+            let _ = ended.wait_for(|ended| *ended).await;
+        }
+        if let Some(signalled) = place.signalled.get() {
+            sleep_until(signalled + RESTART).await;
+        }
+        if let Err(error) = self.start(courier).await {
+            self.remark(format!("a courier did not start again: {error}"));
+            self.process(courier, Process::Crashed);
+        }
+    }
+
+    /// Nothing can be written to a file any more, also where room was set aside: harsher than a full disk.
+    pub(super) fn full(&self, courier: usize, full: bool) {
+        let process = self.places[courier].process.borrow();
+        let Some(process) = &*process else { return };
+        if let Err(error) = process.limit_files(full.then_some(0)) {
+            self.remark(format!("the folder of courier {courier} could not be filled: {error}"));
+        }
+    }
+
+    /// Ends all couriers as a planned end would.
+    pub(super) async fn end(&self) {
+        for (courier, place) in self.places.iter().enumerate() {
+            place.ending.borrow().set(true);
+            if place.process.borrow().as_ref().is_some_and(|process| !process.has_ended()) {
+                self.process(courier, Process::Terminated);
+            }
+            if let Some(process) = &*place.process.borrow() {
+                process.signal(Signal::TERM);
+            }
+        }
+        let until = Instant::now() + END;
+        for (courier, place) in self.places.iter().enumerate() {
+            let Some(process) = place.process.borrow_mut().take() else { continue };
+            let left = until.saturating_duration_since(Instant::now());
+            if !process.wait(left).await {
+                self.remark(format!("courier {courier} was still there 3.7 s after SIGTERM, and was killed"));
+                process.signal(Signal::KILL);
+                process.wait(END).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gullcart-rehearsal/src/run/faults.rs
@@ -0,0 +1,151 @@
+//! What goes wrong around the couriers, at its time.
+
+use super::*;
+use crate::day::Action;
+use crate::scenario::Replace;
+use gullcart_standins::partner::Trouble;
+use rustix::process::Signal;
+
+impl World {
+    pub(super) fn act(self: &Rc<Self>, action: Action) {
+        let now = self.recorder.now();
+        match action {
+            Action::Begin { id, trouble, partner, endpoint, until } => {
+                self.partners[partner].borrow_mut().begin(id, trouble, endpoint, until);
+                if trouble == Trouble::Down {
+                    self.reopen(partner);
+                }
+            }
+            Action::End { id, partner } => {
+                self.partners[partner].borrow_mut().end(id);
+                self.reopen(partner);
+            }
+            Action::Out(partner) => {
+                self.recorder.note(Event::Out { partner: partner_id(partner) });
+            }
+            Action::Back(partner) => self.back(partner, now),
+            Action::Drain { partner, endpoint, replace } => self.drain(partner, endpoint, replace),
+            Action::Gone { partner, endpoint, replace } => self.gone(partner, endpoint, replace),
+            Action::Silence(courier, silent) => {
+                if let Some(agent) = &*self.places[courier].agent.borrow() {
+                    agent.silence(silent);
+                }
+            }
+            Action::Move(courier) => {
+                let world = self.clone();
+                spawn_local(async move { world.move_agent(courier).await });
+            }
+            Action::Term(courier) => {
+                let world = self.clone();
+                spawn_local(async move { world.terminate(courier).await });
+            }
+            Action::Kill { courier, folder_lost } => self.kill(courier, folder_lost),
+            Action::Start(courier) => {
+                let world = self.clone();
+                spawn_local(async move { world.start_again(courier).await });
+            }
+            Action::Full(courier, full) => self.full(courier, full),
+        }
+    }
+
+    /// Opens or shuts the addresses of a partner's endpoints, as they are up or down.
+    pub(super) fn reopen(&self, partner: usize) {
+        for standing in &self.endpoints.borrow()[partner] {
+            if standing.state.get() == State::Gone {
+                continue;
+            }
+            if self.partners[partner].borrow().is_down(standing.endpoint.place) {
+                standing.doors.iter().for_each(Door::shut);
+                standing.endpoint.break_connections();
+            } else if let Some(error) = standing.doors.iter().find_map(|door| door.reopen().err()) {
+                self.remark(format!("an endpoint's address could not be opened again: {error}"));
+            }
+        }
+    }
+
+    pub(super) fn back(&self, partner: usize, now: At) {
+        let mut model = self.partners[partner].borrow_mut();
+        model.come_back(now);
+        let (capacity, spec) = (model.capacity(), model.spec().clone());
+        drop(model);
+        // Calls of before hang no more.
+        self.endpoints.borrow()[partner].iter().for_each(|standing| standing.endpoint.break_connections());
+        self.recorder.note(Event::Back {
+            partner: partner_id(partner),
+            capacity,
+            cold_from: spec.cold_from,
+            warm: now + spec.cold,
+        });
+    }
+
+    pub(super) fn tell(self: &Rc<Self>, partner: usize, place: usize) {
+        for courier in 0..self.places.len() {
+            let target = self.target(courier, partner, &self.endpoints.borrow()[partner][place]);
+            let [from, to] = self.scenario.register.late_s;
+            let late = from + (to - from) * self.rng.borrow_mut().f64();
+            let world = self.clone();
+            spawn_local(async move {
+                sleep(Duration::from_secs_f64(late)).await;
+                if let Some(agent) = &*world.places[courier].agent.borrow() {
+                    agent.change(target);
+                }
+            });
+        }
+    }
+
+    pub(super) fn drain(self: &Rc<Self>, partner: usize, place: usize, replace: Replace) {
+        self.endpoints.borrow()[partner][place].state.set(State::Draining);
+        self.tell(partner, place);
+        if replace == Replace::New {
+            let model = self.partners[partner].borrow_mut().add_endpoint();
+            match self.endpoint(partner, model) {
+                Ok(standing) => {
+                    self.endpoints.borrow_mut()[partner].push(standing);
+                    let place = self.endpoints.borrow()[partner].len() - 1;
+                    self.tell(partner, place);
+                }
+                Err(error) => self.remark(format!("no new endpoint could be opened: {error}")),
+            }
+        }
+    }
+
+    pub(super) fn gone(self: &Rc<Self>, partner: usize, place: usize, replace: Replace) {
+        {
+            let endpoints = self.endpoints.borrow();
+            let standing = &endpoints[partner][place];
+            standing.state.set(State::Gone);
+            standing.endpoint.break_connections();
+            if replace != Replace::SameAddress {
+                standing.doors.iter().for_each(Door::shut);
+            }
+        }
+        self.tell(partner, place);
+        if replace == Replace::SameAddress {
+            let model = self.partners[partner].borrow_mut().add_endpoint();
+            let endpoint = self.new_endpoint(partner, model);
+            let doors = self.endpoints.borrow()[partner][place].doors.clone();
+            doors.iter().for_each(|door| door.hand_over(endpoint.clone()));
+            let standing = Standing { endpoint, doors, state: Cell::new(State::Serving) };
+            self.endpoints.borrow_mut()[partner].push(standing);
+            let place = self.endpoints.borrow()[partner].len() - 1;
+            self.tell(partner, place);
+        }
+    }
+
+    pub(super) async fn move_agent(&self, courier: usize) {
+        let place = &self.places[courier];
+        let Some(agent) = place.agent.borrow_mut().take() else { return };
+        match agent.move_on().await {
+            Ok(agent) => *place.agent.borrow_mut() = Some(agent),
+            Err(error) => return self.remark(format!("the register could not move: {error}")),
+        }
+        match self.configure(courier) {
+            Ok(_) => {
+                if let Some(process) = &*place.process.borrow() {
+                    process.signal(Signal::HUP);
+                }
+            }
+            Err(error) => self.remark(format!("no new configuration could be written: {error}")),
+        }
+    }
+}
--- a/crates/gullcart-rehearsal/src/shipped.rs
+++ b/crates/gullcart-rehearsal/src/shipped.rs
@@ -19,12 +19,14 @@
 }
 
 scenarios![
+    "soak",
     "smoke",
     "gauntlet",
     "cold-return",
     "overlap",
     "mid-drain",
     "restarts",
+    "compaction",
     "busy",
     "payday",
     "christmas"
--- a/crates/gullcartctl/tests/rehearse.rs
+++ b/crates/gullcartctl/tests/rehearse.rs
@@ -86,6 +86,31 @@
     std::fs::remove_dir_all(folder).unwrap();
 }
 
+/// While nothing can be written, messages are refused at once; then service goes on by itself, and no rule is broken.
+#[test]
+fn a_full_folder_is_answered_by_refusals_and_service_goes_on() {
+    let folder = folder("full");
+    let more =
+        "retries = false\n\n[couriers]\ncount = 1\n\n[[fault]]\nname = \"full\"\nkind = \"disk-full\"\n\
+                start_s = 2\nlength_s = 2\ntargets = [\"courier-0\"]\n";
+    let text = SHORT.replace("seconds = 2", "seconds = 6").replace("FLOOR", "0.1") + more;
+    let path = scenario(&folder, &text);
+    let json = folder.join("report.json");
+    let output = run(&["rehearse", path.to_str().unwrap(), "-q", "--json", json.to_str().unwrap()]);
+    let text = said(&output);
+    assert!(output.status.code() == Some(0) || text.contains("VOID"), "{text}");
+    let report: serde_json::Value = serde_json::from_slice(&std::fs::read(&json).unwrap()).unwrap();
+    assert_eq!(report["broken"], serde_json::json!({}));
+    let count = |name: &str| report["counts"][name].as_u64().unwrap();
+    // Two seconds at twenty messages a second, drawn by chance.
+    assert!((20..60).contains(&count("busy")), "{report}");
+    assert!(
+        count("delivered") + count("busy") + 5 >= count("messages") && count("delivered") >= 50,
+        "{report}"
+    );
+    std::fs::remove_dir_all(folder).unwrap();
+}
+
 #[test]
 fn what_cannot_be_run_exits_with_2_before_anything_starts() {
     let folder = folder("bad");
