--- a/crates/gullcart/src/journal.rs
+++ b/crates/gullcart-journal/benches/before.rs
@@ -1,9 +1,9 @@
-//! What outlasts the process: an append-only file of checksummed records, and the image that they add up to.
+//! The journal of releases before 0.2, for comparison: one file, compacted in one go.
+#![allow(dead_code)]
 //!
 //! Every record is written before what it promises. A write need not reach the disk (the folder outlasts the
 //! process, not the machine), but the system call must have returned.
 
-use cloverstile::Outage;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{self, File, OpenOptions};
@@ -12,7 +12,7 @@
 use std::path::{Path, PathBuf};
 use thiserror::Error;
 
-use crate::vocabulary::{Taken, Target, Update, Verdict};
+use gullcart_message::{Taken, Target, Update, Verdict};
 
 /// Messages are taken on only while what is live fits into this part of the disk ...
 const LIVE_PART: f64 = 0.43;
@@ -66,21 +66,6 @@
     pub share: f64,
 }
 
-impl OutageNote {
-    /// From the module's figures; `wall` turns its times into wall time, `uid` names its endpoint.
-    pub fn new(outage: &Outage, uid: Option<String>, wall: impl Fn(cloverstile::Time) -> u64) -> Self {
-        OutageNote {
-            destination: outage.destination.0,
-            uid,
-            since_ms: wall(outage.since),
-            evidence: outage.evidence,
-            lost: outage.lost,
-            returned_ms: outage.returned.map(wall),
-            share: outage.share,
-        }
-    }
-}
-
 #[derive(Serialize, Deserialize)]
 enum Record {
     Take(u32, Taken),
@@ -171,8 +156,6 @@
     /// Bytes that a compacted file would need at most.
     live: u64,
     disk: u64,
-    #[cfg(feature = "broken")]
-    early_ok: bool,
     pub image: Image,
 }
 
@@ -197,21 +180,7 @@
         }
         file.set_len(size)?;
         let live = image.held.values().map(cost).sum();
-        Ok(Journal {
-            path,
-            file,
-            size,
-            live,
-            disk,
-            #[cfg(feature = "broken")]
-            early_ok: false,
-            image,
-        })
-    }
-
-    #[cfg(feature = "broken")]
-    pub fn answering_early(self, early_ok: bool) -> Self {
-        Journal { early_ok, ..self }
+        Ok(Journal { path, file, size, live, disk, image })
     }
 
     /// Takes a message on and gives it its number; after this it outlasts the process.
@@ -262,11 +231,6 @@
 
     /// Writes at a place of its own keeping: what a failed write left behind is written over by the next one.
     fn append(&mut self, record: Record) -> Result<(), JournalError> {
-        #[cfg(feature = "broken")]
-        if self.early_ok && matches!(record, Record::Take(..)) {
-            self.image.apply(record);
-            return Ok(());
-        }
         let bytes = frame(&record)?;
         let more = bytes.len() as u64;
         let mut compacted = Ok(());
--- a/crates/gullcart-standins/src/world.rs
+++ b/crates/gullcart-standins/src/world.rs
@@ -223,6 +223,8 @@
     pub sockets: u32,
     /// Each endpoint has a destination of its own, from 1 on.
     pub apart: bool,
+    /// Further variables that couriers are given.
+    pub variables: Vec<(String, String)>,
     disk_mb: f64,
     _cleanup: Cleanup,
 }
@@ -267,6 +269,7 @@
             slots: 16,
             sockets: 1024,
             apart: false,
+            variables: Vec::new(),
             disk_mb,
         }
     }
@@ -461,9 +464,32 @@
         files.map(|file| file.unwrap().metadata().map_or(0, |data| data.len().div_ceil(512) * 512)).sum()
     }
 
+    /// What a courier says that does not start, and its exit status.
+    pub fn refuse_to_start(&self) -> (String, ExitStatus) {
+        self.configure(&self.discovery);
+        let output = Command::new(&self.program)
+            .env("BALANCER_STATE", self.state())
+            .env("BALANCER_CONFIG", self.folder.join("config.json"))
+            .envs(self.variables.iter().map(|(name, value)| (name, value)))
+            .output()
+            .unwrap();
+        (String::from_utf8_lossy(&output.stderr).into_owned(), output.status)
+    }
+
+    /// The folder that outlasts the courier.
+    pub fn state(&self) -> PathBuf {
+        self.folder.join("state")
+    }
+
+    /// Writes behind the last record of the journal.
     pub fn append_to_journal(&self, bytes: &[u8]) {
-        let path = self.folder.join("state/journal");
-        std::fs::OpenOptions::new().append(true).open(path).unwrap().write_all(bytes).unwrap();
+        let files = std::fs::read_dir(self.state()).unwrap().map(|file| file.unwrap().path());
+        let last = files.filter(|path| path.extension().is_some_and(|end| end == "seg")).max().unwrap();
+        let mut all = std::fs::read(&last).unwrap();
+        // A record may end in a few zeros.
+        all.truncate(all.iter().rposition(|byte| *byte != 0).map_or(0, |at| at + 8));
+        all.extend_from_slice(bytes);
+        std::fs::write(last, all).unwrap();
     }
 }
 
@@ -486,6 +512,7 @@
         let mut child = Command::new(&world.program)
             .env("BALANCER_STATE", world.folder.join("state"))
             .env("BALANCER_CONFIG", world.folder.join("config.json"))
+            .envs(world.variables.iter().map(|(name, value)| (name, value)))
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
--- a/crates/gullcart/src/broken.rs
+++ b/crates/gullcart/src/broken.rs
@@ -1,8 +1,9 @@
 //! Deliberately broken couriers, to prove that rehearsals catch them. Compiled with the feature `broken` alone, which
 //! no installed build has; one fault is chosen at start, by the variable [`VARIABLE`].
 
-use crate::vocabulary::{Ended, Update, Verdict};
+use crate::vocabulary::Ended;
 use cloverstile::{Effect, Outcome, Parsed};
+use gullcart_message::{Update, Verdict};
 use std::cell::Cell;
 use std::time::Duration;
 
--- a/crates/gullcart/src/discovery.rs
+++ b/crates/gullcart/src/discovery.rs
@@ -17,7 +17,8 @@
 use tokio::time::timeout;
 use tracing::{error, info, warn};
 
-use crate::vocabulary::{Input, Notice, Target, Update, Verdict};
+use crate::vocabulary::{Input, Notice};
+use gullcart_message::{Target, Update, Verdict};
 
 /// The agent is on this machine: what it does not answer in this time it does not answer now.
 const ANSWER: Duration = Duration::from_millis(500);
--- a/crates/gullcart/src/driver.rs
+++ b/crates/gullcart/src/driver.rs
@@ -1,6 +1,8 @@
 //! The one loop that owns the decision module: events in, actions out, timers. It waits for no socket.
 
 use cloverstile::*;
+use gullcart_journal::{Figures, Held, Journal, JournalError, OutageNote};
+use gullcart_message::{Taken, Update, Verdict};
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -14,9 +16,8 @@
 use crate::broken::{Broken, Fault, DEAF_FOR};
 use crate::calls::{Call, Pool, Stop};
 use crate::discovery::Directory;
-use crate::journal::{Held, Journal, JournalError, OutageNote};
 use crate::seldom::Seldom;
-use crate::vocabulary::{Answer, Ended, Enqueue, Input, Notice, Taken, Update, Verdict};
+use crate::vocabulary::{Answer, Ended, Enqueue, Input, Notice};
 
 /// Events that one decision takes in at most.
 const BATCH: usize = 256;
@@ -197,26 +198,28 @@
 
     /// The version of the list that the courier has.
     pub fn rev(&self) -> u64 {
-        self.journal.image.rev
+        self.journal.image().rev
     }
 
     fn restore(&mut self, known: Update) {
         let now = self.clock.now();
-        self.journal.image.destinations.extend(known.targets.iter().map(|target| target.pod_group));
-        let image = &self.journal.image;
+        let written = self.journal.destinations(known.targets.iter().map(|target| target.pod_group));
+        self.note(written);
+        let image = self.journal.image();
         // What was told before the restart counts as told: the list that comes with the start may be older.
         if image.rev == 0 || image.rev < known.rev {
             let update = Update { all: true, ..known };
             let listing = self.directory.apply(&update);
             self.courier.handle(now, Event::Listed(listing));
-            let written = self.journal.targets(update);
+            let written = self.journal.targets(&update);
             self.note(written);
         } else {
             let targets = image.targets.values().cloned().collect();
             let listing = self.directory.apply(&Update { rev: image.rev, all: true, targets });
             self.courier.handle(now, Event::Listed(listing));
         }
-        for note in self.journal.image.outages.clone() {
+        let notes: Vec<OutageNote> = self.journal.image().outages().cloned().collect();
+        for note in notes {
             let endpoint = note.uid.as_ref().and_then(|uid| self.directory.number(uid));
             if note.uid.is_some() && endpoint.is_none() {
                 continue;
@@ -232,7 +235,7 @@
             };
             self.courier.handle(now, Event::Recalled(outage));
         }
-        let held: Vec<(u32, Held)> = self.journal.image.held.iter().map(|(n, h)| (*n, h.clone())).collect();
+        let held: Vec<(u32, Held)> = self.journal.image().held.iter().map(|(n, h)| (*n, h.clone())).collect();
         #[cfg(feature = "broken")]
         let held: Vec<(u32, Held)> = match () {
             () if self.broken.is(Fault::ForgetsAtRestart) => Vec::new(),
@@ -285,11 +288,12 @@
     }
 
     /// Runs until the process is to end.
-    pub async fn run(mut self, mut events: UnboundedReceiver<Input>) {
+    pub async fn run(mut self, mut events: UnboundedReceiver<Input>) -> Result<(), JournalError> {
         let mut sweep = interval(SWEEP);
         let mut sweeps = 0;
         let mut batch = Vec::with_capacity(BATCH);
         self.decide();
+        self.commit()?;
         loop {
             let wake = self.wake.map(|(at, _)| at);
             let never = Instant::now() + SWEEP;
@@ -317,6 +321,7 @@
                 self.courier.handle(self.clock.now(), Event::TickDue(token));
             }
             self.decide();
+            self.commit()?;
             self.lateness(begun.elapsed(), "a step took long");
             if self.may_end() {
                 return self.finish(&mut events).await;
@@ -326,15 +331,17 @@
 
     /// Answers the requests that have been read but not answered: ending a connection before would lose their
     /// messages. The next process finds them in the journal.
-    async fn finish(&mut self, events: &mut UnboundedReceiver<Input>) {
+    async fn finish(&mut self, events: &mut UnboundedReceiver<Input>) -> Result<(), JournalError> {
         for _ in 0..LAST_ROUNDS {
             while let Ok(input) = events.try_recv() {
                 self.handle(input);
             }
+            self.commit()?;
             // The tasks of the connections write what they were given.
             tokio::task::yield_now().await;
         }
-        info!(held = self.journal.image.held.len(), out = self.out.len(), "the courier ends");
+        info!(held = self.journal.image().held.len(), out = self.out.len(), "the courier ends");
+        Ok(())
     }
 
     fn lateness(&mut self, late: Duration, what: &str) {
@@ -349,7 +356,7 @@
     fn may_end(&self) -> bool {
         let Some((least, last)) = self.ends else { return false };
         let now = Instant::now();
-        let idle = self.out.is_empty() && self.journal.image.held.is_empty();
+        let idle = self.out.is_empty() && self.journal.image().held.is_empty();
         now >= last || (now >= least && idle)
     }
 
@@ -385,7 +392,7 @@
             Input::Terminate if self.ends.is_some() => {}
             Input::Terminate => {
                 let begun = Instant::now();
-                info!(held = self.journal.image.held.len(), out = self.out.len(), "told to end");
+                info!(held = self.journal.image().held.len(), out = self.out.len(), "told to end");
                 self.ends = Some((begun + CLOSING_LEAST, begun + CLOSING));
                 self.courier.handle(now, Event::Closing(now + CLOSING));
                 self.closing.send_replace(true);
@@ -397,7 +404,7 @@
         let Some(class) = self.class(&enqueue.class) else { return Answer::Error("unknown class") };
         if let Some(known) = self.known.get_mut(&enqueue.id) {
             // Sent once more on a new connection; or by somebody else, to whom the id does not belong.
-            let held = self.journal.image.held.get(&known.number);
+            let held = self.journal.image().held.get(&known.number);
             if !held.is_some_and(|held| enqueue.is_same(&held.taken)) {
                 return Answer::Error("the id is in use for another message");
             }
@@ -405,7 +412,7 @@
             return Answer::Held;
         }
         let destination = DestinationId(enqueue.destination);
-        if !self.journal.image.destinations.contains(&enqueue.destination) {
+        if !self.journal.image().destinations.contains(&enqueue.destination) {
             return Answer::Error("unknown destination");
         }
         let class = &self.classes[usize::from(class.0)];
@@ -413,7 +420,7 @@
             return Answer::Error("k is missing");
         }
         let most = class.deadline;
-        if self.journal.image.held.len() >= self.most_held {
+        if self.journal.image().held.len() >= self.most_held {
             self.counts.busy += 1;
             return Answer::Busy(Some(self.courier.come_back(now, destination)));
         }
@@ -432,7 +439,7 @@
             Ok(number) => {
                 self.counts.taken += 1;
                 self.known.insert(id, Known { number, shared: false });
-                let taken = self.journal.image.held.get(&number).map(|held| &held.taken);
+                let taken = self.journal.image().held.get(&number).map(|held| &held.taken);
                 #[cfg(feature = "broken")]
                 let taken = taken.filter(|_| !self.broken.is_seldom(Fault::Swallows));
                 if let Some(accepted) = taken.and_then(|taken| self.accepted(number, taken)) {
@@ -451,7 +458,7 @@
     /// A message of which its client never heard that it was taken on: nobody waits for its end, unless another
     /// hand-in of it was answered meanwhile.
     fn unheard(&mut self, now: Time, message: MessageId) {
-        let id = self.journal.image.held.get(&message.0).map(|held| &held.taken.id);
+        let id = self.journal.image().held.get(&message.0).map(|held| &held.taken.id);
         if id.and_then(|id| self.known.get(id)).is_some_and(|known| !known.shared) {
             self.over(message);
             self.courier.handle(now, Event::ClientGone(message));
@@ -468,7 +475,7 @@
         let listing = self.directory.apply(&update);
         self.courier.handle(now, Event::Listed(listing));
         let (rev, changed) = (update.rev, update.targets.len());
-        let written = self.journal.targets(update);
+        let written = self.journal.targets(&update);
         self.note(written);
         info!(rev, changed, "the list has changed");
         self.pool.keep_only(|endpoint| self.directory.is_open(endpoint));
@@ -534,7 +541,7 @@
 
     /// Nothing more is owed for a message.
     fn over(&mut self, message: MessageId) {
-        if let Some(held) = self.journal.image.held.get(&message.0) {
+        if let Some(held) = self.journal.image().held.get(&message.0) {
             self.known.remove(&held.taken.id);
             let written = self.journal.over(message.0);
             self.note(written);
@@ -580,7 +587,7 @@
     fn route(&mut self, now: Time, message: MessageId, endpoint: EndpointId, try_for: Duration) {
         let (stop, stopped) = oneshot::channel();
         let sent = Rc::new(Cell::new(false));
-        let held = self.journal.image.held.get(&message.0);
+        let held = self.journal.image().held.get(&message.0);
         let attempt = held.map_or(0, |held| held.attempts as u16);
         let taken = held.map(|held| held.taken.clone());
         self.out.insert(message, Out { endpoint, stop: Some(stop), sent: sent.clone(), attempt });
@@ -630,7 +637,7 @@
         let verdict = self.broken.verdict(verdict);
         let written = self.journal.owe(message.0, verdict);
         self.note(written);
-        if let Some(held) = self.journal.image.held.get(&message.0) {
+        if let Some(held) = self.journal.image().held.get(&message.0) {
             #[cfg(feature = "broken")]
             if self.tells_badly(message, held, verdict) {
                 return;
@@ -665,20 +672,34 @@
     /// Writes down what is to be remembered of outages, when it has changed.
     fn note_outages(&mut self) {
         let clock = &self.clock;
-        let uid = |outage: &Outage| outage.endpoint.and_then(|id| self.directory.uid(id)).map(str::to_owned);
-        let notes: Vec<OutageNote> =
-            self.courier.outages().map(|o| OutageNote::new(&o, uid(&o), |at| clock.to_wall(at))).collect();
-        if notes != self.journal.image.outages {
-            let out = |notes: &[OutageNote]| notes.iter().filter(|note| note.lost.is_some()).count();
-            let (before, after) = (out(&self.journal.image.outages), out(&notes));
-            if before != after {
-                if let Some(more) = self.outage_lines.due() {
-                    info!(before, after, more, "destinations held to be out");
-                }
+        let note = |outage: Outage| OutageNote {
+            destination: outage.destination.0,
+            uid: outage.endpoint.and_then(|id| self.directory.uid(id)).map(str::to_owned),
+            since_ms: clock.to_wall(outage.since),
+            evidence: outage.evidence,
+            lost: outage.lost,
+            returned_ms: outage.returned.map(|at| clock.to_wall(at)),
+            share: outage.share,
+        };
+        let notes: Vec<OutageNote> = self.courier.outages().map(note).collect();
+        let before = self.journal.image().outages().filter(|note| note.lost.is_some()).count();
+        let after = notes.iter().filter(|note| note.lost.is_some()).count();
+        if before != after {
+            if let Some(more) = self.outage_lines.due() {
+                info!(before, after, more, "destinations held to be out");
             }
-            let written = self.journal.outages(notes);
-            self.note(written);
         }
+        let written = self.journal.outages(&notes);
+        self.note(written);
+    }
+
+    /// Before anything that a turn has brought about leaves the process: no other task runs until then, so that all
+    /// of it is synced at once where it has to be.
+    fn commit(&mut self) -> Result<(), JournalError> {
+        if let Some(error) = self.journal.trouble() {
+            self.note(Err(error));
+        }
+        self.journal.commit()
     }
 
     fn note(&mut self, written: Result<(), JournalError>) {
@@ -692,7 +713,9 @@
     fn report(&mut self) {
         let Counts { taken, busy, delivered, failed, returned, calls, latest } =
             std::mem::take(&mut self.counts);
-        let (held, out) = (self.journal.image.held.len(), self.out.len());
+        let (held, out) = (self.journal.image().held.len(), self.out.len());
         info!(taken, busy, delivered, failed, returned, calls, held, out, ?latest, "load");
+        let Figures { appended, rewritten, freed, segments, used, live, unwritten } = self.journal.figures();
+        info!(appended, rewritten, freed, segments, used, live, unwritten, "journal");
     }
 }
--- a/crates/gullcart/src/lib.rs
+++ b/crates/gullcart/src/lib.rs
@@ -1,6 +1,6 @@
 //! gullcart: a courier that takes messages from clients and delivers them to partners' endpoints.
 //!
-//! Imports run one way: `vocabulary` and `seldom` below all; `wire`, `calls`, `journal`, `discovery` and `clients`
+//! Imports run one way: `vocabulary` and `seldom` below all; `wire`, `calls`, `discovery` and `clients`
 //! above it, none of which knows the driver; then `driver`, which owns the decisions; then this file.
 #![forbid(unsafe_code)]
 
@@ -10,12 +10,13 @@
 mod clients;
 mod discovery;
 mod driver;
-mod journal;
 mod seldom;
 mod vocabulary;
 mod wire;
 
 use cloverstile::{parse_settings_json, SettingError};
+use gullcart_journal::{Journal, JournalError, Options, OptionsError};
+use gullcart_message::Update;
 use serde::Deserialize;
 use std::ffi::OsString;
 use std::path::{Path, PathBuf};
@@ -27,8 +28,7 @@
 
 use crate::clients::ClientLimits;
 use crate::driver::{Driver, Ends, IDLE_OF_SLOTS};
-use crate::journal::{Journal, JournalError};
-use crate::vocabulary::{Input, Update};
+use crate::vocabulary::Input;
 
 /// Descriptors kept for files, the runtime, the listener, discovery and notices.
 const OTHER_SOCKETS: usize = 32;
@@ -37,6 +37,9 @@
 /// Requests of more than a few KiB, of 68 KiB at most, that are read at a time: an eighth of the memory.
 const LONG_REQUESTS_PER_MB: f64 = 2.0;
 
+/// Names the operators' file of the journal, where there is one.
+const JOURNAL_FILE: &str = "GULLCART_JOURNAL";
+
 #[derive(Deserialize)]
 struct Config {
     name: String,
@@ -67,6 +70,8 @@
     Setting(#[from] SettingError),
     #[error(transparent)]
     Journal(#[from] JournalError),
+    #[error(transparent)]
+    JournalOptions(#[from] OptionsError),
     #[cfg(feature = "broken")]
     #[error("{0}")]
     Broken(String),
@@ -130,7 +135,11 @@
     // Any text serves as a seed, but two couriers must not act alike.
     let seed = u64::from_str_radix(&config.seed, 16)
         .unwrap_or_else(|_| u64::from(crc32fast::hash(config.seed.as_bytes())));
-    let journal = Journal::open(&state, (config.limits.disk_mb * 1e6) as u64)?;
+    let options = match std::env::var_os(JOURNAL_FILE) {
+        Some(path) => Options::read(Path::new(&path))?,
+        None => Options::default(),
+    };
+    let journal = Journal::open(&state, (config.limits.disk_mb * 1e6) as u64, options)?;
 
     #[cfg(feature = "broken")]
     let journal = journal.answering_early(broken.is(broken::Fault::EarlyOk));
@@ -169,6 +178,5 @@
             let _ = inputs.send(Input::Terminate);
         }
     });
-    driver.run(events).await;
-    Ok(())
+    Ok(driver.run(events).await?)
 }
--- a/crates/gullcart/src/vocabulary.rs
+++ b/crates/gullcart/src/vocabulary.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use cloverstile::{Allowance, EndpointId, MessageId, Outcome};
-use serde::{Deserialize, Serialize};
+use gullcart_message::{Taken, Update, Verdict};
 use std::time::Duration;
 use tokio::sync::oneshot;
 
@@ -40,29 +40,6 @@
     Error(&'static str),
 }
 
-/// A message as it was taken on.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Taken {
-    pub id: String,
-    /// Zero in classes without order.
-    pub key: u64,
-    /// By name: its place in the settings may differ after a restart.
-    pub class: String,
-    pub destination: u16,
-    pub idempotency_key: Option<String>,
-    /// Wall time, Unix milliseconds, as are all times here.
-    pub deadline_ms: u64,
-    pub again: bool,
-    pub body: Bytes,
-}
-
-/// How a message ends that was not delivered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Verdict {
-    Failed,
-    Returned { after_ms: u64 },
-}
-
 /// The end of a message that was not delivered, on its way to the platform.
 #[derive(Debug)]
 pub struct Notice {
@@ -71,32 +48,6 @@
     pub verdict: Verdict,
 }
 
-/// An entry of the list.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Target {
-    pub uid: String,
-    pub endpoint: String,
-    pub az: String,
-    pub model: String,
-    pub pod_group: u16,
-    pub state: String,
-    pub capacity_hint: f64,
-}
-
-impl Target {
-    pub fn is_gone(&self) -> bool {
-        self.state == "DELETED"
-    }
-}
-
-/// The whole list, or what changed in it.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct Update {
-    pub rev: u64,
-    pub all: bool,
-    pub targets: Vec<Target>,
-}
-
 /// How a call ended.
 #[derive(Debug)]
 pub struct Ended {
--- a/crates/gullcart/tests/courier.rs
+++ b/crates/gullcart/tests/courier.rs
@@ -303,6 +303,75 @@
     assert_eq!(world.notice(), r#"{"id":"j1","state":"failed"}"#);
 }
 
+/// Damage to what was promised is no torn end: the courier does not start, says where it is, and changes nothing.
+#[test]
+fn a_damaged_journal_is_a_loud_error() {
+    let world = World::new(PROGRAM, 1, 3.0);
+    let courier = world.start();
+    let mut client = courier.client();
+    for id in ["d1", "d2"] {
+        assert_eq!(client.enqueue(id, "0", "salary", 1, b"x"), "+OK");
+        world.call().answer("200 OK", "");
+    }
+    drop(client);
+    let _stopped = courier.kill();
+    let segment = world.state().join("journal-0000000000000001.seg");
+    let mut bytes = std::fs::read(&segment).unwrap();
+    bytes[100] ^= 1;
+    std::fs::write(&segment, &bytes).unwrap();
+    let (said, status) = world.refuse_to_start();
+    assert!(!status.success());
+    assert!(said.contains("journal-0000000000000001.seg is damaged at byte 79"), "{said}");
+    assert!(said.contains("gullcartctl journal repair"), "{said}");
+    assert_eq!(std::fs::read(&segment).unwrap(), bytes);
+}
+
+/// Two couriers on one folder would each undo what the other promised.
+#[test]
+fn a_folder_in_use_is_refused() {
+    let world = World::new(PROGRAM, 1, 3.0);
+    let courier = world.start();
+    let (said, status) = world.refuse_to_start();
+    assert!(!status.success() && said.contains("is in use by another process"), "{said}");
+    // The first one goes on.
+    assert_eq!(courier.client().enqueue("u1", "0", "salary", 1, b"x"), "+OK");
+    world.call().answer("200 OK", "");
+}
+
+/// The operators' file chooses what promises outlast; a bad one is told before anything starts.
+#[test]
+fn the_journal_may_be_kept_so_that_it_outlasts_the_machine() {
+    let mut world = World::new(PROGRAM, 1, 3.0);
+    let file = world.state().with_file_name("journal.toml");
+    world.variables.push(("GULLCART_JOURNAL".to_owned(), file.to_str().unwrap().to_owned()));
+    std::fs::write(&file, "durability = \"disk\"").unwrap();
+    let (said, status) = world.refuse_to_start();
+    assert!(!status.success() && said.contains("journal.toml") && said.contains("durability"), "{said}");
+    std::fs::write(&file, "durability = \"machine\"\nsegment_kib = 16").unwrap();
+    let courier = world.start();
+    assert_eq!(courier.client().enqueue("s1", "0", "salary", 1, b"x"), "+OK");
+    let _out = world.call();
+    let _courier = courier.kill_and_restart();
+    assert_eq!(world.notice(), r#"{"id":"s1","state":"failed"}"#);
+}
+
+/// A courier takes up what the release before it held.
+#[test]
+fn the_journal_of_the_release_before_is_taken_up() {
+    let world = World::new(PROGRAM, 1, 3.0);
+    let old = concat!(env!("CARGO_MANIFEST_DIR"), "/../gullcart-journal/tests/fixtures/journal-0.1");
+    std::fs::copy(old, world.state().join("journal")).unwrap();
+    let courier = world.start();
+    // Their time is long up, their class and their partners are not known here: each still gets its end.
+    let held = courier.log_until("the journal was replayed");
+    let held = held.split_once("held=").map(|(_, rest)| rest.split_whitespace().next());
+    let held: usize = held.flatten().unwrap().parse().unwrap();
+    assert!(held > 5);
+    for _ in 0..held {
+        assert!(world.notice().contains("failed"));
+    }
+}
+
 /// An unwritable disk is a refusal, not a crash.
 #[test]
 fn an_unwritable_journal_turns_messages_away() {
--- a/crates/gullcartctl/src/main.rs
+++ b/crates/gullcartctl/src/main.rs
@@ -2,6 +2,7 @@
 //! could not be done.
 #![forbid(unsafe_code)]
 
+mod journal;
 mod prove;
 mod rehearse;
 
@@ -23,6 +24,8 @@
     Rehearse(rehearse::Arguments),
     /// Prove that the judge catches each deliberately broken courier, and make the table
     Prove(prove::Arguments),
+    /// Look at the journal of a courier that does not run, and repair it
+    Journal(journal::Arguments),
     /// Run a program that dies with the process that started it
     #[command(hide = true)]
     CourierGuard {
@@ -39,6 +42,7 @@
     let result = match Cli::parse().command {
         Command::Rehearse(arguments) => rehearse::rehearse(&arguments),
         Command::Prove(arguments) => prove::prove(&arguments),
+        Command::Journal(arguments) => journal::journal(&arguments),
         Command::CourierGuard { program, arguments } => Err(format!(
             "cannot run {}: {}",
             program.display(),
