--- a/crates/cloverstile/src/settings.rs
+++ b/crates/cloverstile/src/settings.rs
@@ -30,7 +30,7 @@
 }
 
 /// The settings, where the load report keeps its two values, and the names that the protocol on sockets uses.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Parsed {
     /// What the decision module is given.
     pub settings: Settings,
--- /dev/null
+++ b/crates/gullcart-emulator/src/lib.rs
@@ -0,0 +1,41 @@
+//! Rehearsals in virtual time: the same [`Scenario`], the same day, judge and partners, and the real engine and decisions of
+//! each courier, without a socket, a process or a clock. The same seed gives the same trace, wherever it is played.
+//!
+//! What a rehearsal has and this does not: sockets and what libraries make of them, RESP2 and HTTP, descriptors, memory,
+//! and a machine that is late. What was found here is played there if it can be.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod calls;
+mod clients;
+mod courier;
+mod faults;
+mod queue;
+mod world;
+
+pub use world::{Emulated, EmulationError};
+
+use gullcart_rehearsal::{Scenario, Until};
+
+/// How to play a day.
+#[derive(Clone, Copy, Debug)]
+pub struct Options<'a> {
+    /// What everything is drawn from.
+    pub seed: u64,
+    /// When to end.
+    pub until: Until,
+    /// What is broken in all couriers; of no effect unless built with the feature.
+    pub broken: Option<&'a str>,
+}
+
+/// Plays a day; `progress` is told each second of it.
+pub fn emulate(
+    scenario: &Scenario,
+    options: Options<'_>,
+    progress: impl FnMut(f64),
+) -> Result<Emulated, EmulationError> {
+    let world = world::World::build(scenario, options.seed)?;
+    #[cfg(feature = "broken")]
+    let world = world::World { broken: options.broken, ..world };
+    world.play(options.until, progress)
+}
--- /dev/null
+++ b/crates/gullcart-engine/src/directory.rs
@@ -0,0 +1,127 @@
+//! Numbers for the names of the list, and where each endpoint is found.
+
+use cloverstile::{DestinationId, Endpoint, EndpointId, KindId, Listing, Mode, Parsed, ZoneId};
+use gullcart_message::{Target, Update};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use tracing::warn;
+
+/// Numbers for the names that the list uses, and where each endpoint is found.
+pub struct Directory {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    last: u32,
+    numbers: HashMap<String, EndpointId>,
+    entries: BTreeMap<EndpointId, Entry>,
+}
+
+struct Entry {
+    uid: String,
+    zone: ZoneId,
+    destination: DestinationId,
+    address: Option<SocketAddr>,
+    mode: Mode,
+}
+
+impl Directory {
+    pub fn new(parsed: &Parsed) -> Self {
+        Directory {
+            zones: parsed.zone_names.clone(),
+            kinds: parsed.kind_names.clone(),
+            last: 0,
+            numbers: HashMap::new(),
+            entries: BTreeMap::new(),
+        }
+    }
+
+    pub fn address(&self, id: EndpointId) -> Option<SocketAddr> {
+        self.entries.get(&id).and_then(|entry| entry.address)
+    }
+
+    /// The address of some endpoint of another destination.
+    #[cfg(feature = "broken")]
+    pub fn elsewhere(&self, id: EndpointId) -> Option<SocketAddr> {
+        let own = self.destination(id)?;
+        self.entries.values().find(|entry| entry.destination != own && entry.mode == Mode::Ready)?.address
+    }
+
+    pub fn zone(&self, id: EndpointId) -> ZoneId {
+        self.entries.get(&id).map_or(ZoneId(0), |entry| entry.zone)
+    }
+
+    pub fn destination(&self, id: EndpointId) -> Option<DestinationId> {
+        self.entries.get(&id).map(|entry| entry.destination)
+    }
+
+    pub fn uid(&self, id: EndpointId) -> Option<&str> {
+        self.entries.get(&id).map(|entry| entry.uid.as_str())
+    }
+
+    pub fn number(&self, uid: &str) -> Option<EndpointId> {
+        self.numbers.get(uid).copied()
+    }
+
+    /// Whether an endpoint may be given new work.
+    pub fn is_open(&self, id: EndpointId) -> bool {
+        self.entries.get(&id).is_some_and(|entry| entry.mode == Mode::Ready)
+    }
+
+    pub fn is_gone(&self, id: EndpointId) -> bool {
+        self.entries.get(&id).is_some_and(|entry| entry.mode == Mode::Gone)
+    }
+
+    /// Forgets the endpoints that are gone, but those that are still needed.
+    pub fn forget_gone(&mut self, needed: impl Fn(EndpointId) -> bool) {
+        self.entries.retain(|id, entry| entry.mode != Mode::Gone || needed(*id));
+        self.numbers.retain(|_, id| self.entries.contains_key(id));
+    }
+
+    /// Takes news of the list in and words them for the module.
+    pub fn apply(&mut self, update: &Update) -> Listing {
+        if update.all {
+            // What a whole list does not name is gone.
+            self.entries.values_mut().for_each(|entry| entry.mode = Mode::Gone);
+        }
+        let entries = update.targets.iter().map(|target| self.entry(target)).collect();
+        if update.all {
+            Listing::Whole(entries)
+        } else {
+            Listing::Changes(entries)
+        }
+    }
+
+    fn entry(&mut self, target: &Target) -> Endpoint {
+        let id = *self.numbers.entry(target.uid.clone()).or_insert_with(|| {
+            self.last += 1;
+            EndpointId(self.last)
+        });
+        let address = target.endpoint.parse().ok();
+        if address.is_none() {
+            warn!(uid = target.uid, endpoint = target.endpoint, "an endpoint's address cannot be read");
+        }
+        let mode = match target.state.as_str() {
+            "SERVING" if address.is_some() => Mode::Ready,
+            "DELETED" => Mode::Gone,
+            _ => Mode::Draining,
+        };
+        let zone = ZoneId(place(&mut self.zones, &target.az));
+        let kind = KindId(place(&mut self.kinds, &target.model).into());
+        let (uid, destination) = (target.uid.clone(), DestinationId(target.pod_group));
+        self.entries.insert(id, Entry { uid, zone, destination, address, mode });
+        Endpoint { id, zone, kind, destination, mode, weight: target.capacity_hint }
+    }
+}
+
+/// The place of a name in the settings; names that these do not hold come after them, and share the last place
+/// when there are too many.
+fn place(names: &mut Vec<String>, name: &str) -> u8 {
+    let at = names.iter().position(|known| known == name).unwrap_or_else(|| {
+        if names.len() < usize::from(u8::MAX) {
+            warn!(name, "the list uses a name that the settings do not hold");
+            names.push(name.to_owned());
+            return names.len() - 1;
+        }
+        names.len()
+    });
+    u8::try_from(at).unwrap_or(u8::MAX)
+}
--- /dev/null
+++ b/crates/gullcart-engine/src/engine.rs
@@ -0,0 +1,599 @@
+//! The courier between its sockets, its journal and its decisions: what is known, out and owed. Inputs come with the time,
+//! effects are handed out once a turn is over and all that they promise is in the journal. No socket, no clock: the loop
+//! round it moves bytes.
+
+use cloverstile::*;
+use gullcart_journal::{Figures, Held, Journal, JournalError, OutageNote, Store};
+use gullcart_message::{Taken, Update, Verdict};
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+use tracing::{error, info, warn};
+
+#[cfg(feature = "broken")]
+use crate::broken::{Broken, Fault, DEAF_FOR};
+use crate::clock::Clock;
+use crate::directory::Directory;
+use crate::seldom::Seldom;
+use crate::vocabulary::{Answer, Call, Effect as Doing, Ended, Enqueue, Input, Notice, Stop, Ticket};
+
+/// From SIGTERM until the process ends at the latest: SIGKILL comes after 3.7 s.
+const CLOSING: Duration = Duration::from_millis(3200);
+/// From SIGTERM until it ends at the earliest: new connections go on coming for 0.4 s.
+const CLOSING_LEAST: Duration = Duration::from_millis(600);
+
+/// A message that is held.
+struct Known {
+    number: u32,
+    /// A hand-in after the first one was told that it is held: the first can withdraw it no more.
+    shared: bool,
+}
+
+/// A call that is out.
+struct Out {
+    endpoint: EndpointId,
+    attempt: u16,
+    is_stopped: bool,
+}
+
+/// An attempt that was not made.
+const NOT_MADE: Ended =
+    Ended { outcome: Outcome::Moot, latency: Duration::ZERO, complete: false, allowance: None };
+
+/// What the log tells of the load.
+#[derive(Default)]
+struct Counts {
+    taken: u32,
+    busy: u32,
+    delivered: u32,
+    failed: u32,
+    returned: u32,
+    calls: u32,
+}
+
+/// How an engine is begun.
+pub struct Start {
+    /// The settings.
+    pub parsed: Parsed,
+    /// For random numbers.
+    pub seed: u64,
+    /// The list as the configuration has it; it may be old.
+    pub known: Update,
+    /// The module's time now.
+    pub now: Time,
+    /// Unix milliseconds of [`crate::EPOCH`].
+    pub epoch_ms: u64,
+    /// What is broken.
+    #[cfg(feature = "broken")]
+    pub broken: Broken,
+}
+
+/// A courier.
+pub struct Engine<S: Store> {
+    courier: Courier,
+    clock: Clock,
+    journal: Journal<S>,
+    directory: Directory,
+    class_names: Vec<String>,
+    classes: Vec<Class>,
+    most_held: usize,
+    /// The messages held, by their ids.
+    known: HashMap<String, Known>,
+    /// In order, so that the same happens wherever it is played.
+    out: BTreeMap<MessageId, Out>,
+    /// Attempts that could not be made, of which the module hears in the next turn.
+    not_made: Vec<(MessageId, EndpointId)>,
+    effects: Vec<Doing>,
+    ends: Option<(Time, Time)>,
+    wake: Option<(Time, u64)>,
+    actions: Vec<Action>,
+    counts: Counts,
+    journal_errors: Seldom,
+    outage_lines: Seldom,
+    wait_lines: Seldom,
+    #[cfg(feature = "broken")]
+    broken: Broken,
+}
+
+impl<S: Store> Engine<S> {
+    /// A courier that has taken up again all that the journal holds.
+    pub fn new(start: Start, journal: Journal<S>) -> Self {
+        let Start { mut parsed, seed, known, now, epoch_ms, .. } = start;
+        parsed.settings.answers_take_time = true;
+        let directory = Directory::new(&parsed);
+        let settings = parsed.settings;
+        let mut engine = Engine {
+            class_names: parsed.class_names,
+            classes: settings.classes.clone(),
+            most_held: settings.most_held,
+            courier: Courier::new(settings, seed),
+            clock: Clock::new(epoch_ms),
+            journal,
+            directory,
+            known: HashMap::new(),
+            out: BTreeMap::new(),
+            not_made: Vec::new(),
+            effects: Vec::new(),
+            ends: None,
+            wake: None,
+            actions: Vec::new(),
+            counts: Counts::default(),
+            journal_errors: Seldom::default(),
+            outage_lines: Seldom::default(),
+            wait_lines: Seldom::default(),
+            #[cfg(feature = "broken")]
+            broken: start.broken,
+        };
+        engine.restore(now, known);
+        engine
+    }
+
+    /// The version of the list that the courier has.
+    pub fn rev(&self) -> u64 {
+        self.journal.image().rev
+    }
+
+    /// Messages held, and calls out.
+    pub fn load(&self) -> (usize, usize) {
+        (self.journal.image().held.len(), self.out.len())
+    }
+
+    /// What is in the journal.
+    pub fn journal(&self) -> &Journal<S> {
+        &self.journal
+    }
+
+    /// Whether an endpoint may be given new work.
+    pub fn is_open(&self, endpoint: EndpointId) -> bool {
+        self.directory.is_open(endpoint)
+    }
+
+    /// When the next turn is due at the latest, if nothing happens before.
+    pub fn next_wake(&self) -> Option<Time> {
+        if !self.not_made.is_empty() {
+            return Some(Time::ZERO);
+        }
+        let ends = self.ends.map(|(_, last)| last);
+        self.wake.map(|(at, _)| at).into_iter().chain(ends).min()
+    }
+
+    /// Ends a turn: timers that are due, decisions, and what they bring about. Nothing of what happened since the turn
+    /// before has left until its effects are taken. An error is final: nobody can know what of the journal will last.
+    pub fn turn(&mut self, now: Time) -> Result<Vec<Doing>, JournalError> {
+        for (message, endpoint) in std::mem::take(&mut self.not_made) {
+            self.ended(now, message, endpoint, NOT_MADE);
+        }
+        if let Some((_, token)) = self.wake.filter(|(at, _)| *at <= now) {
+            self.wake = None;
+            self.courier.handle(now, Event::TickDue(token));
+        }
+        self.decide(now);
+        if let Some(error) = self.journal.trouble() {
+            self.note(now, Err(error));
+        }
+        self.journal.commit()?;
+        Ok(std::mem::take(&mut self.effects))
+    }
+
+    /// Whether the process may end now.
+    pub fn may_end(&self, now: Time) -> bool {
+        let Some((least, last)) = self.ends else { return false };
+        let (held, out) = self.load();
+        now >= last || (now >= least && held == 0 && out == 0)
+    }
+
+    fn restore(&mut self, now: Time, known: Update) {
+        let written = self.journal.destinations(known.targets.iter().map(|target| target.pod_group));
+        self.note(now, written);
+        let image = self.journal.image();
+        // What was told before the restart counts as told: the list that comes with the start may be older.
+        if image.rev == 0 || image.rev < known.rev {
+            let update = Update { all: true, ..known };
+            let listing = self.directory.apply(&update);
+            self.courier.handle(now, Event::Listed(listing));
+            let written = self.journal.targets(&update);
+            self.note(now, written);
+        } else {
+            let targets = image.targets.values().cloned().collect();
+            let listing = self.directory.apply(&Update { rev: image.rev, all: true, targets });
+            self.courier.handle(now, Event::Listed(listing));
+        }
+        let notes: Vec<OutageNote> = self.journal.image().outages().cloned().collect();
+        for note in notes {
+            let endpoint = note.uid.as_ref().and_then(|uid| self.directory.number(uid));
+            if note.uid.is_some() && endpoint.is_none() {
+                continue;
+            }
+            let outage = Outage {
+                destination: DestinationId(note.destination),
+                endpoint,
+                since: self.clock.of_wall(note.since_ms),
+                evidence: note.evidence,
+                lost: note.lost,
+                returned: note.returned_ms.map(|ms| self.clock.of_wall(ms)),
+                share: note.share,
+            };
+            self.courier.handle(now, Event::Recalled(outage));
+        }
+        let held: Vec<(u32, Held)> = self.journal.image().held.iter().map(|(n, h)| (*n, h.clone())).collect();
+        #[cfg(feature = "broken")]
+        let held: Vec<(u32, Held)> = match () {
+            () if self.broken.is(Fault::ForgetsAtRestart) => Vec::new(),
+            () if self.broken.is(Fault::ReordersAtRestart) => held.into_iter().rev().collect(),
+            () => held,
+        };
+        for (number, held) in &held {
+            self.restore_message(now, *number, held);
+        }
+        info!(held = held.len(), rev = self.rev(), "the journal was replayed");
+    }
+
+    fn restore_message(&mut self, now: Time, number: u32, held: &Held) {
+        self.known.insert(held.taken.id.clone(), Known { number, shared: false });
+        let message = MessageId(number);
+        let Some(taken) = self.accepted(number, &held.taken) else {
+            warn!(class = held.taken.class, "a message of a class that is not known any more is given up");
+            self.owe(now, message, Verdict::Failed);
+            return;
+        };
+        // An attempt without an outcome may have run, also if its process died before the first byte.
+        if held.out.is_some() {
+            let written = self.journal.outcome(number, true);
+            self.note(now, written);
+        }
+        let maybe_ran = held.maybe_ran.or(held.out).map(|(ms, zone)| (self.clock.of_wall(ms), ZoneId(zone)));
+        let answered = held.verdict.is_some();
+        let restored = Restored { taken, attempts: held.attempts, maybe_ran, answered };
+        self.courier.handle(now, Event::Restored(restored));
+        if let Some(verdict) = held.verdict {
+            self.effects.push(Doing::Tell(Notice { message, id: held.taken.id.clone(), verdict }));
+        }
+    }
+
+    fn accepted(&self, number: u32, taken: &Taken) -> Option<Accepted> {
+        let class = self.class(&taken.class)?;
+        Some(Accepted {
+            id: MessageId(number),
+            class,
+            destination: DestinationId(taken.destination),
+            key: (taken.key != 0).then_some(OrderKey(taken.key)),
+            deadline: self.clock.of_wall(taken.deadline_ms),
+            from_dead_courier: taken.again,
+            tenant: TenantId(0),
+        })
+    }
+
+    fn class(&self, name: &str) -> Option<ClassId> {
+        self.class_names.iter().position(|known| known == name).map(|at| ClassId(at as u8))
+    }
+
+    /// Something has happened. Its effects come with the end of the turn.
+    pub fn handle(&mut self, now: Time, input: Input) {
+        match input {
+            Input::Enqueue(ticket, enqueue) => {
+                let answer = self.enqueue(now, enqueue);
+                self.answer(ticket, answer);
+            }
+            Input::Unheard(message) => self.unheard(now, message),
+            #[cfg(feature = "broken")]
+            Input::Listed(update) if self.broken.is(Fault::LateToDrains) && !update.all => {
+                // A whole list is not held up.
+                self.effects.push(Doing::HearLater(update, DEAF_FOR));
+            }
+            #[cfg(feature = "broken")]
+            Input::HeardAtLast(update) => self.listed(now, update),
+            Input::Listed(update) => self.listed(now, update),
+            Input::Ended(message, endpoint, ended) => self.ended(now, message, endpoint, ended),
+            Input::Heard(messages) => {
+                for message in messages {
+                    self.over(now, message);
+                    self.courier.handle(now, Event::Heard(message));
+                }
+            }
+            Input::Terminate if self.ends.is_some() => {}
+            Input::Terminate => {
+                let (held, out) = self.load();
+                info!(held, out, "told to end");
+                self.ends = Some((now + CLOSING_LEAST, now + CLOSING));
+                self.courier.handle(now, Event::Closing(now + CLOSING));
+                self.effects.push(Doing::Closing);
+            }
+        }
+    }
+
+    fn answer(&mut self, ticket: Ticket, answer: Answer) {
+        self.effects.push(Doing::Answer(ticket, answer));
+    }
+
+    fn enqueue(&mut self, now: Time, enqueue: Enqueue) -> Answer {
+        let Some(class) = self.class(&enqueue.class) else { return Answer::Error("unknown class") };
+        if let Some(known) = self.known.get_mut(&enqueue.id) {
+            // Sent once more on a new connection; or by somebody else, to whom the id does not belong.
+            let held = self.journal.image().held.get(&known.number);
+            if !held.is_some_and(|held| enqueue.is_same(&held.taken)) {
+                return Answer::Error("the id is in use for another message");
+            }
+            known.shared = true;
+            return Answer::Held;
+        }
+        let destination = DestinationId(enqueue.destination);
+        if !self.journal.image().destinations.contains(&enqueue.destination) {
+            return Answer::Error("unknown destination");
+        }
+        let class = &self.classes[usize::from(class.0)];
+        if class.effect == Effect::Keyed && enqueue.idempotency_key.is_none() {
+            return Answer::Error("k is missing");
+        }
+        let most = class.deadline;
+        if self.journal.image().held.len() >= self.most_held {
+            self.counts.busy += 1;
+            return Answer::Busy(Some(self.courier.come_back(now, destination)));
+        }
+        let taken = Taken {
+            id: enqueue.id,
+            key: enqueue.key,
+            class: enqueue.class,
+            destination: enqueue.destination,
+            idempotency_key: enqueue.idempotency_key,
+            deadline_ms: self.clock.to_wall(now + enqueue.left.min(most)),
+            again: enqueue.again,
+            body: enqueue.body,
+        };
+        let id = taken.id.clone();
+        match self.journal.take(taken) {
+            Ok(number) => {
+                self.counts.taken += 1;
+                self.known.insert(id, Known { number, shared: false });
+                let taken = self.journal.image().held.get(&number).map(|held| &held.taken);
+                #[cfg(feature = "broken")]
+                let taken = taken.filter(|_| !self.broken.is_seldom(Fault::Swallows));
+                if let Some(accepted) = taken.and_then(|taken| self.accepted(number, taken)) {
+                    self.courier.handle(now, Event::Accept(accepted));
+                }
+                Answer::Taken(MessageId(number))
+            }
+            Err(error) => {
+                self.note(now, Err(error));
+                self.counts.busy += 1;
+                Answer::Busy(Some(self.courier.come_back(now, destination)))
+            }
+        }
+    }
+
+    /// A message of which its client never heard that it was taken on: nobody waits for its end, unless another
+    /// hand-in of it was answered meanwhile.
+    fn unheard(&mut self, now: Time, message: MessageId) {
+        let id = self.journal.image().held.get(&message.0).map(|held| &held.taken.id);
+        if id.and_then(|id| self.known.get(id)).is_some_and(|known| !known.shared) {
+            self.over(now, message);
+            self.courier.handle(now, Event::ClientGone(message));
+        }
+    }
+
+    fn listed(&mut self, now: Time, update: Update) {
+        #[cfg(feature = "broken")]
+        let update = self.broken.listed(update);
+        // A watch that begins anew often has nothing new to tell.
+        if update.targets.is_empty() && !update.all {
+            return;
+        }
+        let listing = self.directory.apply(&update);
+        self.courier.handle(now, Event::Listed(listing));
+        let (rev, changed) = (update.rev, update.targets.len());
+        let written = self.journal.targets(&update);
+        self.note(now, written);
+        info!(rev, changed, "the list has changed");
+        self.effects.push(Doing::CloseShut);
+        self.withdraw(|endpoint, directory| !directory.is_open(endpoint));
+        self.forget_gone();
+    }
+
+    /// Forgets the endpoints that are gone, once none of their calls is out.
+    fn forget_gone(&mut self) {
+        let out = &self.out;
+        self.directory.forget_gone(|endpoint| out.values().any(|out| out.endpoint == endpoint));
+    }
+
+    /// Takes back the calls to some endpoints that are still connecting: by the time their connections are up
+    /// they would be new work for an endpoint that drains, or calls inside a told wait.
+    fn withdraw(&mut self, which: impl Fn(EndpointId, &Directory) -> bool) {
+        for (message, out) in &self.out {
+            if !out.is_stopped && which(out.endpoint, &self.directory) {
+                self.effects.push(Doing::Stop(*message, Stop::Withdrawn));
+            }
+        }
+    }
+
+    fn ended(&mut self, now: Time, message: MessageId, endpoint: EndpointId, ended: Ended) {
+        #[cfg(feature = "broken")]
+        let ended = self.broken.ended(ended);
+        let Some(out) = self.out.remove(&message) else { return };
+        if let Outcome::Full(Some(wait)) = ended.outcome {
+            let destination = self.directory.destination(endpoint);
+            if let Some(more) = self.wait_lines.due(now) {
+                info!(?destination, ?wait, more, "told to wait");
+            }
+            self.withdraw(|other, directory| directory.destination(other) == destination);
+        }
+        if ended.complete {
+            self.counts.delivered += u32::from(ended.outcome == Outcome::Ok);
+            self.over(now, message);
+        } else {
+            let never = matches!(
+                ended.outcome,
+                Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot | Outcome::Spent
+            );
+            let written = self.journal.outcome(message.0, !never);
+            self.note(now, written);
+        }
+        self.courier.handle(
+            now,
+            Event::Finished(Finished {
+                message,
+                endpoint,
+                attempt: out.attempt,
+                outcome: ended.outcome,
+                latency: ended.latency,
+                complete: ended.complete,
+                allowance: ended.allowance,
+            }),
+        );
+        if self.directory.is_gone(endpoint) {
+            self.forget_gone();
+        }
+    }
+
+    /// Nothing more is owed for a message.
+    fn over(&mut self, now: Time, message: MessageId) {
+        if let Some(held) = self.journal.image().held.get(&message.0) {
+            self.known.remove(&held.taken.id);
+            let written = self.journal.over(message.0);
+            self.note(now, written);
+        }
+    }
+
+    fn decide(&mut self, now: Time) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.courier.decide(now, &mut actions);
+        for action in actions.drain(..) {
+            self.act(now, action);
+        }
+        self.actions = actions;
+        self.note_outages(now);
+    }
+
+    fn act(&mut self, now: Time, action: Action) {
+        match action {
+            Action::Route { message, endpoint, try_for } => self.route(now, message, endpoint, try_for),
+            Action::StopAttempt { message, .. } => {
+                // A message has one attempt out at most.
+                if let Some(out) = self.out.get_mut(&message).filter(|out| !out.is_stopped) {
+                    out.is_stopped = true;
+                    self.effects.push(Doing::Stop(message, Stop::CalledOff));
+                }
+            }
+            Action::Busy { message, after } => {
+                self.counts.returned += 1;
+                self.owe(now, message, Verdict::Returned { after_ms: after.as_millis() as u64 });
+            }
+            Action::ReportFailure { message } => {
+                self.counts.failed += 1;
+                self.owe(now, message, Verdict::Failed);
+            }
+            Action::Wake { after, token } => self.wake = Some((now + after, token)),
+            Action::CloseIdle { endpoint } => self.effects.push(Doing::CloseIdle(endpoint)),
+            Action::Log { text } => info!("{text}"),
+            // The watch is always on, and the deployment permits neither probes nor notes.
+            Action::KeepInformed { .. } | Action::Refresh | Action::Probe { .. } | Action::Tell { .. } => {}
+        }
+    }
+
+    fn route(&mut self, now: Time, message: MessageId, endpoint: EndpointId, try_for: Duration) {
+        let held = self.journal.image().held.get(&message.0);
+        let attempt = held.map_or(0, |held| held.attempts as u16);
+        let taken = held.map(|held| held.taken.clone());
+        self.out.insert(message, Out { endpoint, attempt, is_stopped: false });
+        // An attempt that the next process would not know of is not made.
+        let start = (self.clock.to_wall(now), self.directory.zone(endpoint).0);
+        let written = self.journal.start(message.0, start);
+        let known = taken.zip(self.directory.address(endpoint)).filter(|_| written.is_ok());
+        self.note(now, written);
+        let Some((taken, address)) = known else {
+            self.not_made.push((message, endpoint));
+            return;
+        };
+        self.counts.calls += 1;
+        #[cfg(feature = "broken")]
+        let address = match self.broken.is_seldom(Fault::GoesAstray) {
+            true => self.directory.elsewhere(endpoint).unwrap_or(address),
+            false => address,
+        };
+        let Taken { id, idempotency_key, body, .. } = taken;
+        #[cfg(feature = "broken")]
+        let idempotency_key = idempotency_key.map(|key| match attempt > 0 && self.broken.is(Fault::NewKey) {
+            true => format!("{key}{attempt}"),
+            false => key,
+        });
+        let call = Call { message, endpoint, address, id, idempotency_key, body, try_for };
+        #[cfg(feature = "broken")]
+        if self.broken.is(Fault::SideBySide) {
+            self.effects.push(Doing::BeginUnknown(call.clone()));
+        }
+        self.effects.push(Doing::Begin(call));
+    }
+
+    /// Gives a message its end. It is in the journal before it is told: who was told that a message came back
+    /// may hand it in again, and it must not be sent after that.
+    fn owe(&mut self, now: Time, message: MessageId, verdict: Verdict) {
+        #[cfg(feature = "broken")]
+        let verdict = self.broken.verdict(verdict);
+        let written = self.journal.owe(message.0, verdict);
+        self.note(now, written);
+        if let Some(held) = self.journal.image().held.get(&message.0) {
+            #[cfg(feature = "broken")]
+            if let Some(instead) = self.tells_badly(message, held, verdict) {
+                return self.effects.extend(instead);
+            }
+            let notice = Notice { message, id: held.taken.id.clone(), verdict };
+            self.effects.push(Doing::Tell(notice));
+        }
+    }
+
+    /// What is done in place of telling an end, where that is broken.
+    #[cfg(feature = "broken")]
+    fn tells_badly(&self, message: MessageId, held: &Held, verdict: Verdict) -> Option<Vec<Doing>> {
+        let notice = |verdict| Notice { message, id: held.taken.id.clone(), verdict };
+        if self.broken.is(Fault::EndsTwice) {
+            let other = match verdict {
+                Verdict::Failed => Verdict::Returned { after_ms: 100 },
+                Verdict::Returned { .. } => Verdict::Failed,
+            };
+            return Some(vec![Doing::Tell(notice(other)), Doing::Tell(notice(verdict))]);
+        }
+        if self.broken.is(Fault::KeepsBack) && verdict == Verdict::Failed {
+            let due = self.clock.of_wall(held.taken.deadline_ms) - Duration::from_millis(100);
+            return Some(vec![Doing::TellLater(notice(verdict), due)]);
+        }
+        (self.broken.is(Fault::NeverTells) && verdict == Verdict::Failed).then(Vec::new)
+    }
+
+    /// Writes down what is to be remembered of outages, when it has changed.
+    fn note_outages(&mut self, now: Time) {
+        let clock = &self.clock;
+        let note = |outage: Outage| OutageNote {
+            destination: outage.destination.0,
+            uid: outage.endpoint.and_then(|id| self.directory.uid(id)).map(str::to_owned),
+            since_ms: clock.to_wall(outage.since),
+            evidence: outage.evidence,
+            lost: outage.lost,
+            returned_ms: outage.returned.map(|at| clock.to_wall(at)),
+            share: outage.share,
+        };
+        let notes: Vec<OutageNote> = self.courier.outages().map(note).collect();
+        let before = self.journal.image().outages().filter(|note| note.lost.is_some()).count();
+        let after = notes.iter().filter(|note| note.lost.is_some()).count();
+        if before != after {
+            if let Some(more) = self.outage_lines.due(now) {
+                info!(before, after, more, "destinations held to be out");
+            }
+        }
+        let written = self.journal.outages(&notes);
+        self.note(now, written);
+    }
+
+    fn note(&mut self, now: Time, written: Result<(), JournalError>) {
+        if let Err(error) = written {
+            if let Some(more) = self.journal_errors.due(now) {
+                error!(%error, more, "the journal cannot be written");
+            }
+        }
+    }
+
+    /// Says in the log what has happened since the last time, and how late the loop was at the most.
+    pub fn report(&mut self, latest: Duration) {
+        let Counts { taken, busy, delivered, failed, returned, calls } = std::mem::take(&mut self.counts);
+        let (held, out) = self.load();
+        info!(taken, busy, delivered, failed, returned, calls, held, out, ?latest, "load");
+        let Figures { appended, rewritten, freed, segments, used, live, unwritten } = self.journal.figures();
+        info!(appended, rewritten, freed, segments, used, live, unwritten, "journal");
+    }
+}
--- /dev/null
+++ b/crates/gullcart-engine/src/lib.rs
@@ -0,0 +1,22 @@
+//! The courier without sockets and without a clock.
+//!
+//! [`Engine`] is told what happens, with the time, and gives back what is to be done ([`Effect`]) when a turn is over: all
+//! that was promised in it is in the journal by then. The daemon moves bytes round it; a fleet in virtual time can
+//! run it as it is, on a simulated folder.
+//!
+//! What stays bounded, and by what: messages held by the settings and the journal's room, calls out by the call slots,
+//! effects of a turn by what happened in it, notices by the messages held.
+#![forbid(unsafe_code)]
+
+#[cfg(feature = "broken")]
+pub mod broken;
+mod clock;
+mod directory;
+mod engine;
+mod seldom;
+mod vocabulary;
+
+pub use clock::{Clock, EPOCH};
+pub use engine::{Engine, Start};
+pub use seldom::Seldom;
+pub use vocabulary::{Answer, Call, Effect, Ended, Enqueue, Input, Notice, Stop, Ticket};
--- /dev/null
+++ b/crates/gullcart-engine/tests/promises.rs
@@ -0,0 +1,318 @@
+//! Nothing leaves the engine before the journal has what it promises: seen by crashing after every turn.
+
+use bytes::Bytes;
+use cloverstile::{parse_settings_json, EndpointId, MessageId, Outcome, Time};
+use gullcart_engine::{Answer, Effect, Ended, Engine, Enqueue, Input, Start, Stop, Ticket, EPOCH};
+use gullcart_journal::simulated::{Crash, Disk, Fault};
+use gullcart_journal::{Durability, Image, Journal, Options};
+use gullcart_message::{Target, Update, Verdict};
+use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+const DISK: u64 = 256 << 10;
+const START_MS: u64 = 1_790_000_000_000;
+
+fn target(number: u16, state: &str) -> Target {
+    Target {
+        uid: format!("s-{number}"),
+        endpoint: format!("127.0.0.1:{}", 1000 + number),
+        az: "kingston".to_owned(),
+        model: "banks".to_owned(),
+        pod_group: number / 2,
+        state: state.to_owned(),
+        capacity_hint: 20.0,
+    }
+}
+
+fn options(crash: Crash) -> Options {
+    let durability = match crash {
+        Crash::Process => Durability::Process,
+        Crash::Machine => Durability::Machine,
+    };
+    Options { durability, segment: None }
+}
+
+fn journal(disk: &Disk, crash: Crash) -> Journal<Disk> {
+    Journal::replay(disk.clone(), DISK, options(crash), 7).unwrap()
+}
+
+fn engine(disk: &Disk, crash: Crash, now: Time) -> Engine<Disk> {
+    let class = |name: &str, effect: &str, order: bool| {
+        json!({
+            "Name": name, "Effect": effect, "Group": "all", "RepeatWindow": 10_000_000_000_u64, "OneAtATime": order,
+            "Worth": 1.0, "LateShare": 0.5, "Aim": 3_000_000_000_u64, "Deadline": 24_000_000_000_u64,
+        })
+    };
+    let settings = json!({
+        "Balancers": 1, "Lanes": [class("notice", "idempotency_key", true), class("salary", "non_idempotent", false)],
+        "MachineTypes": ["banks"], "Zones": ["kingston"], "WeightSource": "nominal",
+        "FamilyInfo": {"CallsOut": 8, "KindBatch": [1], "OwnLimits": [false]},
+        "Permissions": {"MostHeld": 60, "SendCap": 8, "Cancel": true, "ConnIdle": 15_000_000_000_u64,
+            "ConnectTimeout": 1_000_000_000_u64},
+        "Rules": {"AnswerSlack": 20_000_000, "OrderSettle": 100_000_000, "Fall": 2_000_000_000_u64},
+    });
+    let targets = (0..8).map(|number| target(number, "SERVING")).collect();
+    let start = Start {
+        parsed: parse_settings_json(&settings).unwrap(),
+        seed: 7,
+        known: Update { rev: 1, all: true, targets },
+        now,
+        epoch_ms: START_MS,
+        #[cfg(feature = "broken")]
+        broken: Default::default(),
+    };
+    Engine::new(start, journal(disk, crash))
+}
+
+fn enqueue(number: u64, class: &str, destination: u16) -> Enqueue {
+    Enqueue {
+        id: format!("m{number}"),
+        key: if class == "notice" { 1 + number % 3 } else { 0 },
+        class: class.to_owned(),
+        destination,
+        left: Duration::from_secs(20),
+        idempotency_key: (class == "notice").then(|| format!("k{number}")),
+        again: false,
+        body: Bytes::from_static(b"x"),
+    }
+}
+
+fn after_a_crash(disk: &Disk, crash: Crash) -> Image {
+    journal(&disk.crashed(), crash).image().clone()
+}
+
+/// Everything that effects promise stands in the journal that a crash would leave.
+fn kept(effects: &[Effect], image: &Image) -> Result<(), String> {
+    for effect in effects {
+        let good = match effect {
+            Effect::Answer(_, Answer::Taken(message)) => image.held.contains_key(&message.0),
+            Effect::Begin(call) => image.held.get(&call.message.0).is_some_and(|held| held.out.is_some()),
+            Effect::Tell(notice) => {
+                image.held.get(&notice.message.0).is_some_and(|held| held.verdict == Some(notice.verdict))
+            }
+            _ => true,
+        };
+        if !good {
+            return Err(format!("{effect:?} left before the journal had it"));
+        }
+    }
+    Ok(())
+}
+
+/// A courier at work, with what its world knows.
+struct World {
+    disk: Disk,
+    engine: Engine<Disk>,
+    now: Time,
+    rng: fastrand::Rng,
+    out: BTreeMap<MessageId, EndpointId>,
+    told: BTreeSet<MessageId>,
+    next: u64,
+}
+
+impl World {
+    fn new(seed: u64, crash: Crash) -> Self {
+        let disk = Disk::new(DISK, crash, seed);
+        let engine = engine(&disk, crash, EPOCH);
+        let rng = fastrand::Rng::with_seed(seed);
+        World { disk, engine, now: EPOCH, rng, out: BTreeMap::new(), told: BTreeSet::new(), next: 0 }
+    }
+
+    fn something_happens(&mut self) {
+        self.now = self.now + Duration::from_millis(self.rng.u64(0..60));
+        let input = match self.rng.u8(..10) {
+            0..4 => {
+                self.next += 1;
+                let class = if self.rng.bool() { "notice" } else { "salary" };
+                Input::Enqueue(Ticket(self.next), enqueue(self.next, class, self.rng.u16(..4)))
+            }
+            4..8 => {
+                let Some((message, endpoint)) = self.out.pop_first() else { return };
+                let outcome = match self.rng.u8(..8) {
+                    0 => Outcome::Reset,
+                    1 => Outcome::Full(Some(Duration::from_millis(200))),
+                    2 => Outcome::ConnectFailed,
+                    3 => Outcome::Timeout,
+                    _ => Outcome::Ok,
+                };
+                let complete = outcome == Outcome::Ok;
+                let latency = Duration::from_millis(40);
+                Input::Ended(message, endpoint, Ended { outcome, latency, complete, allowance: None })
+            }
+            8 => Input::Heard(std::mem::take(&mut self.told).into_iter().collect()),
+            _ => {
+                let state = if self.rng.bool() { "DRAINING" } else { "SERVING" };
+                let targets = vec![target(self.rng.u16(..8), state)];
+                Input::Listed(Update { rev: self.engine.rev() + 1, all: false, targets })
+            }
+        };
+        self.engine.handle(self.now, input);
+    }
+
+    fn turn(&mut self) -> Vec<Effect> {
+        let effects = self.engine.turn(self.now).unwrap();
+        for effect in &effects {
+            match effect {
+                Effect::Begin(call) => {
+                    let before = self.out.insert(call.message, call.endpoint);
+                    assert_eq!(before, None, "two calls of one message are out");
+                }
+                Effect::Tell(notice) => drop(self.told.insert(notice.message)),
+                // None has left yet for good.
+                Effect::Stop(message, Stop::CalledOff) => {
+                    if let Some(endpoint) = self.out.remove(message) {
+                        let latency = Duration::ZERO;
+                        let outcome = Outcome::Cancelled;
+                        let ended = Ended { outcome, latency, complete: false, allowance: None };
+                        self.engine.handle(self.now, Input::Ended(*message, endpoint, ended));
+                    }
+                }
+                _ => {}
+            }
+        }
+        effects
+    }
+}
+
+fn a_day(seed: u64, crash: Crash) -> (u64, u64) {
+    let mut world = World::new(seed, crash);
+    let (mut begun, mut told) = (0, 0);
+    for turn in 0..600 {
+        for _ in 0..world.rng.u8(1..5) {
+            world.something_happens();
+        }
+        let effects = world.turn();
+        begun += effects.iter().filter(|effect| matches!(effect, Effect::Begin(_))).count() as u64;
+        told += effects.iter().filter(|effect| matches!(effect, Effect::Tell(_))).count() as u64;
+        let image = after_a_crash(&world.disk, crash);
+        kept(&effects, &image).unwrap_or_else(|error| panic!("seed {seed}, turn {turn}: {error}"));
+        if turn % 97 == 96 {
+            // The process dies, and the next one takes up what it held: nothing unsafe that was out goes again.
+            let out: Vec<MessageId> = world.out.keys().copied().collect();
+            let salaries: Vec<MessageId> =
+                out.into_iter().filter(|message| image.held[&message.0].taken.class == "salary").collect();
+            world.disk = world.disk.crashed();
+            world.out.clear();
+            world.told.clear();
+            world.engine = engine(&world.disk, crash, world.now);
+            let effects = world.turn();
+            for message in salaries {
+                assert!(!effects
+                    .iter()
+                    .any(|effect| matches!(effect, Effect::Begin(c) if c.message == message)));
+            }
+        }
+    }
+    (begun, told)
+}
+
+#[test]
+fn nothing_leaves_before_the_journal_has_it() {
+    for crash in [Crash::Process, Crash::Machine] {
+        let (mut begun, mut told) = (0, 0);
+        for seed in 0..3 {
+            let (more_begun, more_told) = a_day(seed, crash);
+            (begun, told) = (begun + more_begun, told + more_told);
+        }
+        assert!(begun > 500 && told > 50, "{begun} calls and {told} notices prove little");
+    }
+}
+
+/// The check above can fail: without its commit a turn's promises are lost with the machine.
+#[test]
+fn the_check_sees_a_promise_that_is_not_kept() {
+    let disk = Disk::new(DISK, Crash::Machine, 1);
+    let mut engine = engine(&disk, Crash::Process, EPOCH);
+    engine.handle(EPOCH, Input::Enqueue(Ticket(1), enqueue(1, "salary", 1)));
+    let effects = engine.turn(EPOCH).unwrap();
+    let lost = (0..50).any(|_| {
+        // Nothing was synced, so that the folder may come back with anything, or with damage.
+        match Journal::replay(disk.crashed(), DISK, options(Crash::Process), 7) {
+            Ok(journal) => kept(&effects, journal.image()).is_err(),
+            Err(_) => true,
+        }
+    });
+    assert!(lost);
+}
+
+#[test]
+fn what_cannot_be_written_is_refused_and_no_call_is_made() {
+    let disk = Disk::new(DISK, Crash::Process, 1);
+    let mut engine = engine(&disk, Crash::Process, EPOCH);
+    engine.handle(EPOCH, Input::Enqueue(Ticket(1), enqueue(1, "salary", 1)));
+    for operation in 1..200 {
+        disk.fail(disk.operations() + operation, Fault::Error);
+    }
+    // It was taken on while that could be written; its attempt cannot be.
+    engine.handle(EPOCH, Input::Enqueue(Ticket(2), enqueue(2, "salary", 1)));
+    let effects = engine.turn(EPOCH).unwrap();
+    let answers: Vec<&Effect> =
+        effects.iter().filter(|effect| matches!(effect, Effect::Answer(..))).collect();
+    assert!(matches!(answers[0], Effect::Answer(Ticket(1), Answer::Taken(_))), "{answers:?}");
+    assert!(matches!(answers[1], Effect::Answer(Ticket(2), Answer::Busy(Some(_)))), "{answers:?}");
+    assert!(!effects.iter().any(|effect| matches!(effect, Effect::Begin(_))), "{effects:?}");
+    assert!(engine.next_wake().is_some());
+    disk.mend();
+    // Once it can be written the attempt is made.
+    let mut now = EPOCH;
+    for _ in 0..50 {
+        now = now + Duration::from_millis(100);
+        if engine.turn(now).unwrap().iter().any(|effect| matches!(effect, Effect::Begin(_))) {
+            return;
+        }
+    }
+    panic!("the message was never sent");
+}
+
+#[test]
+fn a_failed_sync_is_final_and_gives_nothing_out() {
+    let disk = Disk::new(DISK, Crash::Machine, 1);
+    let mut engine = engine(&disk, Crash::Machine, EPOCH);
+    engine.turn(EPOCH).unwrap();
+    engine.handle(EPOCH, Input::Enqueue(Ticket(1), enqueue(1, "salary", 1)));
+    disk.refuse(true);
+    assert!(engine.turn(EPOCH).is_err());
+}
+
+#[test]
+fn a_client_that_hands_in_the_same_again_hears_that_it_is_held() {
+    let disk = Disk::new(DISK, Crash::Process, 1);
+    let mut engine = engine(&disk, Crash::Process, EPOCH);
+    for ticket in 1..=2 {
+        engine.handle(EPOCH, Input::Enqueue(Ticket(ticket), enqueue(1, "salary", 1)));
+    }
+    let other = Enqueue { body: Bytes::from_static(b"other"), ..enqueue(1, "salary", 1) };
+    engine.handle(EPOCH, Input::Enqueue(Ticket(3), other));
+    let effects = engine.turn(EPOCH).unwrap();
+    let answer = |number| {
+        let of = |effect: &Effect| match effect {
+            Effect::Answer(Ticket(ticket), answer) if *ticket == number => Some(answer.clone()),
+            _ => None,
+        };
+        effects.iter().find_map(of)
+    };
+    assert!(matches!(answer(1), Some(Answer::Taken(_))));
+    assert_eq!(answer(2), Some(Answer::Held));
+    assert!(matches!(answer(3), Some(Answer::Error(_))));
+    // The first was not heard, but the second was: it stays.
+    engine.handle(EPOCH, Input::Unheard(MessageId(1)));
+    assert_eq!(engine.load().0, 1);
+}
+
+#[test]
+fn it_ends_at_once_when_nothing_is_held_and_in_time_when_something_is() {
+    let disk = Disk::new(DISK, Crash::Process, 1);
+    let mut engine = engine(&disk, Crash::Process, EPOCH);
+    engine.handle(EPOCH, Input::Terminate);
+    assert!(engine.turn(EPOCH).unwrap().contains(&Effect::Closing));
+    assert!(!engine.may_end(EPOCH + Duration::from_millis(599)));
+    assert!(engine.may_end(EPOCH + Duration::from_millis(600)));
+    engine.handle(EPOCH, Input::Enqueue(Ticket(1), enqueue(1, "salary", 1)));
+    engine.turn(EPOCH).unwrap();
+    assert!(!engine.may_end(EPOCH + Duration::from_millis(3199)));
+    assert!(engine.may_end(EPOCH + Duration::from_millis(3200)));
+    assert!(engine.next_wake().is_some_and(|at| at <= EPOCH + Duration::from_millis(3200)));
+    let verdicts = after_a_crash(&disk, Crash::Process);
+    assert!(verdicts.held.values().all(|held| held.verdict != Some(Verdict::Returned { after_ms: 0 })));
+}
--- a/crates/gullcart-journal/src/simulated.rs
+++ b/crates/gullcart-journal/src/simulated.rs
@@ -89,6 +89,7 @@
     most_used: u64,
     operations: u64,
     faults: BTreeMap<u64, Fault>,
+    is_refusing: bool,
     crash: Crash,
     captures: usize,
     captured: Vec<Disk>,
@@ -111,6 +112,7 @@
             most_used: 0,
             operations: 0,
             faults: BTreeMap::new(),
+            is_refusing: false,
             crash,
             captures: 0,
             captured: Vec::new(),
@@ -138,6 +140,11 @@
         self.0.borrow_mut().faults.clear();
     }
 
+    /// From now on nothing can be changed, or everything again.
+    pub fn refuse(&self, is_refusing: bool) {
+        self.0.borrow_mut().is_refusing = is_refusing;
+    }
+
     /// Gives the folder other room.
     pub fn resize(&self, capacity: u64) {
         self.0.borrow_mut().capacity = capacity;
@@ -243,6 +250,9 @@
             }
             self.captured.push(disk);
         }
+        if self.is_refusing {
+            return Some(Fault::NoRoom);
+        }
         self.faults.get(&self.operations).copied()
     }
 
@@ -252,6 +262,7 @@
         after.captured.clear();
         after.captures = 0;
         after.faults.clear();
+        // A folder that nothing can be written to stays so over a restart.
         after.rng = self.rng.fork();
         if let Some((file, change)) = under_way {
             let part = after.part(&change);
--- a/crates/gullcart-rehearsal/src/run/book.rs
+++ b/crates/gullcart-rehearsal/src/book.rs
@@ -1,44 +1,97 @@
-//! What the judge and the clients make of what happens.
+//! What the judge and the clients make of what happens; both players of a day keep one.
 
-use super::*;
 use crate::day::Arrival;
+use crate::figures::{rules, worths};
+use crate::report::Counts;
+use crate::scenario::{Effect, Scenario};
+use gullcart_judge::trace::*;
+use gullcart_judge::{Judge, Service};
+use std::collections::{HashMap, VecDeque};
 
 /// A hand-in that is remembered.
-pub(super) struct Handed {
-    pub(super) origin: usize,
-    pub(super) courier: usize,
-    pub(super) taken: bool,
-    pub(super) delivered: Option<At>,
-    pub(super) over: bool,
-    pub(super) forget: At,
+pub struct Handed {
+    /// Whose.
+    pub origin: usize,
+    /// To whom.
+    pub courier: usize,
+    /// Whether it was taken on.
+    pub taken: bool,
+    /// When it was delivered.
+    pub delivered: Option<At>,
+    /// Whether its end was told.
+    pub over: bool,
+    /// Until when it is remembered.
+    pub forget: At,
 }
 
 /// What a client meant to send; further tries belong to it.
-pub(super) struct Origin {
-    pub(super) arrival: Arrival,
-    pub(super) retries: u32,
-    pub(super) tries: u32,
-    pub(super) delivered: bool,
+pub struct Origin {
+    /// As it was meant.
+    pub arrival: Arrival,
+    /// Tries that its client has left after refusals.
+    pub retries: u32,
+    /// Hand-ins so far.
+    pub tries: u32,
+    /// Whether any of them was delivered.
+    pub delivered: bool,
 }
 
 /// What the judge and the clients make of what happens.
-pub(super) struct Book {
-    pub(super) judge: Judge,
-    pub(super) service: Service,
-    pub(super) handed: HashMap<MessageId, Handed>,
-    pub(super) forget: VecDeque<MessageId>,
-    pub(super) calls: HashMap<CallId, MessageId>,
-    pub(super) origins: Vec<Origin>,
-    pub(super) counts: Counts,
+pub struct Book {
+    /// The rules.
+    pub judge: Judge,
+    /// The service kept.
+    pub service: Service,
+    /// Hand-ins by number.
+    pub handed: HashMap<MessageId, Handed>,
+    /// ... in the order in which they are forgotten.
+    pub forget: VecDeque<MessageId>,
+    /// Calls that are out.
+    pub calls: HashMap<CallId, MessageId>,
+    /// By number.
+    pub origins: Vec<Origin>,
+    /// Counted over the run.
+    pub counts: Counts,
     /// Messages that were returned, with the wait that was told.
-    pub(super) returned: Vec<(usize, Option<u64>)>,
+    pub returned: Vec<(usize, Option<u64>)>,
     /// Latencies of the last second, in milliseconds.
-    pub(super) recent: Vec<f64>,
-    pub(super) next: u64,
+    pub recent: Vec<f64>,
+    /// The next hand-in.
+    pub next: u64,
 }
 
 impl Book {
-    pub(super) fn hear(&mut self, entry: Entry) {
+    /// An empty one for a scenario.
+    pub fn new(scenario: &Scenario) -> Self {
+        Book {
+            judge: Judge::new(rules(scenario)),
+            service: Service::new(worths(scenario)),
+            handed: HashMap::new(),
+            forget: VecDeque::new(),
+            calls: HashMap::new(),
+            origins: Vec::new(),
+            counts: Counts::default(),
+            returned: Vec::new(),
+            recent: Vec::new(),
+            next: 0,
+        }
+    }
+
+    /// What a lost courier held that comes again to a live one: all but what must not be repeated and may have run.
+    pub fn lost_with(&self, courier: usize, scenario: &Scenario) -> Vec<usize> {
+        let of = |(message, handed): (&MessageId, &Handed)| {
+            let class = self.origins[handed.origin].arrival.class;
+            let unsafe_class = scenario.classes[class].effect == Effect::Unsafe;
+            let mine = handed.courier == courier && handed.taken && !handed.over;
+            (mine && !(unsafe_class && self.judge.may_have_run(*message))).then_some(handed.origin)
+        };
+        let mut lost: Vec<usize> = self.handed.iter().filter_map(of).collect();
+        lost.sort_unstable();
+        lost
+    }
+
+    /// Something has happened.
+    pub fn hear(&mut self, entry: Entry) {
         self.judge.feed(entry);
         match entry.event {
             Event::Answered { message, told } => {
@@ -91,7 +144,7 @@
         }
     }
 
-    pub(super) fn deliver(&mut self, origin: usize, at: At) {
+    fn deliver(&mut self, origin: usize, at: At) {
         let origin = &mut self.origins[origin];
         if !std::mem::replace(&mut origin.delivered, true) {
             let arrival = origin.arrival;
@@ -101,7 +154,8 @@
         }
     }
 
-    pub(super) fn forget(&mut self, now: At) {
+    /// Forgets what can matter no more.
+    pub fn forget(&mut self, now: At) {
         while let Some(first) = self.forget.front() {
             if self.handed.get(first).is_some_and(|handed| handed.forget > now) {
                 break;
--- a/crates/gullcart-rehearsal/src/run/settings.rs
+++ b/crates/gullcart-rehearsal/src/figures.rs
@@ -1,11 +1,33 @@
 //! The figures of a scenario, for the judge, the stand-ins and the couriers.
 
-use super::*;
+use crate::day::Day;
+use crate::scenario::{Effect, Scenario};
 use gullcart_judge::{ClassRules, Figures, Worth};
 use gullcart_standins::partner::{Limit, Spec};
 use serde_json::{json, Value};
+use std::time::Duration;
 
-pub(super) fn rules(scenario: &Scenario) -> Figures {
+/// A client of a courier that is away tries so many others.
+pub const MOST_TRIES: u32 = 4;
+/// Clients go on using a courier that was told to end for so long.
+pub const FRONT_NOTICES: Duration = Duration::from_millis(300);
+/// SIGKILL comes so long after SIGTERM.
+pub const END: Duration = Duration::from_millis(3700);
+/// A restart takes so long at least.
+pub const RESTART: Duration = Duration::from_millis(600);
+/// What a dead courier held comes again to a live one after a draw from this.
+pub const HANDED_AGAIN_MS: (u64, u64) = (410, 1700);
+/// After the last end, so that what is told too late, or twice, is still heard.
+pub const AFTERMATH: Duration = Duration::from_millis(1300);
+/// Hand-ins are remembered for so long after their time, to check what arrives.
+pub const REMEMBERED: Duration = Duration::from_secs(10);
+/// How often a run looks whether it may end.
+pub const LOOK: Duration = Duration::from_millis(50);
+/// The one zone there is.
+pub const ZONE: &str = "kingston-dc";
+
+/// What the judge judges by.
+pub fn rules(scenario: &Scenario) -> Figures {
     let classes = scenario.classes.iter().map(|class| ClassRules {
         effect: match class.effect {
             Effect::Safe => gullcart_judge::Effect::Safe,
@@ -19,7 +41,8 @@
     Figures::new(classes.collect())
 }
 
-pub(super) fn worths(scenario: &Scenario) -> Vec<Worth> {
+/// What service is measured by.
+pub fn worths(scenario: &Scenario) -> Vec<Worth> {
     let worth = |class: &crate::scenario::Class| Worth {
         worth: class.worth,
         aim: Duration::from_secs_f64(class.aim_s),
@@ -29,7 +52,8 @@
     scenario.classes.iter().map(worth).collect()
 }
 
-pub(super) fn spec(partner: &crate::scenario::Partner) -> Spec {
+/// A partner's figures.
+pub fn spec(partner: &crate::scenario::Partner) -> Spec {
     let figures = Figures::new(Vec::new());
     let span = Duration::from_secs_f64(partner.span_s);
     Spec {
@@ -51,12 +75,12 @@
     }
 }
 
-pub(super) fn nanos(seconds: f64) -> u64 {
+fn nanos(seconds: f64) -> u64 {
     (seconds * 1e9) as u64
 }
 
 /// The settings that couriers are given, in the names of the operators' wire.
-pub(super) fn settings(scenario: &Scenario, day: &Day) -> Value {
+pub fn settings(scenario: &Scenario, day: &Day) -> Value {
     let figures = rules(scenario);
     let lanes: Vec<Value> = scenario
         .classes
--- a/crates/gullcart-rehearsal/src/lib.rs
+++ b/crates/gullcart-rehearsal/src/lib.rs
@@ -3,7 +3,9 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod book;
 mod day;
+pub mod figures;
 mod page;
 mod report;
 mod run;
@@ -14,5 +16,5 @@
 pub use page::page;
 pub use report::{Counts, Lateness, Report, Sample, Shown, Verdict};
 pub use run::{run, Options, Progress, RunError, Until};
-pub use scenario::{Scenario, ScenarioError};
+pub use scenario::{Effect, Partner, Replace, Scenario, ScenarioError};
 pub use shipped::{shipped, Shipped, SHIPPED};
--- a/crates/gullcart-rehearsal/src/run/couriers.rs
+++ b/crates/gullcart-rehearsal/src/run/couriers.rs
@@ -92,16 +92,7 @@
 
     /// What a lost courier held comes again to a live one, but what must not be repeated and may have run.
     pub(super) fn hand_again(self: &Rc<Self>, courier: usize) {
-        let held: Vec<usize> = {
-            let book = self.book.borrow();
-            let of = |(message, handed): (&MessageId, &Handed)| {
-                let class = book.origins[handed.origin].arrival.class;
-                let unsafe_class = self.scenario.classes[class].effect == Effect::Unsafe;
-                let mine = handed.courier == courier && handed.taken && !handed.over;
-                (mine && !(unsafe_class && book.judge.may_have_run(*message))).then_some(handed.origin)
-            };
-            book.handed.iter().filter_map(of).collect()
-        };
+        let held = self.book.borrow().lost_with(courier, &self.scenario);
         for origin in held {
             let (from, to) = HANDED_AGAIN_MS;
             let after = self.rng.borrow_mut().u64(from..to);
--- a/crates/gullcart-rehearsal/src/run/mod.rs
+++ b/crates/gullcart-rehearsal/src/run/mod.rs
@@ -1,20 +1,21 @@
 //! Plays a day: couriers as real processes, stand-ins for all around them, and a judge who hears all of it. It runs on
 //! one thread, inside a [`tokio::task::LocalSet`].
 
-mod book;
 mod clients;
 mod couriers;
 mod faults;
-mod settings;
 mod stand;
 
-use self::book::{Book, Handed, Origin};
-use self::settings::{rules, settings, spec, worths};
+use crate::book::{Book, Handed, Origin};
 use crate::day::Day;
+use crate::figures::{
+    settings, spec, AFTERMATH, END, FRONT_NOTICES, HANDED_AGAIN_MS, LOOK, MOST_TRIES, REMEMBERED, RESTART,
+    ZONE,
+};
 use crate::report::{Counts, Lateness, Report, Sample, Shown, Verdict, LATE_MS};
 use crate::scenario::{Effect, Scenario};
 use gullcart_judge::trace::*;
-use gullcart_judge::{Judge, Rule, Service, ServiceFigures, Weights};
+use gullcart_judge::{Judge, Rule, ServiceFigures, Weights};
 use gullcart_standins::client::Clients;
 use gullcart_standins::endpoint::{Counters, Door, Endpoint, Expect, Expected, Site};
 use gullcart_standins::partner::Partner;
@@ -23,7 +24,7 @@
 use gullcart_standins::{ids, Recorder};
 use hdrhistogram::Histogram;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -33,25 +34,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, Instant};
 
-/// A client of a courier that is away tries so many others.
-const MOST_TRIES: u32 = 4;
-/// Clients go on using a courier that was told to end for so long.
-const FRONT_NOTICES: Duration = Duration::from_millis(300);
-/// SIGKILL comes so long after SIGTERM.
-const END: Duration = Duration::from_millis(3700);
-/// A restart takes so long at least.
-const RESTART: Duration = Duration::from_millis(600);
-/// What a dead courier held comes again to a live one after a draw from this.
-const HANDED_AGAIN_MS: (u64, u64) = (410, 1700);
-/// After the last end, so that what is told too late, or twice, is still heard.
-const AFTERMATH: Duration = Duration::from_millis(1300);
-/// Hand-ins are remembered for so long after their time, to check what arrives.
-const REMEMBERED: Duration = Duration::from_secs(10);
 /// From the last courier's readiness to the beginning of the day.
 const LEAD: Duration = Duration::from_millis(200);
-/// How often a run looks whether it may end.
-const LOOK: Duration = Duration::from_millis(50);
-
 /// When a run ends by itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Until {
@@ -64,7 +48,8 @@
 }
 
 impl Until {
-    fn is_reached(self, judge: &Judge) -> bool {
+    /// Whether it is reached.
+    pub fn is_reached(self, judge: &Judge) -> bool {
         match self {
             Until::TheEnd => false,
             Until::TheFirstBreach => !judge.counts().is_empty(),
@@ -207,24 +192,11 @@
     }
 }
 
-const ZONE: &str = "kingston-dc";
-
 impl World {
     async fn build(scenario: &Scenario, options: Options, folder: &Path) -> Result<Rc<Self>, RunError> {
         let Options { launch, seed, .. } = options;
         let day = Day::draw(scenario, seed);
-        let book = Rc::new(RefCell::new(Book {
-            judge: Judge::new(rules(scenario)),
-            service: Service::new(worths(scenario)),
-            handed: HashMap::new(),
-            forget: VecDeque::new(),
-            calls: HashMap::new(),
-            origins: Vec::new(),
-            counts: Counts::default(),
-            returned: Vec::new(),
-            recent: Vec::new(),
-            next: 0,
-        }));
+        let book = Rc::new(RefCell::new(Book::new(scenario)));
         let heard = book.clone();
         let recorder = Recorder::new(move |entry| heard.borrow_mut().hear(entry));
         let (asked, classes) = (book.clone(), scenario.classes.clone());
--- a/crates/gullcartctl/src/main.rs
+++ b/crates/gullcartctl/src/main.rs
@@ -2,6 +2,7 @@
 //! could not be done.
 #![forbid(unsafe_code)]
 
+mod emulate;
 mod journal;
 mod prove;
 mod rehearse;
@@ -22,6 +23,8 @@
 enum Command {
     /// Rehearse a day with real couriers among stand-ins, on loopback alone
     Rehearse(rehearse::Arguments),
+    /// Rehearse in virtual time, hundreds of times as fast
+    Emulate(emulate::Arguments),
     /// Prove that the judge catches each deliberately broken courier, and make the table
     Prove(prove::Arguments),
     /// Look at the journal of a courier that does not run, and repair it
@@ -41,6 +44,7 @@
 fn main() -> ExitCode {
     let result = match Cli::parse().command {
         Command::Rehearse(arguments) => rehearse::rehearse(&arguments),
+        Command::Emulate(arguments) => emulate::emulate(&arguments),
         Command::Prove(arguments) => prove::prove(&arguments),
         Command::Journal(arguments) => journal::journal(&arguments),
         Command::CourierGuard { program, arguments } => Err(format!(
--- a/crates/gullcartctl/src/rehearse.rs
+++ b/crates/gullcartctl/src/rehearse.rs
@@ -10,7 +10,7 @@
 use tokio::task::LocalSet;
 
 /// Whatever rule.
-const ANY: &str = "any";
+pub const ANY: &str = "any";
 /// Where nobody looks, a line comes every so many seconds.
 const SELDOM_S: f64 = 30.0;
 
@@ -66,14 +66,7 @@
         return Ok(ExitCode::SUCCESS);
     }
     let scenario = read(arguments.scenario.as_deref().unwrap_or_default())?;
-    let until = match arguments.until_breach.as_deref() {
-        None => Until::TheEnd,
-        Some(ANY) => Until::TheFirstBreach,
-        Some(name) => Until::BreachOf(Rule::of(name).ok_or_else(|| {
-            let names: Vec<&str> = Rule::ALL.iter().map(|rule| rule.name()).collect();
-            format!("no rule '{name}'; there are {}", names.join(", "))
-        })?),
-    };
+    let until = until(arguments.until_breach.as_deref())?;
     let options = Options { launch: launch(arguments.program.as_deref(), &[])?, seed: arguments.seed, until };
     let mut shown = Shown::new(&scenario, arguments.quiet);
     let report = play(&scenario, options, |progress| shown.show(progress))?;
@@ -94,7 +87,19 @@
     })
 }
 
-fn write(path: &Path, text: &str) -> Result<(), String> {
+/// When to end, by the words of the command line.
+pub fn until(breach: Option<&str>) -> Result<Until, String> {
+    Ok(match breach {
+        None => Until::TheEnd,
+        Some(ANY) => Until::TheFirstBreach,
+        Some(name) => Until::BreachOf(Rule::of(name).ok_or_else(|| {
+            let names: Vec<&str> = Rule::ALL.iter().map(|rule| rule.name()).collect();
+            format!("no rule '{name}'; there are {}", names.join(", "))
+        })?),
+    })
+}
+
+pub fn write(path: &Path, text: &str) -> Result<(), String> {
     std::fs::write(path, text).map_err(|error| format!("cannot write {}: {error}", path.display()))
 }
 
