--- a/crates/gullcart-engine/src/vocabulary.rs
+++ b/crates/gullcart-engine/src/vocabulary.rs
@@ -105,7 +105,7 @@
 }
 
 /// What is to be done, in this order, once a turn is over.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
     /// A client has its answer.
     Answer(Ticket, Answer),
