--- a/crates/gullcart-emulator/src/lib.rs
+++ b/crates/gullcart-emulator/src/lib.rs
@@ -34,8 +34,11 @@
     options: Options<'_>,
     progress: impl FnMut(f64),
 ) -> Result<Emulated, EmulationError> {
-    let world = world::World::build(scenario, options.seed)?;
+    #[cfg_attr(not(feature = "broken"), allow(unused_mut))]
+    let mut world = world::World::build(scenario, options.seed)?;
     #[cfg(feature = "broken")]
-    let world = world::World { broken: options.broken, ..world };
+    {
+        world.broken = options.broken;
+    }
     world.play(options.until, progress)
 }
