Run the daemon as a loop round the engine, which was written twice until now

The loop now only moves bytes and keeps timers; the list's directory, the clock and the broken couriers live in the engine alone. Inputs that wait for the loop are bounded at 4,096 and whoever tells the next one waits; notices wait with the loop when 1,024 are being told.

--- a/crates/gullcart/src/calls.rs
+++ b/crates/gullcart/src/calls.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use cloverstile::{Allowance, EndpointId, Outcome};
+use gullcart_engine::{Call, Ended, Stop};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -18,7 +19,6 @@
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
-use crate::vocabulary::Ended;
 use crate::wire::{Descriptor, Wire, WireStream};
 
 /// Idle connections are closed after this part of the endpoint's own limit, so that no call meets its closing.
@@ -41,25 +41,6 @@
 /// A longer wait than this is no wait that anybody can mean.
 const LONGEST_WAIT: Duration = Duration::from_secs(600);
 
-/// What a call carries.
-pub struct Call {
-    pub endpoint: EndpointId,
-    pub address: SocketAddr,
-    pub id: String,
-    pub idempotency_key: Option<String>,
-    pub body: Bytes,
-    pub try_for: Duration,
-}
-
-/// Why a call is stopped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stop {
-    /// The module has called it off.
-    CalledOff,
-    /// It must not be sent any more, and had not been.
-    Withdrawn,
-}
-
 type Sender = SendRequest<Full<Bytes>>;
 
 /// An open connection. Dropping it closes it.
--- a/crates/gullcart/src/clients.rs
+++ b/crates/gullcart/src/clients.rs
@@ -10,13 +10,13 @@
 use thiserror::Error;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc::UnboundedSender, oneshot, watch, Notify, Semaphore, SemaphorePermit};
+use tokio::sync::{watch, Notify, Semaphore, SemaphorePermit};
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 use tracing::warn;
 
-use crate::seldom::Seldom;
-use crate::vocabulary::{Answer, Enqueue, Input};
+use crate::vocabulary::Inputs;
+use gullcart_engine::{Answer, Enqueue, Input, Seldom, EPOCH};
 
 const MOST_WORDS: usize = 16;
 const LONGEST_BODY: usize = 64 << 10;
@@ -50,14 +50,13 @@
 /// While the courier ends, a new connection may take this long to bring its request.
 const LAST_REQUEST: Duration = Duration::from_millis(400);
 
-impl Answer {
-    fn wire(&self) -> String {
-        match self {
-            Answer::Taken(_) | Answer::Held => "+OK\r\n".to_owned(),
-            Answer::Busy(None) => "-BUSY\r\n".to_owned(),
-            Answer::Busy(Some(after)) => format!("-BUSY {}\r\n", after.as_millis()),
-            Answer::Error(text) => format!("-ERR {text}\r\n"),
-        }
+/// An answer as it goes out.
+fn wire(answer: &Answer) -> String {
+    match answer {
+        Answer::Taken(_) | Answer::Held => "+OK\r\n".to_owned(),
+        Answer::Busy(None) => "-BUSY\r\n".to_owned(),
+        Answer::Busy(Some(after)) => format!("-BUSY {}\r\n", after.as_millis()),
+        Answer::Error(text) => format!("-ERR {text}\r\n"),
     }
 }
 
@@ -75,12 +74,13 @@
 /// Accepts connections until the task is dropped. `closing` turns true when the courier is about to end.
 pub async fn serve(
     listener: TcpListener,
-    driver: UnboundedSender<Input>,
+    driver: Inputs,
     closing: watch::Receiver<bool>,
     limits: ClientLimits,
 ) {
     let places = Rc::new(Places::new(limits));
     let mut failures = Seldom::default();
+    let begun = Instant::now();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -96,7 +96,7 @@
                 places.make_room().await;
             }
             Err(error) => {
-                if let Some(more) = failures.due() {
+                if let Some(more) = failures.due(EPOCH + begun.elapsed()) {
                     warn!(%error, more, "a client's connection cannot be accepted");
                 }
                 sleep(Duration::from_millis(20)).await;
@@ -256,7 +256,7 @@
 struct Client {
     // Before the place: the descriptor is closed by the time that the place is free.
     stream: TcpStream,
-    driver: UnboundedSender<Input>,
+    driver: Inputs,
     closing: watch::Receiver<bool>,
     buffer: BytesMut,
     out: Vec<u8>,
@@ -414,7 +414,7 @@
                 self.out.extend_from_slice(b"+PONG\r\n");
                 return self.flush_long().await.map(Some);
             }
-            Some(b"ENQUEUE") => match Enqueue::read(words) {
+            Some(b"ENQUEUE") => match read_enqueue(words) {
                 Ok(enqueue) => {
                     if !self.gone() {
                         return self.hand_in(enqueue).await;
@@ -426,23 +426,19 @@
             },
             _ => Answer::Error("unknown command"),
         };
-        self.out.extend_from_slice(answer.wire().as_bytes());
+        self.out.extend_from_slice(wire(&answer).as_bytes());
         self.flush_long().await.map(Some)
     }
 
     async fn hand_in(&mut self, enqueue: Enqueue) -> io::Result<Option<()>> {
         // What was answered before must not be lost with this answer, nor this one with those.
         self.flush().await?;
-        let (reply, answer) = oneshot::channel();
-        if self.driver.send(Input::Enqueue(enqueue, reply)).is_err() {
-            return Ok(None);
-        }
-        let Ok(answer) = answer.await else { return Ok(None) };
-        self.out.extend_from_slice(answer.wire().as_bytes());
+        let Some(answer) = self.driver.hand_in(enqueue).await else { return Ok(None) };
+        self.out.extend_from_slice(wire(&answer).as_bytes());
         let written = self.flush().await;
         if let (Err(_), Answer::Taken(message)) = (&written, answer) {
             // The client never heard that it was taken on, and hands it in again under another id.
-            let _ = self.driver.send(Input::Unheard(message));
+            self.driver.tell(Input::Unheard(message)).await;
         }
         written.map(Some)
     }
@@ -500,49 +496,46 @@
     BIN.with_borrow_mut(|bin| stream.try_read(bin))
 }
 
-impl Enqueue {
-    /// `ENQUEUE key id names-and-values body`.
-    fn read(words: &[Bytes]) -> Result<Self, &'static str> {
-        let [_, key, id, fields, body] = words else {
-            return Err("ENQUEUE takes a key, an id, fields and a body");
-        };
-        if body.len() > LONGEST_BODY {
-            return Err("the body is too long");
-        }
-        let text = |bytes: &Bytes| std::str::from_utf8(bytes).ok().map(str::to_owned);
-        // The id goes on in a header and in a notice.
-        let token = |text: &String| {
-            (1..=128).contains(&text.len())
-                && text.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.:".contains(&b))
-        };
-        let key = text(key)
-            .and_then(|key| u64::from_str_radix(&key, 16).ok())
-            .ok_or("the key is not hexadecimal")?;
-        let id = text(id).filter(token).ok_or("the id has other characters than an id may have")?;
-        let fields = text(fields).ok_or("the fields are not text")?;
-        let field = |name: &str| {
-            let mut pairs = fields.split(',').filter_map(|pair| pair.split_once('='));
-            pairs.find(|(known, _)| *known == name).map(|(_, value)| value)
-        };
-        let idempotency_key = field("k").map(str::to_owned);
-        if idempotency_key.as_ref().is_some_and(|key| !token(key)) {
-            return Err("k has other characters than a key may have");
-        }
-        Ok(Enqueue {
-            id,
-            key,
-            class: field("c").ok_or("c is missing")?.to_owned(),
-            destination: field("dest").and_then(|v| v.parse().ok()).ok_or("dest is missing or no number")?,
-            left: field("d")
-                .and_then(|v| v.parse().ok())
-                .map(Duration::from_millis)
-                .ok_or("d is missing or no number")?,
-            idempotency_key,
-            again: field("again") == Some("1"),
-            // A copy of its own: a slice would keep all that was read with it.
-            body: Bytes::copy_from_slice(body),
-        })
+/// `ENQUEUE key id names-and-values body`.
+fn read_enqueue(words: &[Bytes]) -> Result<Enqueue, &'static str> {
+    let [_, key, id, fields, body] = words else {
+        return Err("ENQUEUE takes a key, an id, fields and a body");
+    };
+    if body.len() > LONGEST_BODY {
+        return Err("the body is too long");
+    }
+    let text = |bytes: &Bytes| std::str::from_utf8(bytes).ok().map(str::to_owned);
+    // The id goes on in a header and in a notice.
+    let token = |text: &String| {
+        (1..=128).contains(&text.len())
+            && text.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.:".contains(&b))
+    };
+    let key =
+        text(key).and_then(|key| u64::from_str_radix(&key, 16).ok()).ok_or("the key is not hexadecimal")?;
+    let id = text(id).filter(token).ok_or("the id has other characters than an id may have")?;
+    let fields = text(fields).ok_or("the fields are not text")?;
+    let field = |name: &str| {
+        let mut pairs = fields.split(',').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(known, _)| *known == name).map(|(_, value)| value)
+    };
+    let idempotency_key = field("k").map(str::to_owned);
+    if idempotency_key.as_ref().is_some_and(|key| !token(key)) {
+        return Err("k has other characters than a key may have");
     }
+    Ok(Enqueue {
+        id,
+        key,
+        class: field("c").ok_or("c is missing")?.to_owned(),
+        destination: field("dest").and_then(|v| v.parse().ok()).ok_or("dest is missing or no number")?,
+        left: field("d")
+            .and_then(|v| v.parse().ok())
+            .map(Duration::from_millis)
+            .ok_or("d is missing or no number")?,
+        idempotency_key,
+        again: field("again") == Some("1"),
+        // A copy of its own: a slice would keep all that was read with it.
+        body: Bytes::copy_from_slice(body),
+    })
 }
 
 #[derive(Debug, Error, PartialEq, Eq)]
--- a/crates/gullcart/src/lib.rs
+++ b/crates/gullcart/src/lib.rs
@@ -1,20 +1,18 @@
 //! gullcart: a courier that takes messages from clients and delivers them to partners' endpoints.
 //!
-//! Imports run one way: `vocabulary` and `seldom` below all; `wire`, `calls`, `discovery` and `clients`
-//! above it, none of which knows the driver; then `driver`, which owns the decisions; then this file.
+//! The courier itself is `gullcart-engine`. Here are its sockets: `vocabulary` below all; `wire`, `calls`, `discovery` and
+//! `clients` above it, none of which knows the loop; then `driver`, the loop round the engine; then this file.
 #![forbid(unsafe_code)]
 
-#[cfg(feature = "broken")]
-mod broken;
 mod calls;
 mod clients;
 mod discovery;
 mod driver;
-mod seldom;
 mod vocabulary;
 mod wire;
 
 use cloverstile::{parse_settings_json, SettingError};
+use gullcart_engine::{Engine, Input, Start};
 use gullcart_journal::{Journal, JournalError, Options, OptionsError};
 use gullcart_message::Update;
 use serde::Deserialize;
@@ -27,8 +25,8 @@
 use tracing::{error, info};
 
 use crate::clients::ClientLimits;
-use crate::driver::{Driver, Ends, IDLE_OF_SLOTS};
-use crate::vocabulary::Input;
+use crate::driver::{Clock, Driver, Ends, IDLE_OF_SLOTS};
+use crate::vocabulary::Inputs;
 
 /// Descriptors kept for files, the runtime, the listener, discovery and notices.
 const OTHER_SOCKETS: usize = 32;
@@ -37,6 +35,8 @@
 /// Requests of more than a few KiB, of 68 KiB at most, that are read at a time: an eighth of the memory.
 const LONG_REQUESTS_PER_MB: f64 = 2.0;
 
+/// Notices that wait to be told at most; more of them wait with the loop.
+const NOTICES: usize = 1024;
 /// Names the operators' file of the journal, where there is one.
 const JOURNAL_FILE: &str = "GULLCART_JOURNAL";
 
@@ -128,7 +128,10 @@
     let config = read_config(&path)?;
     let parsed = parse_settings_json(&config.settings)?;
     #[cfg(feature = "broken")]
-    let broken = broken::Broken::chosen().map_err(StartError::Broken)?;
+    let broken = {
+        use gullcart_engine::broken::{Broken, VARIABLE};
+        Broken::chosen(std::env::var(VARIABLE).ok().as_deref()).map_err(StartError::Broken)?
+    };
     #[cfg(feature = "broken")]
     let parsed = broken.settings(parsed);
     let slots = parsed.settings.call_slots;
@@ -142,20 +145,26 @@
     let journal = Journal::open(&state, (config.limits.disk_mb * 1e6) as u64, options)?;
 
     #[cfg(feature = "broken")]
-    let journal = journal.answering_early(broken.is(broken::Fault::EarlyOk));
+    let journal = journal.answering_early(broken.is(gullcart_engine::broken::Fault::EarlyOk));
     let mut terminate = signal(SignalKind::terminate())?;
-    let (inputs, events) = mpsc::unbounded_channel();
-    let (notices, owed) = mpsc::unbounded_channel();
+    let (inputs, events) = Inputs::new();
+    let (notices, owed) = mpsc::channel(NOTICES);
     let (closing, closes) = watch::channel(false);
     let sockets = Sockets::deal(config.limits.sockets, slots);
-    let ends = Ends {
-        inputs: inputs.clone(),
-        notices,
-        closing,
+    let pool = driver::pool(&parsed.settings, sockets.endpoints);
+    let clock = Clock::new();
+    let start = Start {
+        parsed,
+        seed,
+        known: config.known,
+        now: clock.now(),
+        epoch_ms: clock.epoch_ms,
         #[cfg(feature = "broken")]
         broken,
     };
-    let driver = Driver::new(parsed, seed, config.known, journal, sockets.endpoints, ends);
+    let engine = Engine::new(start, journal);
+    let rev = engine.rev();
+    let driver = Driver::new(engine, clock, pool, Ends { inputs: inputs.clone(), notices, closing });
 
     let clients = ClientLimits {
         connections: sockets.clients,
@@ -170,12 +179,12 @@
     info!(name = config.name, %address, "listening");
     tokio::task::spawn_local(clients::serve(listener, inputs.clone(), closes, clients));
     let (found, agent) = watch::channel(config.discovery);
-    tokio::task::spawn_local(discovery::watch(agent.clone(), driver.rev(), inputs.clone()));
+    tokio::task::spawn_local(discovery::watch(agent.clone(), rev, inputs.clone()));
     tokio::task::spawn_local(discovery::notices(agent, owed, inputs.clone()));
     tokio::task::spawn_local(follow(hang_up, path, found));
     tokio::task::spawn_local(async move {
         while terminate.recv().await.is_some() {
-            let _ = inputs.send(Input::Terminate);
+            inputs.tell(Input::Terminate).await;
         }
     });
     Ok(driver.run(events).await?)
--- a/crates/gullcart/src/vocabulary.rs
+++ b/crates/gullcart/src/vocabulary.rs
@@ -1,74 +1,40 @@
-//! What the parts of the daemon say to each other: messages and their ends, the list of endpoints, how a call ended,
-//! and what the driver is told. It lies below all parts that use it, so that imports run one way.
+//! How the parts of the daemon reach the loop. It lies below all of them, so that imports run one way.
 
-use bytes::Bytes;
-use cloverstile::{Allowance, EndpointId, MessageId, Outcome};
-use gullcart_message::{Taken, Update, Verdict};
-use std::time::Duration;
-use tokio::sync::oneshot;
+use gullcart_engine::{Answer, Enqueue, Input};
+use tokio::sync::{mpsc, oneshot};
 
-/// A message that a client hands in.
-#[derive(Debug, PartialEq, Eq)]
-pub struct Enqueue {
-    pub id: String,
-    pub key: u64,
-    pub class: String,
-    pub destination: u16,
-    /// How long it may still be delivered.
-    pub left: Duration,
-    pub idempotency_key: Option<String>,
-    pub again: bool,
-    pub body: Bytes,
-}
+/// Inputs that wait for the loop at most. Where there are more, whoever tells the next one waits: clients for their
+/// answers, calls for their ends to be heard. The loop itself waits for nobody.
+const WAITING: usize = 4096;
 
-impl Enqueue {
-    /// Whether a message that is held is this one. What is left of its time differs from try to try.
-    pub fn is_same(&self, held: &Taken) -> bool {
-        (self.key, &self.class, self.destination) == (held.key, &held.class, held.destination)
-            && (&self.idempotency_key, &self.body) == (&held.idempotency_key, &held.body)
-    }
+/// What the loop is told.
+pub enum Told {
+    /// A client hands a message in and waits for its answer here.
+    HandIn(Enqueue, oneshot::Sender<Answer>),
+    /// Something else has happened.
+    Input(Input),
 }
 
-/// What the client is told.
-#[derive(Debug)]
-pub enum Answer {
-    /// Taken on by this hand-in, which alone may withdraw it.
-    Taken(MessageId),
-    /// The same message is held already.
-    Held,
-    Busy(Option<Duration>),
-    Error(&'static str),
-}
+/// Tells the loop what happens.
+#[derive(Clone)]
+pub struct Inputs(mpsc::Sender<Told>);
 
-/// The end of a message that was not delivered, on its way to the platform.
-#[derive(Debug)]
-pub struct Notice {
-    pub message: MessageId,
-    pub id: String,
-    pub verdict: Verdict,
-}
+impl Inputs {
+    /// Where it is told, and where it listens.
+    pub fn new() -> (Self, mpsc::Receiver<Told>) {
+        let (send, receive) = mpsc::channel(WAITING);
+        (Inputs(send), receive)
+    }
 
-/// How a call ended.
-#[derive(Debug)]
-pub struct Ended {
-    pub outcome: Outcome,
-    pub latency: Duration,
-    /// The message is over.
-    pub complete: bool,
-    pub allowance: Option<Allowance>,
-}
+    /// Something has happened. Once the loop has ended nobody listens.
+    pub async fn tell(&self, input: Input) {
+        let _ = self.0.send(Told::Input(input)).await;
+    }
 
-/// What happens, from all the other parts.
-pub enum Input {
-    Enqueue(Enqueue, oneshot::Sender<Answer>),
-    /// A client was gone before it could be told that its message was taken on, by its own hand-in.
-    Unheard(MessageId),
-    Listed(Update),
-    /// A change of the list that was kept back.
-    #[cfg(feature = "broken")]
-    HeardAtLast(Update),
-    Ended(MessageId, EndpointId, Ended),
-    /// The platform has these notices.
-    Heard(Vec<MessageId>),
-    Terminate,
+    /// Hands a message in; none if the loop ends before it has an answer.
+    pub async fn hand_in(&self, enqueue: Enqueue) -> Option<Answer> {
+        let (reply, answer) = oneshot::channel();
+        self.0.send(Told::HandIn(enqueue, reply)).await.ok()?;
+        answer.await.ok()
+    }
 }
