Call endpoints of the own location first, and try at once what fails at once

Worth was taken to fall on a line, whatever FamilyInfo.Decay says.

Now: the own location first unless two calls more are out there; halves are read; in a spell whose last call was answered with an error or refused at once, what may be repeated goes at the pace of the fall budget, with half of its attempts kept for the return; what may not be repeated goes at the slow gaps.

--- a/crates/cloverstile/src/books.rs
+++ b/crates/cloverstile/src/books.rs
@@ -96,11 +96,15 @@
 pub struct Spell {
     pub began: Time,
     pub next_trial: Time,
+    /// When a message that may not be repeated may go as a trial, if nothing else waits.
+    pub next_risk: Time,
     pub trials: u32,
     /// Some call failed or was refused; else it is silence alone.
     pub failed: bool,
     /// Calls were lost or are silent, not just refused.
     pub lost: bool,
+    /// The last call was answered, if with an error: trials need no patience, only the fall budget.
+    pub answers: bool,
 }
 
 /// Pace and health of a route: one mechanism for limits, outages and cold return.
--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -70,6 +70,8 @@
 const BURST_S: f64 = 0.4;
 /// Part of a tenant's quota assumed to be this courier's, in even parts; traffic is not even.
 const QUOTA_PART: f64 = 1.25;
+/// An endpoint in another zone is chosen only with so many calls fewer out than the ones here.
+const FAR_CALLS: usize = 2;
 /// Weight of what waiting for one more aim would lose, against the worth itself.
 const WAITING_LOSS: f64 = 2.0;
 /// Calls out to a destination in a spell, as a part of the free slots; one at least.
@@ -529,6 +531,11 @@
             let spell = route.spell.get_or_insert(Spell { began: route.last_answer, ..Spell::default() });
             spell.failed = true;
             spell.lost |= !matches!(finished.outcome, Outcome::Full(_));
+            spell.answers = match finished.outcome {
+                Outcome::Error => true,
+                Outcome::ConnectFailed => finished.latency < settings.connect_timeout / 2,
+                _ => false,
+            };
             // A slow start goes on behind a short spell, and begins anew behind a long one.
             route.plan_trial(now, settings, chance);
         }
@@ -653,9 +660,10 @@
         None
     }
 
-    /// The waiting message of most worth that may be sent now. A trial goes by whether it may be repeated.
+    /// The waiting message of most worth that may be sent now. A trial goes by whether it may be repeated and
+    /// has attempts to spare; what is not so is risked at the slow gaps only.
     fn pick(&self, now: Time, route: RouteId, next: &mut Option<Time>) -> Option<(MessageId, f64)> {
-        let trial = self.routes.get(&route).is_some_and(|r| r.spell.is_some());
+        let spell = self.routes.get(&route).and_then(|r| r.spell.as_ref());
         let mut best: Option<(bool, f64, MessageId)> = None;
         for message in self.queues.get(&route.0).into_iter().flatten().filter_map(|m| self.messages.get(m)) {
             let at = self.sendable_at(now, message);
@@ -663,7 +671,13 @@
                 earliest(next, at);
                 continue;
             }
-            let fit = !trial || self.repeatable(message);
+            // A trial spends an attempt: half of them are kept for the return.
+            let spare = message.attempts * 2 <= self.settings.send_cap;
+            let fit = spell.is_none() || (spare && self.repeatable(message));
+            if let Some(at) = spell.map(|s| s.next_risk).filter(|at| !fit && *at > now) {
+                earliest(next, Some(at));
+                continue;
+            }
             let worth = self.worth(now, message);
             if best.is_none_or(|(best_fit, most, _)| (fit, worth) > (best_fit, most)) {
                 best = Some((fit, worth, message.taken.id));
@@ -708,11 +722,16 @@
         let class = self.class(message);
         let (aim, span) = (class.aim.as_secs_f64(), class.deadline.as_secs_f64());
         let value = |age: f64| {
-            let late = ((age - aim) / (span - aim).max(0.001)).max(0.0);
-            if late > 1.0 || last.is_some_and(|end| age > end) {
+            if age > span || last.is_some_and(|end| age > end) {
                 return 0.0;
             }
-            1.0 - (1.0 - class.late_share) * late
+            match self.settings.decay {
+                Decay::Line => {
+                    let late = ((age - aim) / (span - aim).max(0.001)).max(0.0);
+                    1.0 - (1.0 - class.late_share) * late
+                }
+                Decay::Halves => (1.0 - age / aim).min(0.0).exp2().max(class.late_share),
+            }
         };
         let age = (now - message.born).as_secs_f64();
         let share = if message.over_share { self.settings.over_share_worth } else { 1.0 };
@@ -732,7 +751,11 @@
         endpoints
             .filter_map(|endpoint| self.addresses.get(endpoint))
             .filter(|a| a.entry.mode == Mode::Ready && zone.is_none_or(|z| a.entry.zone == z))
-            .min_by_key(|a| (a.avoid_until > now, a.calls_out, a.failures, a.preference))
+            .min_by_key(|a| {
+                let far = self.settings.zone.is_some_and(|here| here != a.entry.zone);
+                let calls = a.calls_out + if far { FAR_CALLS } else { 0 };
+                (a.avoid_until > now, calls, a.failures, a.preference)
+            })
             .map(|a| a.entry.id)
     }
 
@@ -978,6 +1001,8 @@
 
     /// Sets when the next trial call of a spell may go: at growing, jittered gaps, and by this courier's part
     /// of the fall budget; trials that are refused can also use up a small limit by themselves (i2aa64d).
+    /// Where calls are answered at once, if with errors, the budget alone paces what may be repeated: no slot
+    /// is pinned, some get through, and what waits behind growing gaps is late (fast_errors, crash).
     fn plan_trial(&mut self, now: Time, settings: &Settings, chance: f64) {
         let own = Duration::from_secs_f64(self.fall_part(now, settings, 0.0).max(0.001).recip());
         let Some(spell) = &mut self.spell else { return };
@@ -985,7 +1010,9 @@
         let gap = growing_gap(fall, first, spell.trials).min(fall.mul_f64(longest));
         let jitter = TRIAL_JITTER_FROM + chance * (1.0 - TRIAL_JITTER_FROM);
         // Behind a told wait no gap runs out: who waits together must not come back together.
-        spell.next_trial = now.max(self.told_wait) + gap.max(own).mul_f64(jitter);
+        let from = now.max(self.told_wait);
+        spell.next_risk = from + gap.max(own).mul_f64(jitter);
+        spell.next_trial = if spell.answers { from + own.mul_f64(jitter) } else { spell.next_risk };
     }
 }
 
--- a/crates/cloverstile/src/interface.rs
+++ b/crates/cloverstile/src/interface.rs
@@ -83,6 +83,16 @@
     Zone,
 }
 
+/// How the worth of a message falls once its aim has passed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Decay {
+    /// Evenly, down to [`Class::late_share`] at the deadline.
+    #[default]
+    Line,
+    /// By half with each further aim, but not under [`Class::late_share`].
+    Halves,
+}
+
 /// A class of message.
 #[derive(Clone, Debug)]
 pub struct Class {
@@ -100,7 +110,7 @@
     pub in_order: bool,
     /// Worth of a message delivered on time.
     pub worth: f64,
-    /// Share of the worth that is left at the deadline.
+    /// Share of the worth that is left at the deadline; see [`Decay`].
     pub late_share: f64,
 }
 
@@ -168,8 +178,12 @@
 pub struct Settings {
     /// Couriers that share the destinations, this one included.
     pub couriers: u32,
+    /// Where this courier stands; calls to another location cost more. Absent where nothing is told of it.
+    pub zone: Option<ZoneId>,
     /// Classes of message.
     pub classes: Vec<Class>,
+    /// How worth falls after the aim, in all classes.
+    pub decay: Decay,
     /// Tenants; may be empty.
     pub tenants: Vec<Tenant>,
     /// Kinds of destination.
@@ -202,7 +216,9 @@
     fn default() -> Self {
         Settings {
             couriers: 2,
+            zone: None,
             classes: vec![Class::default()],
+            decay: Decay::Line,
             tenants: Vec::new(),
             kinds: vec![Kind { batch: 1, own_limits: false }],
             weights: WeightSource::Nominal,
--- a/crates/cloverstile/src/settings.rs
+++ b/crates/cloverstile/src/settings.rs
@@ -1,7 +1,7 @@
 //! The one reader of settings, shared by the bench adapter and the courier: path=value lines, or the same names
 //! as nested JSON, to [`Settings`]. Unknown paths are skipped.
 
-use crate::{Class, Effect, Group, Kind, Rules, Settings, Tenant, WeightSource};
+use crate::{Class, Decay, Effect, Group, Kind, Rules, Settings, Tenant, WeightSource, ZoneId};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::str::FromStr;
@@ -146,7 +146,13 @@
     let place = |name: &str| fields.iter().position(|field| *field == name);
     let settings = Settings {
         couriers: lines.or("Balancers", base.couriers)?,
+        zone: lines.get("Locality")?.map(ZoneId),
         classes: list(lines, "Lanes", class)?,
+        decay: lines.choice(
+            "FamilyInfo.Decay",
+            base.decay,
+            &[("line", Decay::Line), ("halves", Decay::Halves)],
+        )?,
         tenants: list(lines, "Projects", tenant)?,
         kinds: kinds(lines)?,
         weights: lines.choice(
