Do not take calls that were lost by themselves for an outage of their partner

A probe at the place where a spell opens showed five partners held to be out at once for 7 to 20 s, by silence alone (no call had failed), each with 1 to 6 calls out of which the oldest was 5 to 12 s old: calls on single connections that had fallen silent, while all around them were answered. Each spell saw one trial, after that call had timed out.

At fault: route_free_at in choice.rs. It measured silence from the oldest call out, so that any lull of 0.75 s behind a lost call was an outage; a trial waited until fewer calls were out than a quarter of the free slots, and the lost ones counted; and so they did for the bulkhead, which left slots free that no partner was allowed to take, so that nothing was called off.

Now a call that was silent for a stall while others were answered counts for neither silence nor trials, and a stalled one does not count for the bulkhead. The three tests fail without it.

--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -567,6 +567,17 @@
         let stall = self.stall_patience(id);
         let slots_free = self.slots_free();
         let rate = self.pace(now, id);
+        // What was silent for so long while others were answered was lost by itself, on its connection: it
+        // tells nothing of the route, and must not hold its trials up until it times out.
+        let route = self.routes.get(&id)?;
+        let (mut oldest, mut alone, mut live) = (None, 0, 0);
+        for call in route.out.iter().filter_map(|call| self.calls.get(call)) {
+            live += usize::from(!call.stalled);
+            if call.sent + stall >= route.last_answer {
+                oldest = oldest.or(Some(call.sent));
+                alone += 1;
+            }
+        }
         let route = self.routes.get_mut(&id)?;
         if route.told_wait > now {
             return Some(route.told_wait);
@@ -576,7 +587,6 @@
         }
         // Hung or dead destinations answer nothing: the silence itself opens the circuit, long before a
         // time-out would, so that only few calls are risked.
-        let oldest = route.out.first().and_then(|call| self.calls.get(call)).map(|call| call.sent);
         if let (None, Some(sent)) = (&route.spell, oldest) {
             if now - sent.max(route.last_answer) > stall {
                 let (began, next_trial) = (route.last_answer.min(sent), now + stall);
@@ -586,10 +596,11 @@
         if let Some(spell) = &route.spell {
             // Trials that hang must not gather until they pin the slots of the healthy.
             let room = ((slots_free as f64 * TRIAL_SLOTS) as usize).max(1);
-            return (route.out.len() < room).then_some(spell.next_trial);
+            return (alone < room).then_some(spell.next_trial);
         }
-        // Bulkhead: no destination has more calls out than slots are left for all others.
-        if !route.out.is_empty() && route.out.len() >= slots_free.max(1) {
+        // Bulkhead: no destination has more calls out than slots are left for all others. Stalled ones do not
+        // count, or lost calls here and there would hold up each other's destinations with slots left.
+        if live > 0 && live >= slots_free.max(1) {
             return None;
         }
         let burst = if route.returned.is_some() { 1.0 } else { (rate * BURST_S).max(1.0) };
--- /dev/null
+++ b/crates/cloverstile/tests/lost_alone.rs
@@ -0,0 +1,73 @@
+//! Calls that were lost by themselves, on their connections, while others to the same destination are answered. Seen on a
+//! day of busy partners on which single connections fell silent: of 30 call slots some 20 were taken by such calls, up to
+//! the deadline of what they carried, and their destinations were held to be out for up to 20 s.
+
+mod common;
+
+use cloverstile::*;
+use common::*;
+use std::time::Duration;
+
+/// Sends a message and has it answered at once.
+fn deliver(bench: &mut Bench, id: u32, destination: u16) {
+    bench.accept(id, 0, destination, None);
+    bench.now = bench.now + ms(20);
+    for (message, to, _) in bench.routes() {
+        bench.finish(message, to, Outcome::Ok, ms(15));
+    }
+}
+
+/// Sends messages that are never answered, one after the other.
+fn lose(bench: &mut Bench, ids: std::ops::Range<u32>, destination: u16) {
+    for id in ids {
+        bench.accept(id, 0, destination, None);
+        bench.now = bench.now + ms(20);
+        assert_eq!(bench.routes().len(), 1, "message {id} is sent");
+    }
+}
+
+/// Three destinations, each with four of the sixteen slots taken by calls that were lost a while ago.
+fn with_lost_calls() -> Bench {
+    let endpoints = (1..=3).map(|to| endpoint(u32::from(to) + 6, to)).collect();
+    let mut bench = Bench::new(settings(vec![unsafe_class()]), endpoints);
+    for to in 1..=3 {
+        let first = u32::from(to) * 100;
+        lose(&mut bench, first..first + 4, to);
+        deliver(&mut bench, first + 50, to);
+    }
+    for round in 0..60 {
+        for to in 1..=3 {
+            deliver(&mut bench, 1000 + round * 3 + u32::from(to), to);
+        }
+    }
+    bench
+}
+
+#[test]
+fn lost_calls_here_and_there_hold_up_nobody_while_slots_are_left() {
+    let mut bench = with_lost_calls();
+    bench.accept(5000, 0, 1, None);
+    assert_eq!(bench.routes().len(), 1);
+}
+
+#[test]
+fn a_lull_behind_a_lost_call_is_no_outage() {
+    let mut bench = with_lost_calls();
+    bench.now = bench.now + Duration::from_secs(3);
+    for id in 5000..5003 {
+        bench.accept(id, 0, 1, None);
+    }
+    // In a spell the first trial would wait for a stall, and the second for the first.
+    assert_eq!(bench.routes().len(), 3);
+}
+
+#[test]
+fn lost_calls_do_not_hold_up_the_trials_of_an_outage() {
+    let mut bench = with_lost_calls();
+    lose(&mut bench, 5000..5001, 1);
+    bench.now = bench.now + Duration::from_secs(2);
+    bench.accept(5001, 0, 1, None);
+    assert!(bench.routes().is_empty(), "it is silent: no call before a trial is due");
+    let trial = bench.until_action(Duration::from_secs(4));
+    assert!(matches!(trial[0], Action::Route { message: MessageId(5001), .. }), "{trial:?}");
+}
