--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -1022,7 +1022,8 @@
         let jitter = TRIAL_JITTER_FROM + chance * (1.0 - TRIAL_JITTER_FROM);
         // Behind a told wait no gap runs out: who waits together must not come back together.
         let from = now.max(self.told_wait);
-        spell.next_risk = from + gap.max(own).mul_f64(jitter);
+        // Where nobody answers no gap is shorter in the mean than the budget asks: 200 couriers add up.
+        spell.next_risk = from + gap.mul_f64(jitter).max(own.mul_f64(0.5 + chance));
         spell.next_trial = if spell.answers { from + own.mul_f64(jitter) } else { spell.next_risk };
     }
 }
