--- a/crates/gullcart-journal/src/journal.rs
+++ b/crates/gullcart-journal/src/journal.rs
@@ -87,6 +87,8 @@
     place: usize,
     /// Its end was written down, and it is still there.
     is_dead: bool,
+    /// What is to be rewritten in the next step.
+    due: u64,
     /// Messages of which something could not be written.
     unwritten: BTreeSet<u32>,
     trouble: Option<JournalError>,
@@ -206,6 +208,7 @@
             state,
             place: 0,
             is_dead: false,
+            due: 0,
             unwritten: BTreeSet::new(),
             trouble: None,
             figures: Figures::default(),
@@ -496,9 +499,13 @@
                 self.trouble = Some(error);
             }
         }
-        let step = self.plan.step(&self.room(), written);
-        if step > 0 {
-            self.clean(step);
+        let room = self.room();
+        let step = self.plan.step(&room, written);
+        // Small steps are saved up: what several messages need goes out in one write.
+        self.due = if step > 0 { self.due + step } else { 0 };
+        if self.due > 0 && self.plan.is_due(&room, self.due) {
+            let due = std::mem::take(&mut self.due);
+            self.clean(due);
         }
         self.log.prepare(self.image.held.len() as u64);
     }
@@ -543,11 +550,11 @@
         while let Some(oldest) = self.log.oldest().filter(|_| budget > 0) {
             let written = match self.ledger.next(oldest.sequence, &mut self.place) {
                 Next::Message(number) => {
-                    let Some(held) = self.image.held.get(&number).cloned() else { continue };
-                    let result = self.move_on(Record::Whole(number, held));
+                    let place = self.place;
+                    let result = self.move_messages(oldest.sequence, number, budget);
                     if result.is_err() {
-                        // It is still to be rewritten.
-                        self.place -= 1;
+                        // They are still to be rewritten.
+                        self.place = place - 1;
                     }
                     result?
                 }
@@ -563,6 +570,58 @@
         Ok(())
     }
 
+    /// Rewrites a message of the oldest segment, and those behind it as far as the budget goes and one write can take them.
+    fn move_messages(&mut self, segment: u64, first: u32, budget: u64) -> Result<u64, JournalError> {
+        let fits = |held: &Held| held_cost(held) + FRAME;
+        let run = self.log.run();
+        let mut batch = Vec::new();
+        let (mut number, mut expected) = (first, 0);
+        while let Some(held) = self.image.held.get(&number) {
+            let before = self.place;
+            expected += fits(held);
+            batch.push(number);
+            if expected >= budget {
+                break;
+            }
+            let next = match self.ledger.next(segment, &mut self.place) {
+                Next::Message(next) => self.image.held.get(&next).map(|held| (next, expected + fits(held))),
+                Next::Later | Next::End => None,
+            };
+            match next {
+                Some((next, together)) if together <= run => number = next,
+                _ => {
+                    self.place = before;
+                    break;
+                }
+            }
+        }
+        if batch.len() < 2 {
+            let Some(held) = self.image.held.get(&first).cloned() else { return Ok(0) };
+            return self.move_on(Record::Whole(first, held));
+        }
+        let (mut payloads, mut lengths) =
+            (std::mem::take(&mut self.payload), Vec::with_capacity(batch.len()));
+        payloads.clear();
+        for number in &batch {
+            let Some(held) = self.image.held.get(number) else { continue };
+            let begin = payloads.len();
+            payloads = postcard::to_extend(&Record::Whole(*number, held.clone()), payloads)?;
+            lengths.push(payloads.len() - begin);
+        }
+        let bytes = payloads.len() as u64 + lengths.len() as u64 * FRAME;
+        let result = match self.plan.may_write(&self.room(), Purpose::Move, bytes) {
+            true => self.log.append_run(&payloads, &lengths),
+            false => Err(JournalError::Full),
+        };
+        self.payload = payloads;
+        let to = result?;
+        for (number, length) in batch.into_iter().zip(lengths) {
+            self.ledger.settle(number, to, length as u64 + FRAME);
+        }
+        self.figures.rewritten += bytes;
+        Ok(bytes)
+    }
+
     /// What went and could not be written when it did; what came back meanwhile is written with the rest.
     fn next_gone(&mut self) -> Option<Record> {
         let (uids, places) = &mut self.state.gone;
--- a/crates/gullcart-journal/src/log.rs
+++ b/crates/gullcart-journal/src/log.rs
@@ -171,16 +171,35 @@
             self.roll()?;
         }
         let set_aside = self.active.as_ref().map_or(0, |active| active.length);
-        match self.put(payload, bytes) {
+        match self.put(payload, &[payload.len()]) {
             // The disk gave no more than was set aside; the spare segment is.
             Err(_) if !begun && self.spare.is_some() && self.size() + bytes > set_aside => {
                 self.roll()?;
-                self.put(payload, bytes).map(|segment| Appended { segment, begun: true, bytes })
+                self.put(payload, &[payload.len()]).map(|segment| Appended { segment, begun: true, bytes })
             }
             put => put.map(|segment| Appended { segment, begun, bytes }),
         }
     }
 
+    /// Bytes that [`Log::append_run`] may write: what is set aside in the segment that is written.
+    pub fn run(&self) -> u64 {
+        match &self.active {
+            Some(active) if !self.closing && !self.is_suspect && active.size < self.plan.segment() => {
+                active.length - active.size
+            }
+            _ => 0,
+        }
+    }
+
+    /// Appends several records in one write, to the segment that is written: all of them or none. With their frames they
+    /// fit into [`Log::run`]. The payloads stand behind each other, each as long as its place in `lengths` says.
+    pub fn append_run(&mut self, payloads: &[u8], lengths: &[usize]) -> Result<u64, JournalError> {
+        if let Some(long) = lengths.iter().find(|length| **length > frame::LONGEST as usize) {
+            return Err(JournalError::Long(*long));
+        }
+        self.put(payloads, lengths)
+    }
+
     fn size(&self) -> u64 {
         self.active.as_ref().map_or(0, |active| active.size)
     }
@@ -201,25 +220,30 @@
         Ok(())
     }
 
-    /// Writes a record behind the last one; to which segment.
-    fn put(&mut self, payload: &[u8], bytes: u64) -> Result<u64, JournalError> {
+    /// Writes records behind the last one; to which segment.
+    fn put(&mut self, mut payloads: &[u8], lengths: &[usize]) -> Result<u64, JournalError> {
         self.cut_off()?;
         let (used, durability) = (self.used(), self.durability);
         let (store, plan, identity) = (&self.store, &self.plan, self.identity);
         let Some(active) = &mut self.active else { return Err(JournalError::Full) };
-        let end = active.size + bytes;
+        let end = active.size + payloads.len() as u64 + lengths.len() as u64 * FRAME;
         if used - on_disk(active.length) + on_disk(end.max(active.length)) > plan.disk() {
             return Err(JournalError::Full);
         }
-        self.buffer.clear();
-        self.buffer.resize(FRAME as usize, 0);
-        self.buffer.extend_from_slice(payload);
         let settled = match durability {
             Durability::Process => active.size,
             Durability::Machine => active.settled,
         };
         let place = Place { identity, sequence: active.sequence };
-        frame::seal(place, active.size, settled, &mut self.buffer);
+        self.buffer.clear();
+        for length in lengths {
+            let (payload, rest) = payloads.split_at((*length).min(payloads.len()));
+            let begin = self.buffer.len();
+            self.buffer.resize(begin + FRAME as usize, 0);
+            self.buffer.extend_from_slice(payload);
+            frame::seal(place, active.size + begin as u64, settled, &mut self.buffer[begin..]);
+            payloads = rest;
+        }
         if let Err(error) = store.write_at(&active.file, &self.buffer, active.size) {
             active.length = active.length.max(end);
             let failed = doing("write", &name(active.sequence))(error);
--- a/crates/gullcart-journal/src/plan.rs
+++ b/crates/gullcart-journal/src/plan.rs
@@ -19,6 +19,8 @@
 const MOST_STEP: u64 = 32 << 10;
 /// ... and so much at least, once it is due.
 const LEAST_STEP: u64 = 1 << 10;
+/// Steps that are smaller than this, and than a quarter of a segment, are saved up.
+const FULL_STEP: u64 = 16 << 10;
 /// Files are counted in whole sectors.
 const SECTOR: u64 = 512;
 
@@ -144,6 +146,13 @@
         (share as u64).clamp(LEAST_STEP, MOST_STEP)
     }
 
+    /// Whether what is to be rewritten is enough for a step: one write for several messages costs little more than one for
+    /// each. Where a promise has little room left, nothing is put off.
+    pub fn is_due(&self, room: &Room, due: u64) -> bool {
+        let over = self.room(room).saturating_sub(self.kept(room, Purpose::Promise));
+        due >= (self.segment / 4).min(FULL_STEP) || over < self.segment / 2
+    }
+
     /// How much to rewrite when something had to be refused for lack of room.
     pub fn hurry(&self) -> u64 {
         MOST_STEP
