--- a/crates/gullcart-journal/src/plan.rs
+++ b/crates/gullcart-journal/src/plan.rs
@@ -210,6 +210,17 @@
         assert!(plan.may_write(&room(3_000_000 - least - 99), Purpose::Move, 40_000));
     }
 
+    #[test]
+    fn small_steps_are_saved_up_unless_room_is_short() {
+        let plan = Plan::new(3_000_000, None);
+        let room = |used| Room { used, aside: 0, need: Some(0), ..Room::default() };
+        let kept = plan.segment() + END_ROOM;
+        let enough = (plan.segment() / 4).min(FULL_STEP);
+        let roomy = room(3_000_000 - kept - plan.segment());
+        assert!(!plan.is_due(&roomy, enough - 1) && plan.is_due(&roomy, enough));
+        assert!(plan.is_due(&room(3_000_000 - kept - plan.segment() / 2 + 1), 1));
+    }
+
     #[test]
     fn steps_begin_late_grow_and_are_bounded() {
         let plan = Plan::new(3_000_000, None);
