Spread calls for the list over the fleet, back off by chance, and tally what waits

Ruled out: full connection tables. The idle connections of all couriers were counted for each endpoint: those refused were endpoints that had been replaced, while others held 100 and answered. At fault: BACK_OFF of 100 ms in crates/gullcart/src/discovery.rs, without chance and without growth: 100 couriers make 600 to 1,000 calls a second, each turned away, which keeps discovery busy for good. Now gullcart-engine's CallsForLists says when to call: the sum over the fleet is bounded, first calls of a start are spread, each failure doubles the mean wait, half of it by chance. GULLCART_LOG switches on the log's target gullcart::tally: a line a second for each destination that is in use.

--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -10,6 +10,9 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+mod standing;
+pub use standing::{Hold, Standing};
+
 // ---- Tuned values ----
 
 /// First gap before a repeat, as a part of the class's aim: short enough to leave time for several on time.
--- /dev/null
+++ b/crates/cloverstile/src/choice/standing.rs
@@ -0,0 +1,69 @@
+//! How a courier stands with each destination, for those who look on. Nothing is decided here, and looking changes nothing.
+
+use super::{routes_of, Courier};
+use crate::books::Route;
+use crate::interface::{DestinationId, Time};
+
+/// What the messages of a destination wait for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hold {
+    /// A wait that was told.
+    Told,
+    /// A trial, in an outage.
+    Trial,
+    /// The pace of a return after an outage.
+    Return,
+    /// The pace at which this courier calls it.
+    Pace,
+    /// A call slot.
+    Slots,
+    /// The message before them, or the gap after their last attempt.
+    Turn,
+}
+
+/// How a courier stands with one destination.
+#[derive(Clone, Copy, Debug)]
+pub struct Standing {
+    /// Which.
+    pub destination: DestinationId,
+    /// Messages held that are not out.
+    pub waiting: usize,
+    /// Calls out.
+    pub out: usize,
+    /// What those that wait wait for.
+    pub hold: Hold,
+    /// Calls a second that this courier allows itself.
+    pub pace: f64,
+    /// Calls a second that it takes from all couriers together, as last told.
+    pub limit: f64,
+}
+
+impl Courier {
+    /// Each destination that has messages here.
+    pub fn standings(&self, now: Time) -> impl Iterator<Item = Standing> + '_ {
+        self.queues.iter().filter_map(move |(to, queue)| {
+            let (_, route) = self.routes.range(routes_of(*to)).next()?;
+            let out = self.calls_to(*to);
+            Some(Standing {
+                destination: *to,
+                waiting: queue.len().saturating_sub(out),
+                out,
+                hold: self.hold(now, route),
+                pace: route.rate,
+                limit: route.weight,
+            })
+        })
+    }
+
+    fn hold(&self, now: Time, route: &Route) -> Hold {
+        let passed = (now - route.filled).as_secs_f64();
+        match () {
+            () if route.told_wait > now => Hold::Told,
+            () if route.spell.is_some() => Hold::Trial,
+            () if route.returned.is_some() => Hold::Return,
+            () if route.tokens + passed * route.rate < 1.0 => Hold::Pace,
+            () if self.slots_free() == 0 => Hold::Slots,
+            () => Hold::Turn,
+        }
+    }
+}
--- a/crates/cloverstile/src/lib.rs
+++ b/crates/cloverstile/src/lib.rs
@@ -33,6 +33,6 @@
 mod interface;
 mod settings;
 
-pub use choice::Courier;
+pub use choice::{Courier, Hold, Standing};
 pub use interface::*;
 pub use settings::{parse_settings, parse_settings_json, Parsed, SettingError};
--- a/crates/gullcart-engine/src/engine.rs
+++ b/crates/gullcart-engine/src/engine.rs
@@ -14,6 +14,7 @@
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::seldom::Seldom;
+use crate::tally::Tally;
 use crate::vocabulary::{Answer, Call, Effect as Doing, Ended, Enqueue, Input, Notice, Stop, Ticket};
 
 /// From SIGTERM until the process ends at the latest: SIGKILL comes after 3.7 s.
@@ -87,6 +88,7 @@
     wake: Option<(Time, u64)>,
     actions: Vec<Action>,
     counts: Counts,
+    tally: Tally,
     journal_errors: Seldom,
     outage_lines: Seldom,
     wait_lines: Seldom,
@@ -117,6 +119,7 @@
             wake: None,
             actions: Vec::new(),
             counts: Counts::default(),
+            tally: Tally::default(),
             journal_errors: Seldom::default(),
             outage_lines: Seldom::default(),
             wait_lines: Seldom::default(),
@@ -342,6 +345,7 @@
         match self.journal.take(taken) {
             Ok(number) => {
                 self.counts.taken += 1;
+                self.tally.taken(destination);
                 self.known.insert(id, Known { number, shared: false });
                 let taken = self.journal.image().held.get(&number).map(|held| &held.taken);
                 #[cfg(feature = "broken")]
@@ -407,6 +411,9 @@
         #[cfg(feature = "broken")]
         let ended = self.broken.ended(ended);
         let Some(out) = self.out.remove(&message) else { return };
+        if let Some(destination) = self.directory.destination(endpoint) {
+            self.tally.ended(destination, ended.outcome, ended.allowance);
+        }
         if let Outcome::Full(Some(wait)) = ended.outcome {
             let destination = self.directory.destination(endpoint);
             if let Some(more) = self.wait_lines.due(now) {
@@ -588,6 +595,12 @@
         }
     }
 
+    /// Says in the log what each destination was given and what waits for it, where [`crate::TALLY`] is switched on. To be
+    /// called once a second.
+    pub fn tell_tally(&mut self, now: Time) {
+        self.tally.tell(self.courier.standings(now));
+    }
+
     /// Says in the log what has happened since the last time, and how late the loop was at the most.
     pub fn report(&mut self, latest: Duration) {
         let Counts { taken, busy, delivered, failed, returned, calls } = std::mem::take(&mut self.counts);
--- a/crates/gullcart-engine/src/lib.rs
+++ b/crates/gullcart-engine/src/lib.rs
@@ -10,13 +10,17 @@
 
 #[cfg(feature = "broken")]
 pub mod broken;
+mod calls_for_lists;
 mod clock;
 mod directory;
 mod engine;
 mod seldom;
+mod tally;
 mod vocabulary;
 
+pub use calls_for_lists::CallsForLists;
 pub use clock::{Clock, EPOCH};
 pub use engine::{Engine, Start};
 pub use seldom::Seldom;
+pub use tally::TALLY;
 pub use vocabulary::{Answer, Call, Effect, Ended, Enqueue, Input, Notice, Stop, Ticket};
--- a/crates/gullcart/src/discovery.rs
+++ b/crates/gullcart/src/discovery.rs
@@ -1,7 +1,7 @@
 //! The watch on the list of endpoints, and the notices that end messages.
 
 use bytes::Bytes;
-use gullcart_engine::{Input, Notice};
+use gullcart_engine::{CallsForLists, Input, Notice};
 use gullcart_message::{Update, Verdict};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -23,7 +23,7 @@
 /// The watch has an empty line every 2 s; silence for this long is an outage of discovery. What was missed counts
 /// as told after 6 s, so that there is no time for a longer wait.
 const SILENCE: Duration = Duration::from_secs(3);
-/// Between tries to reach the agent.
+/// Between tries to tell the agent of notices.
 const BACK_OFF: Duration = Duration::from_millis(100);
 /// Notices that go in one request at most.
 const NOTICES: usize = 200;
@@ -61,14 +61,14 @@
 /// Where discovery's agent is now; a new address is gone over to at once.
 pub type Agent = watch::Receiver<String>;
 
-/// Watches the list from the last version on. Ends never: what breaks is begun anew after a short pause.
-pub async fn watch(mut agent: Agent, mut rev: u64, driver: Inputs) {
+/// Watches the list from the last version on. Ends never: what breaks is begun anew when `calls` says.
+pub async fn watch(mut agent: Agent, mut rev: u64, mut calls: CallsForLists, driver: Inputs) {
     let mut down = false;
     // Another agent may know another list: it is asked for the whole of it first.
-    let mut whole = false;
+    let mut whole = timeout(calls.first(), agent.changed()).await.is_ok();
     loop {
         let address = agent.borrow_and_update().clone();
-        let watching = watch_once(&address, &mut whole, &mut rev, &driver, &mut down);
+        let watching = watch_once(&address, &mut whole, &mut rev, &driver, &mut down, &mut calls);
         let result = tokio::select! {
             result = watching => result,
             changed = agent.changed() => {
@@ -84,7 +84,7 @@
             warn!(reason, rev, "the watch on the list broke");
             down = true;
         }
-        whole |= timeout(BACK_OFF, agent.changed()).await.is_ok();
+        whole |= timeout(calls.after_failure(), agent.changed()).await.is_ok();
     }
 }
 
@@ -94,6 +94,7 @@
     rev: &mut u64,
     driver: &Inputs,
     down: &mut bool,
+    calls: &mut CallsForLists,
 ) -> Result<(), AgentError> {
     let mut connection = connect(agent).await?;
     if *whole {
@@ -117,6 +118,7 @@
     let mut body = response.into_body();
     let mut buffer = Vec::new();
     while let Some(part) = timeout(SILENCE, body.frame()).await? {
+        calls.is_heard();
         if *down {
             info!(rev, "the list is being watched again");
             *down = false;
--- a/crates/gullcart/src/driver.rs
+++ b/crates/gullcart/src/driver.rs
@@ -126,6 +126,7 @@
                 () = sleep_until(wake.unwrap_or(never)), if wake.is_some() => {}
                 _ = sweep.tick() => {
                     self.pool.sweep();
+                    self.engine.tell_tally(self.clock.now());
                     sweeps += 1;
                     if sweeps % REPORT_SWEEPS == 0 {
                         self.engine.report(std::mem::take(&mut self.latest));
--- a/crates/gullcart/src/lib.rs
+++ b/crates/gullcart/src/lib.rs
@@ -12,7 +12,7 @@
 mod wire;
 
 use cloverstile::{parse_settings_json, SettingError};
-use gullcart_engine::{Engine, Input, Start};
+use gullcart_engine::{CallsForLists, Engine, Input, Start};
 use gullcart_journal::{Journal, JournalError, Options, OptionsError};
 use gullcart_message::Update;
 use serde::Deserialize;
@@ -37,6 +37,8 @@
 
 /// Notices that wait to be told at most; more of them wait with the loop.
 const NOTICES: usize = 1024;
+/// Sets the chance of calls for lists apart from that of decisions.
+const LIST_SEED: u64 = 0x6c69_7374;
 /// Names the operators' file of the journal, where there is one.
 const JOURNAL_FILE: &str = "GULLCART_JOURNAL";
 
@@ -134,7 +136,7 @@
     };
     #[cfg(feature = "broken")]
     let parsed = broken.settings(parsed);
-    let slots = parsed.settings.call_slots;
+    let (slots, couriers) = (parsed.settings.call_slots, parsed.settings.couriers);
     // Any text serves as a seed, but two couriers must not act alike.
     let seed = u64::from_str_radix(&config.seed, 16)
         .unwrap_or_else(|_| u64::from(crc32fast::hash(config.seed.as_bytes())));
@@ -179,7 +181,8 @@
     info!(name = config.name, %address, "listening");
     tokio::task::spawn_local(clients::serve(listener, inputs.clone(), closes, clients));
     let (found, agent) = watch::channel(config.discovery);
-    tokio::task::spawn_local(discovery::watch(agent.clone(), rev, inputs.clone()));
+    let calls = CallsForLists::new(couriers, seed ^ LIST_SEED);
+    tokio::task::spawn_local(discovery::watch(agent.clone(), rev, calls, inputs.clone()));
     tokio::task::spawn_local(discovery::notices(agent, owed, inputs.clone()));
     tokio::task::spawn_local(follow(hang_up, path, found));
     tokio::task::spawn_local(async move {
