Pace calls by the share left of a told limit, above an even part of it

Line by line of one destination (0.1 s): the share left is told 0.3 to 1 s late and refreshed every 0.67 s; all couriers grew by it at once with each answer (TOLD_GROWTH, twice the share left, so that it settled only where calls are refused), came back together at the end of the told wait, with what their buckets had filled meanwhile, and when the limit rose again their old rates stayed. Ruled out: connection tables (counted), CPU (under 1 % of a core), slots (nothing waited for one). Now the pace leans by the share left beyond one that is kept, and its base follows at so much a second, not with each answer; no cut but the last goes below an even part of the limit; a base stays the same part of a limit that is raised or lowered and never passes it; a bucket does not fill behind a told wait; a refused connection opens a spell only when no endpoint is sound.

--- a/crates/cloverstile/src/books.rs
+++ b/crates/cloverstile/src/books.rs
@@ -130,6 +130,9 @@
     /// Calls served a second, as of the last success and without it; held up through an outage and its return.
     pub share: f64,
     pub told_wait: Time,
+    /// Share of the limit that is left, as last told, and when.
+    pub left: f64,
+    pub told_at: Time,
     pub latency: Latency,
     pub last_answer: Time,
     pub evidence: u32,
--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -65,8 +65,14 @@
 const RATE_GROWTH: f64 = 0.25;
 /// A refusal with more than this share of the limit left, as told, is not for the limit.
 const ROOM_LEFT: f64 = 0.3;
-/// Growth where the share of the limit that is left is told: so many times that share.
-const TOLD_GROWTH: f64 = 2.0;
+/// The share of a limit that is to be left, where it is told. The pace leans by so much of what is left
+/// beyond it, and its base follows by so much of it a second: the share is told late, and whoever follows it faster
+/// meets what all others did with the same news.
+const KEPT_LEFT: f64 = 0.5;
+const LEFT_LEAN: f64 = 0.8;
+const LEFT_GROWTH_A_S: f64 = 1.0;
+/// An even part of a told limit that no cut goes below, but the last: with all couriers there, it is kept.
+const EVEN_PART: f64 = 0.9;
 /// What was sent of late: calls over about so many seconds.
 const LATE_S: f64 = 1.0;
 /// Tokens that may be saved up, in seconds of the rate; one call at least.
@@ -217,7 +223,8 @@
             let batch = self.settings.kinds.get(usize::from(entry.kind.0)).map_or(1, |k| k.batch.max(1));
             let route = self.routes.entry(self.route_of(&entry)).or_insert_with(|| {
                 let (rate, tokens, filled, latency, last_answer) = (weight, 1.0, now, usual, now);
-                Route { rate, tokens, filled, latency, last_answer, ..Route::default() }
+                let (left, told_at) = (KEPT_LEFT, now);
+                Route { rate, tokens, filled, latency, last_answer, left, told_at, ..Route::default() }
             });
             (route.weight, route.batch) = (weight, batch);
             if let Some(known) = self.addresses.get_mut(&entry.id) {
@@ -452,8 +459,25 @@
         let (settings, chance) = (&self.settings, self.rng.f64());
         let waiting = self.queues.get(&call.route.0).map_or(0, Vec::len) as f64;
         let Some(route) = self.routes.get_mut(&call.route) else { return };
-        if let Some(limit) = finished.allowance.map(|a| a.limit).filter(|limit| *limit > 0.0) {
-            route.weight = limit;
+        let told = finished.allowance.filter(|a| a.limit > 0.0);
+        if let Some(told) = told {
+            // A part of a limit stays that part of it when it is raised or lowered.
+            route.rate *= told.limit / route.weight;
+            route.weight = told.limit;
+            route.left = told.left.clamp(0.0, 1.0);
+            let passed = (now - route.told_at).as_secs_f64().min(1.0);
+            let growth = LEFT_GROWTH_A_S * passed * (route.left - KEPT_LEFT);
+            if route.bound || growth < 0.0 {
+                route.rate *= 1.0 + growth;
+            }
+            if finished.outcome == Outcome::Ok {
+                route.rate = route.rate.max(route.even_part(settings));
+            }
+            route.told_at = now;
+        }
+        // A pace beyond the whole limit is none.
+        if settings.weights != WeightSource::Silent {
+            route.rate = route.rate.min(route.weight);
         }
         // A time-out is a sample too, of at least its length: else it would stay too short all through a slow
         // spell, and each repeat would meet the first call still running.
@@ -467,7 +491,8 @@
         // while an endpoint is left that did not fail; silence does, as a hang mostly takes all.
         let sound = |a: &Address| a.entry.mode == Mode::Ready && a.failures == 0;
         let alone = call.sent >= route.last_answer;
-        let all_sick = alone && !route.endpoints.iter().filter_map(|id| self.addresses.get(id)).any(sound);
+        let one_sound = route.endpoints.iter().filter_map(|id| self.addresses.get(id)).any(sound);
+        let all_sick = alone && !one_sound;
         let blip = settings.rules.fall.mul_f64(BLIP_OF_FALL);
         match finished.outcome {
             Outcome::Ok => {
@@ -482,11 +507,8 @@
                     route.returned = Some(now);
                     route.tokens = 0.0;
                 }
-                let left = finished.allowance.filter(|a| a.limit > 0.0).map(|a| a.left.clamp(0.0, 1.0));
-                if route.bound {
-                    let growth = RATE_GROWTH * route.rate.min(shortest_aim(settings).recip());
-                    let growth = left.map_or(growth, |left| TOLD_GROWTH * left * route.rate);
-                    route.rate += growth;
+                if route.bound && told.is_none() {
+                    route.rate += RATE_GROWTH * route.rate.min(shortest_aim(settings).recip());
                 }
                 route.spell = None;
                 (route.evidence, route.cuts) = (0, 0);
@@ -503,7 +525,7 @@
             }
             Outcome::Full(_) => {
                 // Refused though there is room inside the limit: it is shut or hangs with its queue full.
-                let room = finished.allowance.is_some_and(|a| a.limit > 0.0 && a.left > ROOM_LEFT);
+                let room = told.is_some_and(|told| told.left > ROOM_LEFT);
                 route.evidence += if room { EVIDENCE_LOST } else { EVIDENCE_REFUSED };
                 if now - route.last_cut > CUT_EVERY {
                     let cut = RATE_CUTS[route.cuts.min(RATE_CUTS.len() - 1)];
@@ -516,17 +538,21 @@
                     let own = route.demand.rate(now, cold_s(settings), 0.0);
                     let late = late.max(own).max(route.weight / couriers(settings)).max(waiting * an_aim);
                     let slowest = route.fall_part(now, settings, 0.0);
-                    route.rate = (cut * route.rate.min(late)).max(slowest.min(route.rate));
+                    let least = if cut > 0.0 { slowest.max(route.even_part(settings)) } else { slowest };
+                    route.rate = (cut * route.rate.min(late)).max(least.min(route.rate));
                     route.last_cut = now;
                 }
                 // By chance, as all that were refused together would come back together.
                 let spread = if route.is_light(now, settings) { LIGHT_SPREAD } else { 1.0 };
-                route.tokens = route.tokens.min(-chance * spread);
+                route.tokens = route.tokens.min(0.5 - chance * spread);
+                // Nothing is saved up behind a told wait either: it ends for all at one moment.
+                route.filled = route.filled.max(route.told_wait);
             }
             Outcome::Error | Outcome::Reset if all_sick => route.evidence += EVIDENCE_LOST,
             // It is up, and may yet be failing most calls.
             Outcome::Spoilt if alone => route.evidence += EVIDENCE_REFUSED,
-            Outcome::ConnectFailed if alone => route.evidence += EVIDENCE_NO_CONNECTION,
+            Outcome::ConnectFailed if all_sick => route.evidence += EVIDENCE_NO_CONNECTION,
+            Outcome::ConnectFailed if alone => route.evidence += EVIDENCE_REFUSED,
             Outcome::Timeout | Outcome::Cancelled if alone => route.evidence += EVIDENCE_LOST,
             _ => {}
         }
@@ -620,7 +646,8 @@
     /// Calls a second that this courier may send a route now.
     fn pace(&mut self, now: Time, id: RouteId) -> f64 {
         let Some(route) = self.routes.get_mut(&id) else { return 1.0 };
-        let Some(returned) = route.returned else { return route.rate };
+        let lean = 1.0 + LEFT_LEAN * (route.left - KEPT_LEFT);
+        let Some(returned) = route.returned else { return route.rate * lean };
         let warmth = (now - returned).as_secs_f64() / cold_s(&self.settings);
         if warmth >= 1.0 {
             route.returned = None;
@@ -1000,6 +1027,14 @@
         self.demand.rate(now, cold_s(settings), 0.0) * cold_s(settings) < LIGHT
     }
 
+    /// Calls a second that leave room for as many from each other courier; none where no limit is told.
+    fn even_part(&self, settings: &Settings) -> f64 {
+        match settings.weights {
+            WeightSource::Silent => 0.0,
+            _ => EVEN_PART * self.weight / couriers(settings),
+        }
+    }
+
     /// This courier's part of what all may send together, a second, so that a destination survives a return;
     /// `warmth` runs from 0 to 1 over a cold one. It goes by what was served here before, which adds up to
     /// what the destination can do however many want it (own demand does not: hunted day h1c8921, thirty
