--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -66,8 +66,8 @@
 /// A refusal with more than this share of the limit left, as told, is not for the limit.
 const ROOM_LEFT: f64 = 0.3;
 /// The share of a limit that is to be left, where it is told. The pace leans by so much of what is left
-/// beyond it, and its base follows by so much of it a second: the share is told late, and whoever follows it faster
-/// meets what all others did with the same news.
+/// beyond it, and its base follows by so much of it a second: the share is told late, and whoever follows it
+/// faster meets what all others did with the same news.
 const KEPT_LEFT: f64 = 0.5;
 const LEFT_LEAN: f64 = 0.8;
 const LEFT_GROWTH_A_S: f64 = 1.0;
