Start a courier at two even parts of a limit, and cut it to near one

At fault: rate = weight in on_listing, and the term 'waiting * an_aim' in the cut, both right for one courier only. Now a new route starts at two even parts of its limit, at least at a call an aim; where a limit is told, a refusal cuts to near the even part, the nearer the more waits here, as that waits at the others too.

--- a/crates/cloverstile/src/books.rs
+++ b/crates/cloverstile/src/books.rs
@@ -136,6 +136,8 @@
     pub latency: Latency,
     pub last_answer: Time,
     pub evidence: u32,
+    /// A call was lost in silence since the last success.
+    pub doubtful: bool,
     pub spell: Option<Spell>,
     /// When the slow start began, if one is on.
     pub returned: Option<Time>,
--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -68,11 +68,13 @@
 /// The share of a limit that is to be left, where it is told. The pace leans by so much of what is left
 /// beyond it, and its base follows by so much of it a second: the share is told late, and whoever follows it
 /// faster meets what all others did with the same news.
-const KEPT_LEFT: f64 = 0.5;
-const LEFT_LEAN: f64 = 0.8;
-const LEFT_GROWTH_A_S: f64 = 1.0;
+const KEPT_LEFT: f64 = 0.4;
+const LEFT_LEAN: f64 = 0.5;
+const LEFT_GROWTH_A_S: f64 = 0.5;
 /// An even part of a told limit that no cut goes below, but the last: with all couriers there, it is kept.
 const EVEN_PART: f64 = 0.9;
+/// A new route starts at so many even parts of its limit: many at the whole of it would send many times that.
+const START_PARTS: f64 = 2.0;
 /// What was sent of late: calls over about so many seconds.
 const LATE_S: f64 = 1.0;
 /// Tokens that may be saved up, in seconds of the rate; one call at least.
@@ -220,9 +222,14 @@
             }
             let weight = self.weight_of(&entry);
             let usual = self.usual;
+            let an_aim = shortest_aim(&self.settings).recip();
+            let start = match self.settings.weights {
+                WeightSource::Silent => weight,
+                _ => (weight * START_PARTS / couriers(&self.settings)).max(an_aim).min(weight),
+            };
             let batch = self.settings.kinds.get(usize::from(entry.kind.0)).map_or(1, |k| k.batch.max(1));
             let route = self.routes.entry(self.route_of(&entry)).or_insert_with(|| {
-                let (rate, tokens, filled, latency, last_answer) = (weight, 1.0, now, usual, now);
+                let (rate, tokens, filled, latency, last_answer) = (start, 1.0, now, usual, now);
                 let (left, told_at) = (KEPT_LEFT, now);
                 Route { rate, tokens, filled, latency, last_answer, left, told_at, ..Route::default() }
             });
@@ -511,7 +518,7 @@
                     route.rate += RATE_GROWTH * route.rate.min(shortest_aim(settings).recip());
                 }
                 route.spell = None;
-                (route.evidence, route.cuts) = (0, 0);
+                (route.evidence, route.cuts, route.doubtful) = (0, 0, false);
                 route.last_answer = now;
                 return;
             }
@@ -539,6 +546,9 @@
                     let late = late.max(own).max(route.weight / couriers(settings)).max(waiting * an_aim);
                     let slowest = route.fall_part(now, settings, 0.0);
                     let least = if cut > 0.0 { slowest.max(route.even_part(settings)) } else { slowest };
+                    // Where a limit is told, what waits here waits at each other courier too.
+                    let even = route.even_part(settings);
+                    let late = if told.is_some() { even * (1.0 + 1.0 / waiting.max(1.0)) } else { late };
                     route.rate = (cut * route.rate.min(late)).max(least.min(route.rate));
                     route.last_cut = now;
                 }
@@ -553,7 +563,10 @@
             Outcome::Spoilt if alone => route.evidence += EVIDENCE_REFUSED,
             Outcome::ConnectFailed if all_sick => route.evidence += EVIDENCE_NO_CONNECTION,
             Outcome::ConnectFailed if alone => route.evidence += EVIDENCE_REFUSED,
-            Outcome::Timeout | Outcome::Cancelled if alone => route.evidence += EVIDENCE_LOST,
+            Outcome::Timeout | Outcome::Cancelled if alone => {
+                route.evidence += EVIDENCE_LOST;
+                route.doubtful = true;
+            }
             _ => {}
         }
         if route.evidence >= SPELL_AFTER || (route.spell.is_some() && route.evidence >= EVIDENCE_LOST) {
@@ -647,7 +660,11 @@
     fn pace(&mut self, now: Time, id: RouteId) -> f64 {
         let Some(route) = self.routes.get_mut(&id) else { return 1.0 };
         let lean = 1.0 + LEFT_LEAN * (route.left - KEPT_LEFT);
-        let Some(returned) = route.returned else { return route.rate * lean };
+        let Some(returned) = route.returned else {
+            let rate = route.rate * lean;
+            // A lost call may be all that a courier with few of them sees of an outage.
+            return if route.doubtful { route.fall_part(now, &self.settings, 0.0).min(rate) } else { rate };
+        };
         let warmth = (now - returned).as_secs_f64() / cold_s(&self.settings);
         if warmth >= 1.0 {
             route.returned = None;
--- a/crates/cloverstile/tests/shared_limit.rs
+++ b/crates/cloverstile/tests/shared_limit.rs
@@ -249,3 +249,16 @@
         assert!((calls - ok).abs() < 0.02 && ok > 0.55, "{couriers} couriers: {calls:.2}, {ok:.2}");
     }
 }
+
+/// Every courier meets its first messages of a partner at one moment: what is refused then uses the limit up.
+#[test]
+fn a_first_clump_is_not_sent_by_all_at_once() {
+    for couriers in [100, 200] {
+        let mut fleet = Fleet::new(couriers, 5);
+        fleet.restart(10, 1000 / couriers as usize);
+        let (calls, ok) = fleet.run(4, 0.5);
+        let case = format!("{couriers} couriers: {calls:.2} of the limit called, {ok:.2} used");
+        println!("{case}");
+        assert!(calls < 1.5 && ok > 0.45, "{case}");
+    }
+}
