--- a/crates/gullcartctl/src/main.rs
+++ b/crates/gullcartctl/src/main.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod emulate;
+mod fleet;
 mod journal;
 mod prove;
 mod rehearse;
@@ -29,6 +30,8 @@
     Prove(prove::Arguments),
     /// Look at the journal of a courier that does not run, and repair it
     Journal(journal::Arguments),
+    /// Add up, second by second, what many couriers say of each destination in their logs
+    Fleet(fleet::Arguments),
     /// Run a program that dies with the process that started it
     #[command(hide = true)]
     CourierGuard {
@@ -47,6 +50,7 @@
         Command::Emulate(arguments) => emulate::emulate(&arguments),
         Command::Prove(arguments) => prove::prove(&arguments),
         Command::Journal(arguments) => journal::journal(&arguments),
+        Command::Fleet(arguments) => fleet::fleet(&arguments),
         Command::CourierGuard { program, arguments } => Err(format!(
             "cannot run {}: {}",
             program.display(),
