Keep eight idle connections at an endpoint over the fleet, not one for each courier

At fault: Pool::put keeps every connection, bounded for each courier only. Now IdleShare, without I/O, says which are kept: with the chance of 8 over the number of couriers, so that the sum is 8 at any rate of calls; up to 8 couriers keep all as before. Test: 1, 3, 100 and 200 couriers calling one endpoint in turn never hold more than 20, and few couriers reuse all they have.

--- /dev/null
+++ b/crates/gullcart-engine/src/idle_share.rs
@@ -0,0 +1,58 @@
+//! Which connections are kept once their call is over. No socket and no clock.
+//!
+//! An endpoint holds few connections, idle ones counted. One kept by each of a few couriers harms nobody; one kept by each of a
+//! hundred leaves the endpoint no room for calls, and nobody who holds one sees that others are turned away.
+
+use fastrand::Rng;
+
+/// Idle connections that all couriers together keep at one endpoint, in the mean.
+const OVER_THE_FLEET: f64 = 8.0;
+
+/// One courier's part of the idle connections to each endpoint.
+#[derive(Debug)]
+pub struct IdleShare {
+    part: f64,
+    rng: Rng,
+}
+
+impl IdleShare {
+    /// For a courier of so many; none counts as one.
+    pub fn new(couriers: u32, seed: u64) -> Self {
+        IdleShare { part: OVER_THE_FLEET / f64::from(couriers.max(1)), rng: Rng::with_seed(seed) }
+    }
+
+    /// Whether to keep a connection whose call is over. Where a courier calls at a steady rate, each connection kept waits
+    /// for the next call, so that the part of the calls which keep theirs is the part of the couriers that hold one.
+    pub fn keeps(&mut self) -> bool {
+        self.part >= 1.0 || self.rng.f64() < self.part
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Couriers call one endpoint in turn, by chance, and reuse what they kept.
+    #[test]
+    fn all_couriers_together_keep_few_at_an_endpoint() {
+        for (couriers, most) in [(0, 1), (1, 1), (3, 3), (100, 20), (200, 20)] {
+            let mut shares: Vec<_> =
+                (0..couriers.max(1)).map(|n| (IdleShare::new(couriers, n.into()), false)).collect();
+            let mut chance = Rng::with_seed(9);
+            let (mut peak, mut reused) = (0, 0);
+            for call in 0..20_000 {
+                let caller = chance.usize(..shares.len());
+                let (share, held) = &mut shares[caller];
+                reused += usize::from(*held);
+                *held = share.keeps();
+                if call > 1_000 {
+                    peak = peak.max(shares.iter().filter(|(_, held)| *held).count());
+                }
+            }
+            assert!(peak <= most, "{couriers} couriers held {peak}");
+            // Few couriers keep all they have, many some.
+            let least = if couriers <= 3 { 19_900 } else { 400 };
+            assert!(reused >= least, "{couriers} couriers used {reused} again");
+        }
+    }
+}
--- a/crates/gullcart/src/calls.rs
+++ b/crates/gullcart/src/calls.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use cloverstile::{Allowance, EndpointId, Outcome};
-use gullcart_engine::{Call, Ended, Stop};
+use gullcart_engine::{Call, Ended, IdleShare, Stop};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -75,11 +75,18 @@
     keep: Duration,
     most: usize,
     most_idle: usize,
+    share: RefCell<IdleShare>,
 }
 
 impl Pool {
     /// At most `most` connections are open at a time, and `most_idle` of them idle.
-    pub fn new(connect_timeout: Duration, conn_idle: Duration, most: usize, most_idle: usize) -> Self {
+    pub fn new(
+        connect_timeout: Duration,
+        conn_idle: Duration,
+        most: usize,
+        most_idle: usize,
+        share: IdleShare,
+    ) -> Self {
         Pool {
             idle: RefCell::default(),
             open: Rc::default(),
@@ -88,6 +95,7 @@
             keep: conn_idle.mul_f64(IDLE_PART),
             most,
             most_idle,
+            share: RefCell::new(share),
         }
     }
 
@@ -132,6 +140,9 @@
     }
 
     fn put(&self, endpoint: EndpointId, mut connection: Connection) {
+        if !self.share.borrow_mut().keeps() {
+            return;
+        }
         connection.idle_since = Instant::now();
         if self.idle.borrow().values().map(Vec::len).sum::<usize>() >= self.most_idle {
             self.close_oldest();
--- a/crates/gullcart/src/driver.rs
+++ b/crates/gullcart/src/driver.rs
@@ -1,7 +1,7 @@
 //! The loop round the engine: inputs in, effects out, timers. It moves bytes and decides nothing.
 
 use cloverstile::{MessageId, Settings, Time};
-use gullcart_engine::{Answer, Call, Effect, Engine, Input, Notice, Seldom, Stop, Ticket, EPOCH};
+use gullcart_engine::{Answer, Call, Effect, Engine, IdleShare, Input, Notice, Seldom, Stop, Ticket, EPOCH};
 use gullcart_journal::{Folder, JournalError};
 use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
@@ -67,7 +67,7 @@
 }
 
 /// The connections to endpoints that the settings and the descriptors allow.
-pub fn pool(settings: &Settings, endpoint_sockets: usize) -> Rc<Pool> {
+pub fn pool(settings: &Settings, endpoint_sockets: usize, seed: u64) -> Rc<Pool> {
     Rc::new(Pool::new(
         settings.connect_timeout,
         settings.conn_idle,
@@ -76,6 +76,7 @@
         (IDLE_OF_SLOTS * settings.call_slots)
             .min(endpoint_sockets.saturating_sub(settings.call_slots))
             .max(1),
+        IdleShare::new(settings.couriers, seed),
     ))
 }
 
--- a/crates/gullcart/src/lib.rs
+++ b/crates/gullcart/src/lib.rs
@@ -37,7 +37,8 @@
 
 /// Notices that wait to be told at most; more of them wait with the loop.
 const NOTICES: usize = 1024;
-/// Sets the chance of calls for lists apart from that of decisions.
+/// Sets the chance of calls for lists, and of what is kept, apart from that of decisions.
+const IDLE_SEED: u64 = 0x6964_6c65;
 const LIST_SEED: u64 = 0x6c69_7374;
 /// Names the operators' file of the journal, where there is one.
 const JOURNAL_FILE: &str = "GULLCART_JOURNAL";
@@ -153,7 +154,7 @@
     let (notices, owed) = mpsc::channel(NOTICES);
     let (closing, closes) = watch::channel(false);
     let sockets = Sockets::deal(config.limits.sockets, slots);
-    let pool = driver::pool(&parsed.settings, sockets.endpoints);
+    let pool = driver::pool(&parsed.settings, sockets.endpoints, seed ^ IDLE_SEED);
     let clock = Clock::new();
     let start = Start {
         parsed,
