Let a told limit stand while the list only repeats itself, and smaller mends

At fault: 'route.weight = weight' there. The listed figure is kept beside it now. Left as it is: shared_limit.rs and common/crowd.rs both drive couriers through virtual time. One has a limit that refusals use up and reports that come late, the other an outage and a cold return; what they share is the timer and the outcome loop.

--- a/crates/cloverstile/src/books.rs
+++ b/crates/cloverstile/src/books.rs
@@ -110,8 +110,9 @@
 /// Pace and health of a route: one mechanism for limits, outages and cold return.
 #[derive(Default)]
 pub struct Route {
-    /// Calls a second that it takes from all couriers together, as told.
+    /// Calls a second that it takes from all couriers together, as told last, and as the list has it.
     pub weight: f64,
+    pub listed: f64,
     pub endpoints: Vec<EndpointId>,
     /// Messages that one call may carry.
     pub batch: usize,
--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -230,10 +230,16 @@
             let batch = self.settings.kinds.get(usize::from(entry.kind.0)).map_or(1, |k| k.batch.max(1));
             let route = self.routes.entry(self.route_of(&entry)).or_insert_with(|| {
                 let (rate, tokens, filled, latency, last_answer) = (start, 1.0, now, usual, now);
-                let (left, told_at) = (KEPT_LEFT, now);
-                Route { rate, tokens, filled, latency, last_answer, left, told_at, ..Route::default() }
+                let (left, told_at, listed) = (KEPT_LEFT, now, weight);
+                let route = Route { rate, tokens, filled, latency, last_answer, left, ..Route::default() };
+                Route { weight, listed, told_at, ..route }
             });
-            (route.weight, route.batch) = (weight, batch);
+            route.batch = batch;
+            // What answers told stands until the list says something new.
+            if route.listed != weight {
+                route.listed = weight;
+                route.set_limit(weight);
+            }
             if let Some(known) = self.addresses.get_mut(&entry.id) {
                 known.entry = entry;
                 continue;
@@ -314,6 +320,8 @@
         let (settings, chance) = (&self.settings, self.rng.f64());
         let Some(route) = self.routes.get_mut(&RouteId(outage.destination, outage.endpoint)) else { return };
         (route.last_answer, route.evidence) = (outage.since, outage.evidence);
+        // Of which kind that was is not written down; it ends with the first success.
+        route.doubtful = outage.evidence >= EVIDENCE_LOST;
         (route.returned, route.share) = (outage.returned, outage.share);
         if route.returned.is_some() {
             route.tokens = 0.0;
@@ -468,9 +476,7 @@
         let Some(route) = self.routes.get_mut(&call.route) else { return };
         let told = finished.allowance.filter(|a| a.limit > 0.0);
         if let Some(told) = told {
-            // A part of a limit stays that part of it when it is raised or lowered.
-            route.rate *= told.limit / route.weight;
-            route.weight = told.limit;
+            route.set_limit(told.limit);
             route.left = told.left.clamp(0.0, 1.0);
             let passed = (now - route.told_at).as_secs_f64().min(1.0);
             let growth = LEFT_GROWTH_A_S * passed * (route.left - KEPT_LEFT);
@@ -537,18 +543,22 @@
                 if now - route.last_cut > CUT_EVERY {
                     let cut = RATE_CUTS[route.cuts.min(RATE_CUTS.len() - 1)];
                     route.cuts += 1;
-                    // A clump must not wait at the pace of usual days until it has run out; where a call
-                    // carries many, what waits goes together, and a call an aim is enough.
-                    let an_aim = shortest_aim(settings).recip();
-                    let (waiting, most) = if route.batch > 1 { (0.0, an_aim) } else { (waiting, f64::MAX) };
-                    let late = route.sent.rate(now, LATE_S, 0.0).min(most);
-                    let own = route.demand.rate(now, cold_s(settings), 0.0);
-                    let late = late.max(own).max(route.weight / couriers(settings)).max(waiting * an_aim);
-                    let slowest = route.fall_part(now, settings, 0.0);
-                    let least = if cut > 0.0 { slowest.max(route.even_part(settings)) } else { slowest };
-                    // Where a limit is told, what waits here waits at each other courier too.
                     let even = route.even_part(settings);
-                    let late = if told.is_some() { even * (1.0 + 1.0 / waiting.max(1.0)) } else { late };
+                    let late = if told.is_some() {
+                        // What waits here waits at each other courier too.
+                        even * (1.0 + 1.0 / waiting.max(1.0))
+                    } else {
+                        // A clump must not wait at the pace of usual days until it has run out; where a call
+                        // carries many, what waits goes together, and a call an aim is enough.
+                        let an_aim = shortest_aim(settings).recip();
+                        let alone = route.batch <= 1;
+                        let (waiting, most) = if alone { (waiting, f64::MAX) } else { (0.0, an_aim) };
+                        let late = route.sent.rate(now, LATE_S, 0.0).min(most);
+                        let own = route.demand.rate(now, cold_s(settings), 0.0);
+                        late.max(own).max(route.weight / couriers(settings)).max(waiting * an_aim)
+                    };
+                    let slowest = route.fall_part(now, settings, 0.0);
+                    let least = if cut > 0.0 { slowest.max(even) } else { slowest };
                     route.rate = (cut * route.rate.min(late)).max(least.min(route.rate));
                     route.last_cut = now;
                 }
@@ -1044,6 +1054,12 @@
         self.demand.rate(now, cold_s(settings), 0.0) * cold_s(settings) < LIGHT
     }
 
+    /// A part of a limit stays that part of it when it is raised or lowered.
+    fn set_limit(&mut self, limit: f64) {
+        self.rate *= limit / self.weight.max(0.1);
+        self.weight = limit;
+    }
+
     /// Calls a second that leave room for as many from each other courier; none where no limit is told.
     fn even_part(&self, settings: &Settings) -> f64 {
         match settings.weights {
--- a/crates/cloverstile/src/choice/standing.rs
+++ b/crates/cloverstile/src/choice/standing.rs
@@ -32,7 +32,7 @@
     pub out: usize,
     /// What those that wait wait for.
     pub hold: Hold,
-    /// Calls a second that this courier allows itself.
+    /// Calls a second that this courier allows itself, before it leans by the share left, and outside returns.
     pub pace: f64,
     /// Calls a second that it takes from all couriers together, as last told.
     pub limit: f64,
--- a/crates/cloverstile/tests/common/mod.rs
+++ b/crates/cloverstile/tests/common/mod.rs
@@ -136,7 +136,8 @@
         self.finish_telling(message, endpoint, Outcome::Full(None), ms(20), Some(Allowance { left, limit }));
     }
 
-    fn finish_telling(
+    /// The end of an attempt that tells of the limit.
+    pub fn finish_telling(
         &mut self,
         message: u32,
         endpoint: u32,
--- a/crates/cloverstile/tests/restart.rs
+++ b/crates/cloverstile/tests/restart.rs
@@ -138,3 +138,26 @@
     });
     assert!(told.is_some_and(|after| after > Duration::ZERO), "{actions:?}");
 }
+
+/// One lost call may be all that a courier saw of an outage; a start again does not make it forget that.
+#[test]
+fn a_lost_call_before_the_restart_leaves_the_part_of_the_fall_budget() {
+    let sends = |evidence: u32| {
+        let settings = Settings { couriers: 20, ..settings(vec![safe()]) };
+        let mut bench = Bench::new(settings, vec![endpoint(7, 1)]);
+        let (destination, since) = (DestinationId(1), bench.now);
+        let share = 0.0;
+        let outage =
+            Outage { destination, endpoint: None, since, evidence, lost: None, returned: None, share };
+        bench.tell(Event::Recalled(outage));
+        (0..12).for_each(|id| bench.accept(id, 0, 1, None));
+        let mut sent = 0;
+        for _ in 0..50 {
+            sent += bench.routes().len();
+            bench.now = bench.now + ms(20);
+        }
+        sent
+    };
+    let (usual, doubtful) = (sends(0), sends(3));
+    assert!((1..=3).contains(&doubtful) && usual >= 6, "{doubtful} of {usual}");
+}
--- a/crates/cloverstile/tests/rules.rs
+++ b/crates/cloverstile/tests/rules.rs
@@ -655,3 +655,31 @@
     assert_eq!(outages_after(Outcome::Spoilt), 0);
     assert_eq!(outages_after(Outcome::Reset), 1);
 }
+
+/// A list may name a limit that answers correct. Told again and again, neither may wear the pace down.
+#[test]
+fn a_list_that_repeats_itself_leaves_pace_and_told_limit() {
+    let mut bench = one(safe());
+    bench.restart(Settings { couriers: 2, ..bench.settings.clone() }, 1, vec![endpoint(7, 1)]);
+    let told = Allowance { left: 0.4, limit: 60.0 };
+    let mut answer = |id: u32| {
+        bench.accept(id, 0, 1, None);
+        assert_eq!(bench.routes().len(), 1);
+        bench.now = bench.now + ms(50);
+        bench.accept(1000 + id, 0, 1, None);
+        bench.finish_telling(id, 7, Outcome::Ok, ms(50), Some(told));
+        let standing = bench.courier.standings(bench.now).next().expect("a message waits");
+        for (more, to, _) in bench.routes() {
+            bench.finish_telling(more, to, Outcome::Ok, ms(50), Some(told));
+        }
+        bench.tell(Event::Listed(Listing::Changes(vec![endpoint(7, 1)])));
+        bench.now = bench.now + ms(500);
+        (standing.pace, standing.limit)
+    };
+    let first = answer(1);
+    for id in 2..12 {
+        let (pace, limit) = answer(id);
+        assert_eq!(limit, 60.0);
+        assert!((pace / first.0 - 1.0).abs() < 0.01, "{pace} after {}", first.0);
+    }
+}
--- a/crates/cloverstile/tests/shared_limit.rs
+++ b/crates/cloverstile/tests/shared_limit.rs
@@ -190,54 +190,50 @@
     }
 }
 
-/// So much of the limit is used, and so much called for, in each of three seeds.
-fn settles(what: &str, couriers: u32, (calls, ok): (f64, f64)) {
-    let case = format!("{what}, {couriers} couriers: {calls:.2} of the limit called, {ok:.2} used");
-    println!("{case}");
-    assert!(calls <= 1.15, "{case}");
-    assert!(ok >= 0.6, "{case}");
-}
-
-#[test]
-fn after_a_common_start() {
+/// Puts fleets of all sizes through something, with two seeds each, and looks five seconds later: so much of the limit is
+/// called for, and so much used.
+fn settle(what: &str, load: f64, disturb: impl Fn(&mut Fleet)) {
     for couriers in SIZES {
         for seed in 1..=2 {
             let mut fleet = Fleet::new(couriers, seed);
-            fleet.restart(10, 400 / couriers as usize);
-            fleet.run(5, 1.2);
-            settles("a common start", couriers, fleet.run(8, 1.2));
+            disturb(&mut fleet);
+            fleet.run(5, load);
+            let (calls, ok) = fleet.run(8, load);
+            let case = format!("{what}, {couriers} couriers: {calls:.2} of the limit called, {ok:.2} used");
+            println!("{case}");
+            assert!(calls <= 1.15 && ok >= 0.6, "{case}");
         }
     }
 }
 
+#[test]
+fn after_a_common_start() {
+    settle("a common start", 1.2, |fleet| fleet.restart(10, 400 / fleet.members.len()));
+}
+
 #[test]
 fn after_most_were_started_again() {
-    for couriers in SIZES {
-        for seed in 1..=2 {
-            let mut fleet = Fleet::new(couriers, seed);
-            fleet.run(5, 0.7);
-            fleet.restart(7, 300 / couriers as usize);
-            fleet.run(5, 1.2);
-            settles("a herd restart", couriers, fleet.run(8, 1.2));
-        }
-    }
+    settle("a herd restart", 1.2, |fleet| {
+        fleet.run(5, 0.7);
+        fleet.restart(7, 300 / fleet.members.len());
+    });
 }
 
 #[test]
 fn after_the_limit_fell_to_a_third() {
-    for couriers in SIZES {
-        for seed in 1..=2 {
-            let mut fleet = Fleet::new(couriers, seed);
-            fleet.run(5, 0.8);
-            fleet.limit = LIMIT / 3.0;
-            fleet.run(5, 0.8);
-            settles("a lowered limit", couriers, fleet.run(8, 0.8));
-            fleet.limit = LIMIT;
-            fleet.run(5, 0.8);
-            let (_, ok) = fleet.run(5, 0.8);
-            assert!(ok >= 0.6, "{couriers} couriers: {ok:.2} of the raised limit used");
-        }
-    }
+    settle("a lowered limit", 0.8, |fleet| {
+        fleet.run(5, 0.8);
+        fleet.limit = LIMIT / 3.0;
+    });
+}
+
+#[test]
+fn after_the_limit_rose_again() {
+    settle("a raised limit", 0.8, |fleet| {
+        fleet.limit = LIMIT / 3.0;
+        fleet.run(10, 0.8);
+        fleet.limit = LIMIT;
+    });
 }
 
 #[test]
--- a/crates/gullcart-emulator/src/courier.rs
+++ b/crates/gullcart-emulator/src/courier.rs
@@ -2,7 +2,7 @@
 
 use crate::world::Address;
 use cloverstile::{EndpointId, MessageId, Time};
-use gullcart_engine::{Engine, EPOCH};
+use gullcart_engine::{Engine, IdleShare, EPOCH};
 use gullcart_journal::simulated::{Crash, Disk};
 use gullcart_judge::trace::{At, CallId, EndpointId as TraceEndpoint, State};
 use gullcart_message::{Target, Update};
@@ -36,16 +36,17 @@
     pub out: BTreeMap<MessageId, OutCall>,
     idle: BTreeMap<EndpointId, Vec<(At, Address)>>,
     most_idle: usize,
+    share: IdleShare,
     /// When its next turn is due, if one is.
     pub wake: Option<At>,
     pub is_ending: bool,
 }
 
 impl Process {
-    pub fn new(engine: Engine<Disk>, started: At, slots: u32) -> Self {
+    pub fn new(engine: Engine<Disk>, started: At, slots: u32, share: IdleShare) -> Self {
         let most_idle = IDLE_OF_SLOTS * slots as usize;
         let (out, idle) = Default::default();
-        Process { engine, started, out, idle, most_idle, wake: None, is_ending: false }
+        Process { engine, started, out, idle, most_idle, share, wake: None, is_ending: false }
     }
 
     /// The module's time.
@@ -71,6 +72,9 @@
 
     /// A connection is of further use.
     pub fn keep(&mut self, endpoint: EndpointId, address: Address, now: At) {
+        if !self.share.keeps() {
+            return;
+        }
         if self.idle.values().map(Vec::len).sum::<usize>() >= self.most_idle {
             let oldest =
                 self.idle.iter().filter_map(|(at, kept)| kept.first().map(|(since, _)| (*since, *at)));
--- a/crates/gullcart-emulator/src/world.rs
+++ b/crates/gullcart-emulator/src/world.rs
@@ -3,7 +3,7 @@
 use crate::courier::{Place, Process};
 use crate::queue::Queue;
 use cloverstile::{parse_settings_json, EndpointId, MessageId, Parsed};
-use gullcart_engine::{Answer, Effect, Ended, Engine, Input, Notice, Start, Ticket, EPOCH};
+use gullcart_engine::{Answer, Effect, Ended, Engine, IdleShare, Input, Notice, Start, Ticket, EPOCH};
 use gullcart_journal::{Journal, Options};
 use gullcart_judge::trace::{
     At, CallId, CourierId, Entry, Event, MessageId as HandInId, PartnerId, Process as What, State, Told,
@@ -427,7 +427,8 @@
         let rev = engine.rev();
         place.epoch += 1;
         let epoch = place.epoch;
-        place.process = Some(Process::new(engine, now, self.day.slots));
+        let share = IdleShare::new(self.parsed.settings.couriers, seed);
+        place.process = Some(Process::new(engine, now, self.day.slots, share));
         // Its watch tells it at once what has changed since the list that it remembers.
         if place.agent.rev > rev && !place.agent.is_silent {
             let list = place.agent.list();
--- a/crates/gullcart-engine/src/tally.rs
+++ b/crates/gullcart-engine/src/tally.rs
@@ -76,8 +76,19 @@
             return;
         }
         let mut counts = std::mem::take(&mut self.counts);
-        for standing in standings.take(MOST) {
-            let count = counts.remove(&standing.destination).unwrap_or_default();
+        let mut told = 0;
+        for standing in standings {
+            // A place is kept for each destination that was counted.
+            let Some(count) = counts.remove(&standing.destination) else {
+                if told + counts.len() >= MOST {
+                    self.beyond += 1;
+                } else {
+                    told += 1;
+                    say(standing.destination, &Count::default(), Some(standing));
+                }
+                continue;
+            };
+            told += 1;
             say(standing.destination, &count, Some(standing));
         }
         for (destination, count) in counts {
@@ -85,7 +96,7 @@
         }
         let beyond = std::mem::take(&mut self.beyond);
         if beyond > 0 {
-            debug!(target: TALLY, beyond, "tally of more destinations than are told of");
+            debug!(target: TALLY, beyond, "more happened with destinations, or waits for them, than is told of");
         }
     }
 }
