Call for the list within 1.5 s of a start, whatever the size of the fleet

CallsForLists::first() (calls_for_lists.rs) spread first calls over twice the mean time between calls of the fleet, 28 s with 285 couriers.

What a courier's own agent has counts as told, so that a first call after more than 2 s breaks the rule whenever a drain comes meanwhile.

--- a/crates/gullcart-engine/src/calls_for_lists.rs
+++ b/crates/gullcart-engine/src/calls_for_lists.rs
@@ -17,6 +17,10 @@
 const DOUBLINGS: u32 = 2;
 /// ... or one from each courier in this time, as discovery takes them at any size of the fleet.
 const LONGEST: Duration = Duration::from_secs(16);
+/// Longest wait before the first call of a process. What the agent on its machine has counts as told to it from then on,
+/// asked or not, and calls to an endpoint that drains break a rule 2 s later: the rest is for the answer and for what is
+/// on its way.
+const LONGEST_FIRST: Duration = Duration::from_millis(1500);
 /// Chance may shorten and lengthen a wait by this part of its mean.
 const CHANCE: f64 = 0.5;
 
@@ -36,12 +40,13 @@
     }
 
     /// How long to wait before the first call of a process: couriers are often started together. One that has others beside
-    /// it waits up to twice the mean time; it has the list that came with its start.
+    /// it waits up to twice the mean time, but never so long that a drain which it missed comes to count as told; it has the
+    /// list that came with its start.
     pub fn first(&mut self) -> Duration {
         if self.mean == LEAST {
             return Duration::ZERO;
         }
-        self.mean.mul_f64(2.0 * self.rng.f64())
+        (self.mean * 2).min(LONGEST_FIRST).mul_f64(self.rng.f64())
     }
 
     /// How long to wait after a call that failed or a watch that broke.
