--- a/crates/cloverstile/src/books.rs
+++ b/crates/cloverstile/src/books.rs
@@ -51,6 +51,17 @@
     pub avoid_until: Time,
     /// When a call last ended there with its connection left open.
     pub used: Option<Time>,
+    /// An operator has taken it out.
+    pub suspended: bool,
+    /// When it was given back cold while others of its route served on.
+    pub cold: Option<Time>,
+}
+
+impl Address {
+    /// Whether it may be given new work.
+    pub fn is_open(&self) -> bool {
+        self.entry.mode == Mode::Ready && !self.suspended
+    }
 }
 
 /// Running mean and mean deviation of latencies, in seconds.
--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -148,6 +148,12 @@
     pub fn handle(&mut self, now: Time, event: Event) {
         match event {
             Event::Listed(listing) => self.on_listing(now, listing),
+            Event::Suspended(id) => {
+                if let Some(address) = self.addresses.get_mut(&id) {
+                    address.suspended = true;
+                }
+            }
+            Event::Reinstated(id) => self.on_reinstated(now, id),
             Event::Accept(message) => self.on_accept(now, message),
             Event::Restored(message) => self.on_restored(now, message),
             Event::Recalled(outage) => self.on_recalled(now, outage),
@@ -246,7 +252,9 @@
             }
             route.endpoints.push(entry.id);
             let (id, preference, avoid_until) = (entry.id, self.rng.u32(..), Time::ZERO);
-            let address = Address { entry, calls_out: 0, preference, failures: 0, avoid_until, used: None };
+            let (calls_out, failures, used, suspended, cold) = (0, 0, None, false, None);
+            let address =
+                Address { entry, calls_out, preference, failures, avoid_until, used, suspended, cold };
             self.addresses.insert(id, address);
         }
         let over = self.addresses.values().filter(|a| a.entry.mode == Mode::Gone && a.calls_out == 0);
@@ -268,6 +276,21 @@
         }
     }
 
+    /// An endpoint that was out by hand comes back cold. Beside others it gets its own part of the fall
+    /// budget, and they the rest; alone it is the destination that returns.
+    fn on_reinstated(&mut self, now: Time, id: EndpointId) {
+        let Some(route_id) = self.addresses.get(&id).map(|a| self.route_of(&a.entry)) else { return };
+        let Some(address) = self.addresses.get_mut(&id).filter(|a| a.suspended) else { return };
+        let Some(route) = self.routes.get_mut(&route_id) else { return };
+        (address.suspended, address.cold, address.failures) = (false, Some(now), 0);
+        // By chance, as all couriers may hear of it at one moment.
+        address.avoid_until = now + route.cold_gap(now, &self.settings, 0.0).mul_f64(self.rng.f64());
+        let warm = |a: &Address| a.is_open() && a.cold.is_none();
+        if !route.endpoints.iter().filter_map(|id| self.addresses.get(id)).any(warm) {
+            (route.returned, route.filled, route.tokens) = (Some(now), now, 0.0);
+        }
+    }
+
     fn on_accept(&mut self, now: Time, taken: Accepted) {
         let Some(class) = self.settings.classes.get(usize::from(taken.class.0)) else { return };
         let born = taken.deadline - class.deadline;
@@ -502,7 +525,7 @@
         }
         // With a success since it was sent, a lost call says nothing of the route. Nor do errors and resets
         // while an endpoint is left that did not fail; silence does, as a hang mostly takes all.
-        let sound = |a: &Address| a.entry.mode == Mode::Ready && a.failures == 0;
+        let sound = |a: &Address| a.is_open() && a.failures == 0;
         let alone = call.sent >= route.last_answer;
         let one_sound = route.endpoints.iter().filter_map(|id| self.addresses.get(id)).any(sound);
         let all_sick = alone && !one_sound;
@@ -818,7 +841,7 @@
         let endpoints = self.routes.get(&id)?.endpoints.iter();
         endpoints
             .filter_map(|endpoint| self.addresses.get(endpoint))
-            .filter(|a| a.entry.mode == Mode::Ready && zone.is_none_or(|z| a.entry.zone == z))
+            .filter(|a| a.is_open() && zone.is_none_or(|z| a.entry.zone == z))
             .min_by_key(|a| {
                 let far = self.settings.zone.is_some_and(|here| here != a.entry.zone);
                 let calls = a.calls_out + if far { FAR_CALLS } else { 0 };
@@ -834,6 +857,13 @@
         address.calls_out += 1;
         let zone = address.entry.zone;
         let Some(route) = self.routes.get_mut(&id) else { return };
+        // A cold endpoint beside warm ones is passed over until its part of the fall budget has room again.
+        address.cold = address.cold.filter(|since| now - *since < self.settings.rules.cold);
+        if let Some(since) = address.cold {
+            let warmth = (now - since).as_secs_f64() / cold_s(&self.settings);
+            let gap = route.cold_gap(now, &self.settings, warmth);
+            address.avoid_until = now + gap.mul_f64(0.5 + self.rng.f64());
+        }
         route.tokens -= 1.0;
         route.sent.rate(now, LATE_S, 1.0);
         let mut room = route.batch;
@@ -1081,6 +1111,12 @@
         (part * share * settings.rules.tip_multiple * FALL_BUDGET_USED).max(least)
     }
 
+    /// Mean time between calls to one cold endpoint of several: its even part of the fall budget.
+    fn cold_gap(&mut self, now: Time, settings: &Settings, warmth: f64) -> Duration {
+        let part = self.fall_part(now, settings, warmth) / self.endpoints.len().max(1) as f64;
+        Duration::from_secs_f64(part.max(0.01).recip())
+    }
+
     /// Sets when the next trial call of a spell may go: at growing, jittered gaps, and by this courier's part
     /// of the fall budget; trials that are refused can also use up a small limit by themselves (i2aa64d).
     /// Where calls are answered at once, if with errors, the budget alone paces what may be repeated: no slot
--- a/crates/cloverstile/src/choice/standing.rs
+++ b/crates/cloverstile/src/choice/standing.rs
@@ -1,8 +1,8 @@
 //! How a courier stands with each destination, for those who look on. Nothing is decided here, and looking changes nothing.
 
 use super::{routes_of, Courier};
-use crate::books::Route;
-use crate::interface::{DestinationId, Time};
+use crate::books::{Address, Route};
+use crate::interface::{DestinationId, Mode, Time};
 
 /// What the messages of a destination wait for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,6 +39,22 @@
 }
 
 impl Courier {
+    /// Endpoints of the list that this courier avoids now: out by hand, failing, or of a destination in an outage.
+    /// Those that drain are not avoided by choice.
+    pub fn excluded(&self, now: Time) -> usize {
+        let out = |route: &Route| route.spell.as_ref().is_some_and(|spell| spell.failed);
+        let avoided = |a: &&Address| match a.entry.mode {
+            Mode::Gone => false,
+            _ if a.suspended => true,
+            Mode::Draining => false,
+            Mode::Ready => {
+                (a.avoid_until > now && a.cold.is_none())
+                    || self.routes.get(&self.route_of(&a.entry)).is_some_and(out)
+            }
+        };
+        self.addresses.values().filter(avoided).count()
+    }
+
     /// Each destination that has messages here.
     pub fn standings(&self, now: Time) -> impl Iterator<Item = Standing> + '_ {
         self.queues.iter().filter_map(move |(to, queue)| {
--- a/crates/cloverstile/src/interface.rs
+++ b/crates/cloverstile/src/interface.rs
@@ -391,6 +391,10 @@
 pub enum Event {
     /// News of the list.
     Listed(Listing),
+    /// An operator has taken an endpoint out: it gets nothing new, whatever the list says, until it is reinstated.
+    Suspended(EndpointId),
+    /// An endpoint that an operator had taken out may serve again. It was most likely restarted meanwhile.
+    Reinstated(EndpointId),
     /// A message was taken.
     Accept(Accepted),
     /// A message taken before a restart. They come in the order in which they were taken, before all others.
--- a/crates/gullcart-emulator/src/world.rs
+++ b/crates/gullcart-emulator/src/world.rs
@@ -515,7 +515,8 @@
                     process.close_shut();
                 }
             }
-            Effect::Closing => {}
+            // No operator calls there yet.
+            Effect::Closing | Effect::Ordered(..) => {}
             #[cfg(feature = "broken")]
             Effect::HearLater(update, after) => {
                 self.queue.put(self.now + after, Due::HeardAtLast(courier, epoch, update));
--- a/crates/gullcart-engine/src/directory.rs
+++ b/crates/gullcart-engine/src/directory.rs
@@ -2,7 +2,7 @@
 
 use cloverstile::{DestinationId, Endpoint, EndpointId, KindId, Listing, Mode, Parsed, ZoneId};
 use gullcart_message::{Target, Update};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use tracing::warn;
 
@@ -21,6 +21,8 @@
     destination: DestinationId,
     address: Option<SocketAddr>,
     mode: Mode,
+    /// An operator has taken it out.
+    is_suspended: bool,
 }
 
 impl Directory {
@@ -63,7 +65,18 @@
 
     /// Whether an endpoint may be given new work.
     pub fn is_open(&self, id: EndpointId) -> bool {
-        self.entries.get(&id).is_some_and(|entry| entry.mode == Mode::Ready)
+        self.entries.get(&id).is_some_and(|entry| entry.mode == Mode::Ready && !entry.is_suspended)
+    }
+
+    /// Endpoints in the list.
+    pub fn listed(&self) -> usize {
+        self.entries.values().filter(|entry| entry.mode != Mode::Gone).count()
+    }
+
+    /// Marks the endpoints that operators have taken out, by uid, and names them.
+    pub fn suspend(&mut self, out: &BTreeSet<String>) -> Vec<EndpointId> {
+        self.entries.values_mut().for_each(|entry| entry.is_suspended = out.contains(&entry.uid));
+        self.entries.iter().filter(|(_, entry)| entry.is_suspended).map(|(id, _)| *id).collect()
     }
 
     pub fn is_gone(&self, id: EndpointId) -> bool {
@@ -107,7 +120,8 @@
         let zone = ZoneId(place(&mut self.zones, &target.az));
         let kind = KindId(place(&mut self.kinds, &target.model).into());
         let (uid, destination) = (target.uid.clone(), DestinationId(target.pod_group));
-        self.entries.insert(id, Entry { uid, zone, destination, address, mode });
+        let is_suspended = self.entries.get(&id).is_some_and(|entry| entry.is_suspended);
+        self.entries.insert(id, Entry { uid, zone, destination, address, mode, is_suspended });
         Endpoint { id, zone, kind, destination, mode, weight: target.capacity_hint }
     }
 }
--- a/crates/gullcart-engine/src/engine.rs
+++ b/crates/gullcart-engine/src/engine.rs
@@ -13,9 +13,12 @@
 use crate::broken::{Broken, Fault, DEAF_FOR};
 use crate::clock::Clock;
 use crate::directory::Directory;
+use crate::figures::{Counts, Ends, Reading};
 use crate::seldom::Seldom;
 use crate::tally::Tally;
-use crate::vocabulary::{Answer, Call, Effect as Doing, Ended, Enqueue, Input, Notice, Stop, Ticket};
+use crate::vocabulary::{
+    Answer, Call, Denied, Effect as Doing, Ended, Enqueue, Input, Notice, Order, Stop, Ticket,
+};
 
 /// From SIGTERM until the process ends at the latest: SIGKILL comes after 3.7 s.
 const CLOSING: Duration = Duration::from_millis(3200);
@@ -40,17 +43,6 @@
 const NOT_MADE: Ended =
     Ended { outcome: Outcome::Moot, latency: Duration::ZERO, complete: false, allowance: None };
 
-/// What the log tells of the load.
-#[derive(Default)]
-struct Counts {
-    taken: u32,
-    busy: u32,
-    delivered: u32,
-    failed: u32,
-    returned: u32,
-    calls: u32,
-}
-
 /// How an engine is begun.
 pub struct Start {
     /// The settings.
@@ -88,6 +80,8 @@
     wake: Option<(Time, u64)>,
     actions: Vec<Action>,
     counts: Counts,
+    /// What of it the log has told.
+    logged: Counts,
     tally: Tally,
     journal_errors: Seldom,
     outage_lines: Seldom,
@@ -119,6 +113,7 @@
             wake: None,
             actions: Vec::new(),
             counts: Counts::default(),
+            logged: Counts::default(),
             tally: Tally::default(),
             journal_errors: Seldom::default(),
             outage_lines: Seldom::default(),
@@ -126,6 +121,8 @@
             #[cfg(feature = "broken")]
             broken: start.broken,
         };
+        engine.counts = Counts::new(engine.classes.len());
+        engine.logged = engine.counts.clone();
         engine.restore(now, known);
         engine
     }
@@ -200,6 +197,7 @@
             let listing = self.directory.apply(&Update { rev: image.rev, all: true, targets });
             self.courier.handle(now, Event::Listed(listing));
         }
+        self.suspend_listed(now);
         let notes: Vec<OutageNote> = self.journal.image().outages().cloned().collect();
         for note in notes {
             let endpoint = note.uid.as_ref().and_then(|uid| self.directory.number(uid));
@@ -225,6 +223,7 @@
             () => held,
         };
         for (number, held) in &held {
+            self.counts.found += u64::from(held.verdict.is_none());
             self.restore_message(now, *number, held);
         }
         info!(held = held.len(), rev = self.rev(), "the journal was replayed");
@@ -273,10 +272,24 @@
     pub fn handle(&mut self, now: Time, input: Input) {
         match input {
             Input::Enqueue(ticket, enqueue) => {
+                let class = self.class(&enqueue.class);
                 let answer = self.enqueue(now, enqueue);
+                let ends = self.counts.of(class.map(|class| usize::from(class.0)));
+                match &answer {
+                    Answer::Busy(_) => ends.turned_away += 1,
+                    Answer::Error(_) => ends.unfit += 1,
+                    Answer::Taken(_) | Answer::Held => {}
+                }
                 self.answer(ticket, answer);
             }
             Input::Unheard(message) => self.unheard(now, message),
+            Input::Order(ticket, order) => {
+                let done = self.order(now, order);
+                self.effects.push(Doing::Ordered(ticket, done));
+            }
+            Input::Written(message) => {
+                self.counts.attempts += u64::from(self.out.contains_key(&message));
+            }
             #[cfg(feature = "broken")]
             Input::Listed(update) if self.broken.is(Fault::LateToDrains) && !update.all => {
                 // A whole list is not held up.
@@ -328,7 +341,6 @@
         }
         let most = class.deadline;
         if self.journal.image().held.len() >= self.most_held {
-            self.counts.busy += 1;
             return Answer::Busy(Some(self.courier.come_back(now, destination)));
         }
         let taken = Taken {
@@ -357,7 +369,6 @@
             }
             Err(error) => {
                 self.note(now, Err(error));
-                self.counts.busy += 1;
                 Answer::Busy(Some(self.courier.come_back(now, destination)))
             }
         }
@@ -368,6 +379,7 @@
     fn unheard(&mut self, now: Time, message: MessageId) {
         let id = self.journal.image().held.get(&message.0).map(|held| &held.taken.id);
         if id.and_then(|id| self.known.get(id)).is_some_and(|known| !known.shared) {
+            self.counts.abandoned += u64::from(self.has_no_end(message));
             self.over(now, message);
             self.courier.handle(now, Event::ClientGone(message));
         }
@@ -382,6 +394,7 @@
         }
         let listing = self.directory.apply(&update);
         self.courier.handle(now, Event::Listed(listing));
+        self.suspend_listed(now);
         let (rev, changed) = (update.rev, update.targets.len());
         let written = self.journal.targets(&update);
         self.note(now, written);
@@ -391,6 +404,41 @@
         self.forget_gone();
     }
 
+    /// What operators took out stays out, whatever the list says of it.
+    fn suspend_listed(&mut self, now: Time) {
+        for id in self.directory.suspend(&self.journal.image().suspended) {
+            self.courier.handle(now, Event::Suspended(id));
+        }
+    }
+
+    /// Carries out what an operator wants. It is in the journal before the answer, and nothing has changed without one.
+    fn order(&mut self, now: Time, order: Order) -> Result<(), Denied> {
+        let (uid, is_out) = match &order {
+            Order::Suspend(uid) => (uid, true),
+            Order::Restore(uid) => (uid, false),
+        };
+        if !self.journal.image().was_listed(uid) {
+            return Err(Denied::Unknown);
+        }
+        let is_new = self.journal.image().suspended.contains(uid) != is_out;
+        if let Err(error) = self.journal.suspend(uid, is_out) {
+            self.note(now, Err(error));
+            return Err(Denied::Unwritten);
+        }
+        if is_new {
+            info!(uid, is_out, "an operator's word on an endpoint");
+        }
+        self.suspend_listed(now);
+        let id = self.directory.number(uid);
+        if is_out {
+            self.effects.extend(id.map(Doing::CloseIdle));
+            self.withdraw(|endpoint, directory| !directory.is_open(endpoint));
+        } else if let Some(id) = id {
+            self.courier.handle(now, Event::Reinstated(id));
+        }
+        Ok(())
+    }
+
     /// Forgets the endpoints that are gone, once none of their calls is out.
     fn forget_gone(&mut self) {
         let out = &self.out;
@@ -422,7 +470,12 @@
             self.withdraw(|other, directory| directory.destination(other) == destination);
         }
         if ended.complete {
-            self.counts.delivered += u32::from(ended.outcome == Outcome::Ok);
+            if self.has_no_end(message) {
+                match ended.outcome {
+                    Outcome::Ok => self.ends_of(message).served += 1,
+                    _ => self.counts.abandoned += 1,
+                }
+            }
             self.over(now, message);
         } else {
             let never = matches!(
@@ -449,6 +502,17 @@
         }
     }
 
+    /// A message is held, and its end is not decided.
+    fn has_no_end(&self, message: MessageId) -> bool {
+        self.journal.image().held.get(&message.0).is_some_and(|held| held.verdict.is_none())
+    }
+
+    fn ends_of(&mut self, message: MessageId) -> &mut Ends {
+        let held = self.journal.image().held.get(&message.0);
+        let class = held.and_then(|held| self.class(&held.taken.class));
+        self.counts.of(class.map(|class| usize::from(class.0)))
+    }
+
     /// Nothing more is owed for a message.
     fn over(&mut self, now: Time, message: MessageId) {
         if let Some(held) = self.journal.image().held.get(&message.0) {
@@ -479,11 +543,9 @@
                 }
             }
             Action::Busy { message, after } => {
-                self.counts.returned += 1;
                 self.owe(now, message, Verdict::Returned { after_ms: after.as_millis() as u64 });
             }
             Action::ReportFailure { message } => {
-                self.counts.failed += 1;
                 self.owe(now, message, Verdict::Failed);
             }
             Action::Wake { after, token } => self.wake = Some((now + after, token)),
@@ -533,6 +595,13 @@
     fn owe(&mut self, now: Time, message: MessageId, verdict: Verdict) {
         #[cfg(feature = "broken")]
         let verdict = self.broken.verdict(verdict);
+        if self.has_no_end(message) {
+            let ends = self.ends_of(message);
+            match verdict {
+                Verdict::Failed => ends.failed += 1,
+                Verdict::Returned { .. } => ends.handed_back += 1,
+            }
+        }
         let written = self.journal.owe(message.0, verdict);
         self.note(now, written);
         if let Some(held) = self.journal.image().held.get(&message.0) {
@@ -595,6 +664,23 @@
         }
     }
 
+    /// What is counted, since this process began.
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    /// What an operator is told.
+    pub fn reading(&self, now: Time) -> Reading {
+        let classes = self.class_names.iter().zip(&self.counts.classes);
+        Reading {
+            classes: classes.map(|(name, ends)| (name.clone(), *ends)).collect(),
+            attempts: self.counts.attempts,
+            in_flight: self.journal.image().held.values().filter(|held| held.verdict.is_none()).count(),
+            endpoints_known: self.directory.listed(),
+            endpoints_excluded: self.courier.excluded(now),
+        }
+    }
+
     /// Says in the log what each destination was given and what waits for it, where [`crate::TALLY`] is switched on. To be
     /// called once a second.
     pub fn tell_tally(&mut self, now: Time) {
@@ -603,7 +689,14 @@
 
     /// Says in the log what has happened since the last time, and how late the loop was at the most.
     pub fn report(&mut self, latest: Duration) {
-        let Counts { taken, busy, delivered, failed, returned, calls } = std::mem::take(&mut self.counts);
+        let (sum, before) = (self.counts.sum(), self.logged.sum());
+        let taken = self.counts.taken - self.logged.taken;
+        let busy = sum.turned_away - before.turned_away;
+        let delivered = sum.served - before.served;
+        let failed = sum.failed - before.failed;
+        let returned = sum.handed_back - before.handed_back;
+        let calls = self.counts.calls - self.logged.calls;
+        self.logged = self.counts.clone();
         let (held, out) = self.load();
         info!(taken, busy, delivered, failed, returned, calls, held, out, ?latest, "load");
         let Figures { appended, rewritten, freed, segments, used, live, unwritten } = self.journal.figures();
--- a/crates/gullcart-engine/src/vocabulary.rs
+++ b/crates/gullcart-engine/src/vocabulary.rs
@@ -45,6 +45,24 @@
     Error(&'static str),
 }
 
+/// What an operator wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Nothing new is to go to this endpoint.
+    Suspend(String),
+    /// This endpoint may serve again.
+    Restore(String),
+}
+
+/// Why an order was not carried out; nothing has changed then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denied {
+    /// No endpoint of that id was ever listed, as far as is known.
+    Unknown,
+    /// It cannot be written down, so that it would not last.
+    Unwritten,
+}
+
 /// The end of a message that was not delivered, on its way to the platform.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Notice {
@@ -75,6 +93,10 @@
     /// A change of the list that was kept back.
     #[cfg(feature = "broken")]
     HeardAtLast(Update),
+    /// An operator wants something, and waits.
+    Order(Ticket, Order),
+    /// The last byte of a call has been written.
+    Written(MessageId),
     /// A call has ended.
     Ended(MessageId, EndpointId, Ended),
     /// The platform has these notices.
@@ -109,6 +131,8 @@
 pub enum Effect {
     /// A client has its answer.
     Answer(Ticket, Answer),
+    /// An operator has an answer.
+    Ordered(Ticket, Result<(), Denied>),
     /// A call is to be made; its end is told by [`Input::Ended`], whatever becomes of it.
     Begin(Call),
     /// A call is to be stopped. It ends all the same.
--- a/crates/gullcart-engine/tests/promises.rs
+++ b/crates/gullcart-engine/tests/promises.rs
@@ -1,93 +1,37 @@
 //! Nothing leaves the engine before the journal has what it promises: seen by crashing after every turn.
 
+mod common;
+
 use bytes::Bytes;
-use cloverstile::{parse_settings_json, EndpointId, MessageId, Outcome, Time};
-use gullcart_engine::{Answer, Effect, Ended, Engine, Enqueue, Input, Start, Stop, Ticket, EPOCH};
+use cloverstile::{EndpointId, MessageId, Outcome, Time};
+use common::*;
+use gullcart_engine::{Answer, Effect, Ended, Engine, Enqueue, Input, Order, Stop, Ticket, EPOCH};
 use gullcart_journal::simulated::{Crash, Disk, Fault};
-use gullcart_journal::{Durability, Image, Journal, Options};
-use gullcart_message::{Target, Update, Verdict};
-use serde_json::json;
+use gullcart_journal::{Image, Journal};
+use gullcart_message::{Update, Verdict};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-const DISK: u64 = 256 << 10;
-const START_MS: u64 = 1_790_000_000_000;
-
-fn target(number: u16, state: &str) -> Target {
-    Target {
-        uid: format!("s-{number}"),
-        endpoint: format!("127.0.0.1:{}", 1000 + number),
-        az: "kingston".to_owned(),
-        model: "banks".to_owned(),
-        pod_group: number / 2,
-        state: state.to_owned(),
-        capacity_hint: 20.0,
-    }
-}
-
-fn options(crash: Crash) -> Options {
-    let durability = match crash {
-        Crash::Process => Durability::Process,
-        Crash::Machine => Durability::Machine,
-    };
-    Options { durability, segment: None }
-}
-
-fn journal(disk: &Disk, crash: Crash) -> Journal<Disk> {
-    Journal::replay(disk.clone(), DISK, options(crash), 7).unwrap()
-}
-
-fn engine(disk: &Disk, crash: Crash, now: Time) -> Engine<Disk> {
-    let class = |name: &str, effect: &str, order: bool| {
-        json!({
-            "Name": name, "Effect": effect, "Group": "all", "RepeatWindow": 10_000_000_000_u64, "OneAtATime": order,
-            "Worth": 1.0, "LateShare": 0.5, "Aim": 3_000_000_000_u64, "Deadline": 24_000_000_000_u64,
-        })
-    };
-    let settings = json!({
-        "Balancers": 1, "Lanes": [class("notice", "idempotency_key", true), class("salary", "non_idempotent", false)],
-        "MachineTypes": ["banks"], "Zones": ["kingston"], "WeightSource": "nominal",
-        "FamilyInfo": {"CallsOut": 8, "KindBatch": [1], "OwnLimits": [false]},
-        "Permissions": {"MostHeld": 60, "SendCap": 8, "Cancel": true, "ConnIdle": 15_000_000_000_u64,
-            "ConnectTimeout": 1_000_000_000_u64},
-        "Rules": {"AnswerSlack": 20_000_000, "OrderSettle": 100_000_000, "Fall": 2_000_000_000_u64},
-    });
-    let targets = (0..8).map(|number| target(number, "SERVING")).collect();
-    let start = Start {
-        parsed: parse_settings_json(&settings).unwrap(),
-        seed: 7,
-        known: Update { rev: 1, all: true, targets },
-        now,
-        epoch_ms: START_MS,
-        #[cfg(feature = "broken")]
-        broken: Default::default(),
-    };
-    Engine::new(start, journal(disk, crash))
-}
-
-fn enqueue(number: u64, class: &str, destination: u16) -> Enqueue {
-    Enqueue {
-        id: format!("m{number}"),
-        key: if class == "notice" { 1 + number % 3 } else { 0 },
-        class: class.to_owned(),
-        destination,
-        left: Duration::from_secs(20),
-        idempotency_key: (class == "notice").then(|| format!("k{number}")),
-        again: false,
-        body: Bytes::from_static(b"x"),
-    }
-}
-
 fn after_a_crash(disk: &Disk, crash: Crash) -> Image {
     journal(&disk.crashed(), crash).image().clone()
 }
 
 /// Everything that effects promise stands in the journal that a crash would leave.
-fn kept(effects: &[Effect], image: &Image) -> Result<(), String> {
+fn kept(effects: &[Effect], orders: &BTreeMap<Ticket, Order>, image: &Image) -> Result<(), String> {
     for effect in effects {
         let good = match effect {
             Effect::Answer(_, Answer::Taken(message)) => image.held.contains_key(&message.0),
             Effect::Begin(call) => image.held.get(&call.message.0).is_some_and(|held| held.out.is_some()),
+            Effect::Ordered(ticket, Ok(())) => match orders.get(ticket) {
+                // The last word of a turn on an endpoint counts.
+                Some(Order::Suspend(uid) | Order::Restore(uid)) => {
+                    let last = orders.values().rev().find(|order| match order {
+                        Order::Suspend(other) | Order::Restore(other) => other == uid,
+                    });
+                    image.suspended.contains(uid) == matches!(last, Some(Order::Suspend(_)))
+                }
+                None => false,
+            },
             Effect::Tell(notice) => {
                 image.held.get(&notice.message.0).is_some_and(|held| held.verdict == Some(notice.verdict))
             }
@@ -108,6 +52,8 @@
     rng: fastrand::Rng,
     out: BTreeMap<MessageId, EndpointId>,
     told: BTreeSet<MessageId>,
+    /// Orders of this turn.
+    orders: BTreeMap<Ticket, Order>,
     next: u64,
 }
 
@@ -116,12 +62,28 @@
         let disk = Disk::new(DISK, crash, seed);
         let engine = engine(&disk, crash, EPOCH);
         let rng = fastrand::Rng::with_seed(seed);
-        World { disk, engine, now: EPOCH, rng, out: BTreeMap::new(), told: BTreeSet::new(), next: 0 }
+        World {
+            disk,
+            engine,
+            now: EPOCH,
+            rng,
+            out: BTreeMap::new(),
+            told: BTreeSet::new(),
+            orders: BTreeMap::new(),
+            next: 0,
+        }
     }
 
     fn something_happens(&mut self) {
         self.now = self.now + Duration::from_millis(self.rng.u64(0..60));
-        let input = match self.rng.u8(..10) {
+        let input = match self.rng.u8(..11) {
+            10 => {
+                let uid = format!("s-{}", self.rng.u16(..8));
+                let order = if self.rng.bool() { Order::Suspend(uid) } else { Order::Restore(uid) };
+                self.next += 1;
+                self.orders.insert(Ticket(self.next), order.clone());
+                Input::Order(Ticket(self.next), order)
+            }
             0..4 => {
                 self.next += 1;
                 let class = if self.rng.bool() { "notice" } else { "salary" };
@@ -175,18 +137,33 @@
     }
 }
 
+fn image_of(world: &World) -> &Image {
+    world.engine.journal().image()
+}
+
+/// Each message has one end in the figures, and what has none is in flight; nothing goes to an endpoint that is out by hand.
 fn a_day(seed: u64, crash: Crash) -> (u64, u64) {
     let mut world = World::new(seed, crash);
     let (mut begun, mut told) = (0, 0);
     for turn in 0..600 {
+        world.orders.clear();
         for _ in 0..world.rng.u8(1..5) {
             world.something_happens();
         }
         let effects = world.turn();
+        let counts = world.engine.counts();
+        let (left, now) = (counts.left(), world.engine.reading(world.now).in_flight);
+        assert_eq!(left, now as u64, "seed {seed}, turn {turn}: {counts:?}");
+        for effect in &effects {
+            let Effect::Begin(call) = effect else { continue };
+            let uid = format!("s-{}", call.address.port() - 1000);
+            assert!(!image_of(&world).suspended.contains(&uid), "seed {seed}, turn {turn}: a call to {uid}");
+        }
         begun += effects.iter().filter(|effect| matches!(effect, Effect::Begin(_))).count() as u64;
         told += effects.iter().filter(|effect| matches!(effect, Effect::Tell(_))).count() as u64;
         let image = after_a_crash(&world.disk, crash);
-        kept(&effects, &image).unwrap_or_else(|error| panic!("seed {seed}, turn {turn}: {error}"));
+        kept(&effects, &world.orders, &image)
+            .unwrap_or_else(|error| panic!("seed {seed}, turn {turn}: {error}"));
         if turn % 97 == 96 {
             // The process dies, and the next one takes up what it held: nothing unsafe that was out goes again.
             let out: Vec<MessageId> = world.out.keys().copied().collect();
@@ -229,7 +206,7 @@
     let lost = (0..50).any(|_| {
         // Nothing was synced, so that the folder may come back with anything, or with damage.
         match Journal::replay(disk.crashed(), DISK, options(Crash::Process), 7) {
-            Ok(journal) => kept(&effects, journal.image()).is_err(),
+            Ok(journal) => kept(&effects, &BTreeMap::new(), journal.image()).is_err(),
             Err(_) => true,
         }
     });
--- a/crates/gullcart-journal/src/image.rs
+++ b/crates/gullcart-journal/src/image.rs
@@ -2,7 +2,7 @@
 
 use gullcart_message::{Taken, Target, Update, Verdict};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// When an attempt was sent (Unix milliseconds), and to which zone.
 pub type Sent = (u64, u8);
@@ -96,8 +96,17 @@
     Told(Update),
     /// All outages, as releases before 0.2 wrote them.
     Remembered(Vec<OutageNote>),
+    /// Endpoints that operators took out, by uid, and those that they gave back.
+    Suspended { set: Vec<String>, gone: Vec<String> },
+    /// Ids that were once in the list, the longest gone first, where the list is written anew.
+    Former(Vec<String>),
 }
 
+/// Ids of endpoints that are not in the list any more and are still known to have been, at most.
+pub const MOST_FORMER: usize = 1024;
+/// Endpoints that may be out by hand at a time.
+pub const MOST_SUSPENDED: usize = 1024;
+
 /// What the records add up to.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Image {
@@ -111,6 +120,10 @@
     pub targets: BTreeMap<String, Target>,
     /// One that has no endpoints just now may get others.
     pub destinations: BTreeSet<u16>,
+    /// Endpoints that operators took out, by uid, whether listed or not.
+    pub suspended: BTreeSet<String>,
+    /// Ids that were once in the list, the longest gone first; of more than [`MOST_FORMER`] the longest gone are forgotten.
+    pub(crate) former: VecDeque<String>,
     /// In the order of destinations.
     pub(crate) outages: BTreeMap<OutagePlace, OutageNote>,
 }
@@ -121,6 +134,20 @@
         self.outages.values()
     }
 
+    /// Whether an id is in the list, or is known to have been in it.
+    pub fn was_listed(&self, uid: &str) -> bool {
+        self.targets.contains_key(uid) || self.suspended.contains(uid) || self.former.iter().any(|f| f == uid)
+    }
+
+    fn remember(&mut self, uid: String) {
+        if !self.targets.contains_key(&uid) && !self.former.contains(&uid) {
+            if self.former.len() >= MOST_FORMER {
+                self.former.pop_front();
+            }
+            self.former.push_back(uid);
+        }
+    }
+
     /// Messages that nothing is known of any more are passed over: their end was freed with its segment.
     pub(crate) fn apply(&mut self, record: Record) {
         match record {
@@ -141,9 +168,12 @@
             }
             Record::List { rev, set, gone } => {
                 for uid in gone {
-                    self.targets.remove(&uid);
+                    if self.targets.remove(&uid).is_some() {
+                        self.remember(uid);
+                    }
                 }
                 for target in set {
+                    self.former.retain(|uid| *uid != target.uid);
                     self.destinations.insert(target.pod_group);
                     self.targets.insert(target.uid.clone(), target);
                 }
@@ -166,6 +196,13 @@
                 let (set, gone) = self.outage_changes(&notes);
                 self.apply(Record::Outages { set, gone });
             }
+            Record::Suspended { set, gone } => {
+                for uid in gone {
+                    self.suspended.remove(&uid);
+                }
+                self.suspended.extend(set);
+            }
+            Record::Former(uids) => uids.into_iter().for_each(|uid| self.remember(uid)),
         }
     }
 
--- a/crates/gullcart-journal/src/journal.rs
+++ b/crates/gullcart-journal/src/journal.rs
@@ -2,7 +2,7 @@
 
 use crate::error::{doing, Damage, JournalError, Wrong};
 use crate::frame::FRAME;
-use crate::image::{Held, Image, OutageNote, OutagePlace, Record, Sent};
+use crate::image::{Held, Image, OutageNote, OutagePlace, Record, Sent, MOST_SUSPENDED};
 use crate::ledger::{Ledger, Next};
 use crate::log::{name, Active, Log, Sealed, Start};
 use crate::plan::{cost, on_disk, Plan, Purpose, Room};
@@ -72,6 +72,9 @@
     Targets(Option<String>),
     Destinations(Option<u16>),
     Outages(Option<(u16, Option<String>)>),
+    Suspended(Option<String>),
+    /// So many of them are written.
+    Former(usize),
 }
 
 /// A journal in a folder.
@@ -146,6 +149,8 @@
                     Record::List { .. }
                     | Record::Destinations(_)
                     | Record::Outages { .. }
+                    | Record::Suspended { .. }
+                    | Record::Former(_)
                     | Record::Told(_)
                     | Record::Remembered(_) => {
                         state_since.get_or_insert(segment.sequence);
@@ -230,6 +235,11 @@
         let notes: Vec<OutageNote> = image.outages.into_values().collect();
         self.outages(&notes)?;
         self.targets(&Update { rev: image.rev, all: true, targets: image.targets.into_values().collect() })?;
+        let former: Vec<String> = image.former.into();
+        self.state_records(former.chunks(ENTRIES).map(|part| Record::Former(part.to_vec())).collect())?;
+        let suspended: Vec<String> = image.suspended.into_iter().collect();
+        let record = |part: &[String]| Record::Suspended { set: part.to_vec(), gone: Vec::new() };
+        self.state_records(suspended.chunks(ENTRIES).map(record).collect())?;
         for (number, held) in image.held {
             self.live += held_cost(&held);
             let written = self.write(Purpose::Progress, Record::Whole(number, held))?;
@@ -348,6 +358,24 @@
         self.state_records(records)
     }
 
+    /// An endpoint is out by an operator's word, or back. Nothing has changed where this fails.
+    pub fn suspend(&mut self, uid: &str, is_out: bool) -> Result<(), JournalError> {
+        if self.image.suspended.contains(uid) == is_out {
+            return Ok(());
+        }
+        if is_out && self.image.suspended.len() >= MOST_SUSPENDED {
+            return Err(JournalError::Full);
+        }
+        let uids = vec![uid.to_owned()];
+        let record = match is_out {
+            true => Record::Suspended { set: uids, gone: Vec::new() },
+            false => Record::Suspended { set: Vec::new(), gone: uids },
+        };
+        let written = self.write(Purpose::Progress, record)?;
+        self.tend(written);
+        Ok(())
+    }
+
     /// All that was written outlasts what it is to outlast: before anything that it promises leaves the process. A
     /// failure is final, as nobody can know what is on the disk; the process has to end.
     pub fn commit(&mut self) -> Result<(), JournalError> {
@@ -470,7 +498,11 @@
                 self.ledger.settle(*number, appended.segment, appended.bytes);
             }
             Record::Over(number) => self.ledger.forget(*number),
-            Record::List { .. } | Record::Destinations(_) | Record::Outages { .. } => {
+            Record::List { .. }
+            | Record::Destinations(_)
+            | Record::Outages { .. }
+            | Record::Suspended { .. }
+            | Record::Former(_) => {
                 self.state.bytes += appended.bytes;
             }
             _ => {}
@@ -673,11 +705,26 @@
             At::Outages(after) => {
                 let part: Vec<_> = from(&image.outages, after).take(ENTRIES).collect();
                 let next = match part.last() {
-                    Some((place, _)) if part.len() == ENTRIES => Some(At::Outages(Some((*place).clone()))),
-                    _ => None,
+                    Some((place, _)) if part.len() == ENTRIES => At::Outages(Some((*place).clone())),
+                    _ => At::Suspended(None),
                 };
                 let set = part.into_iter().map(|(_, note)| note.clone()).collect();
-                (Record::Outages { set, gone: Vec::new() }, next)
+                (Record::Outages { set, gone: Vec::new() }, Some(next))
+            }
+            At::Suspended(after) => {
+                let range = (after.map_or(Bound::Unbounded, Bound::Excluded), Bound::Unbounded);
+                let set: Vec<String> = image.suspended.range(range).take(ENTRIES).cloned().collect();
+                let next = match set.last() {
+                    Some(uid) if set.len() == ENTRIES => At::Suspended(Some(uid.clone())),
+                    _ => At::Former(0),
+                };
+                (Record::Suspended { set, gone: Vec::new() }, Some(next))
+            }
+            // What is forgotten meanwhile moves the others forward: some are then written by a later pass only.
+            At::Former(written) => {
+                let part: Vec<String> = image.former.iter().skip(written).take(ENTRIES).cloned().collect();
+                let next = (part.len() == ENTRIES).then_some(At::Former(written + ENTRIES));
+                (Record::Former(part), next)
             }
         };
         let bytes = self.move_on(record)?;
--- a/crates/gullcart-journal/src/lib.rs
+++ b/crates/gullcart-journal/src/lib.rs
@@ -26,7 +26,7 @@
 mod survey;
 
 pub use error::{Damage, JournalError, Wrong};
-pub use image::{Held, Image, OutageNote, Sent};
+pub use image::{Held, Image, OutageNote, Sent, MOST_FORMER, MOST_SUSPENDED};
 pub use journal::{Figures, Journal};
 pub use options::{Durability, Options, OptionsError};
 pub use plan::Plan;
--- a/crates/gullcart/src/calls.rs
+++ b/crates/gullcart/src/calls.rs
@@ -19,7 +19,7 @@
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
-use crate::wire::{Descriptor, Wire, WireStream};
+use crate::wire::{Descriptor, Progress, Wire, WireStream};
 
 /// Idle connections are closed after this part of the endpoint's own limit, so that no call meets its closing.
 const IDLE_PART: f64 = 0.7;
@@ -186,12 +186,12 @@
         }
     }
 
-    /// Makes one call. `sent` turns true with its first byte.
+    /// Makes one call; `progress` tells how much of it has been written.
     pub async fn call(
         self: &Rc<Self>,
         call: Call,
         mut stop: oneshot::Receiver<Stop>,
-        sent: Rc<Cell<bool>>,
+        progress: Rc<Progress>,
     ) -> Ended {
         let start = Instant::now();
         let end = start + call.try_for;
@@ -208,8 +208,7 @@
             };
             let Ok(request) = request(&call) else { return ended(Outcome::Moot) };
             let wire = connection.wire.clone();
-            wire.begin();
-            sent.set(true);
+            wire.begin(call.body.len(), progress.clone());
             let end_of_call = tokio::select! {
                 biased;
                 answer = send(&mut connection.sender, request) => match answer {
@@ -226,7 +225,6 @@
                 End::Broken if wire.is_untouched() && !fresh => {
                     // A kept connection that turned out to be closed, or to hold bytes that belong to no call:
                     // it goes out on another one.
-                    sent.set(false);
                     continue;
                 }
                 End::Stopped(reason) if wire.is_untouched() => never_sent(reason),
--- a/crates/gullcart/src/driver.rs
+++ b/crates/gullcart/src/driver.rs
@@ -1,10 +1,12 @@
 //! The loop round the engine: inputs in, effects out, timers. It moves bytes and decides nothing.
 
 use cloverstile::{MessageId, Settings, Time};
-use gullcart_engine::{Answer, Call, Effect, Engine, IdleShare, Input, Notice, Seldom, Stop, Ticket, EPOCH};
+use gullcart_engine::{
+    Answer, Call, Denied, Effect, Engine, IdleShare, Input, Notice, Seldom, Stop, Ticket, EPOCH,
+};
 use gullcart_journal::{Folder, JournalError};
-use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc::{Receiver, Sender};
@@ -13,7 +15,9 @@
 use tracing::{info, warn};
 
 use crate::calls::Pool;
+use crate::console::Question;
 use crate::vocabulary::{Inputs, Told};
+use crate::wire::Progress;
 
 /// Inputs that one turn takes in at most.
 const BATCH: usize = 256;
@@ -54,8 +58,8 @@
 /// A call that is out.
 struct Out {
     stop: Option<oneshot::Sender<Stop>>,
-    /// Its first byte has gone.
-    sent: Rc<Cell<bool>>,
+    /// How much of it has gone.
+    progress: Rc<Progress>,
 }
 
 /// Where the other parts are reached.
@@ -89,6 +93,8 @@
     out: HashMap<MessageId, Out>,
     /// Clients that wait for an answer, until the end of the turn.
     waiting: HashMap<Ticket, oneshot::Sender<Answer>>,
+    /// Operators that wait for theirs; no more than the console has callers.
+    ordering: HashMap<Ticket, oneshot::Sender<Result<(), Denied>>>,
     tickets: u64,
     /// Notices for which there is no place yet among those being told: as many as there are messages held.
     untold: VecDeque<Notice>,
@@ -105,6 +111,7 @@
             ends,
             out: HashMap::new(),
             waiting: HashMap::new(),
+            ordering: HashMap::new(),
             tickets: 0,
             untold: VecDeque::new(),
             latest: Duration::ZERO,
@@ -113,7 +120,11 @@
     }
 
     /// Runs until the process is to end.
-    pub async fn run(mut self, mut events: Receiver<Told>) -> Result<(), JournalError> {
+    pub async fn run(
+        mut self,
+        mut events: Receiver<Told>,
+        mut questions: Receiver<Question>,
+    ) -> Result<(), JournalError> {
         let mut sweep = interval(SWEEP);
         let mut sweeps = 0;
         let mut batch = Vec::with_capacity(BATCH);
@@ -123,6 +134,8 @@
             let never = Instant::now() + SWEEP;
             tokio::select! {
                 biased;
+                // An operator's answer is owed whatever else waits.
+                Some(question) = questions.recv() => self.asked(question),
                 _ = events.recv_many(&mut batch, BATCH) => {}
                 () = sleep_until(wake.unwrap_or(never)), if wake.is_some() => {}
                 _ = sweep.tick() => {
@@ -174,6 +187,20 @@
         }
     }
 
+    fn asked(&mut self, question: Question) {
+        match question {
+            Question::Figures(reply) => {
+                // Who does not wait any more has given up.
+                let _ = reply.send(self.engine.reading(self.clock.now()));
+            }
+            Question::Order(order, reply) => {
+                self.tickets += 1;
+                self.ordering.insert(Ticket(self.tickets), reply);
+                self.engine.handle(self.clock.now(), Input::Order(Ticket(self.tickets), order));
+            }
+        }
+    }
+
     fn take_in(&mut self, told: Told) {
         let input = match told {
             // Whoever does not wait any more hands it in elsewhere.
@@ -214,10 +241,15 @@
                     tokio::task::spawn_local(async move { inputs.tell(Input::Unheard(message)).await });
                 }
             }
+            Effect::Ordered(ticket, done) => {
+                if let Some(reply) = self.ordering.remove(&ticket) {
+                    let _ = reply.send(done);
+                }
+            }
             Effect::Begin(call) => self.begin(call),
             Effect::Stop(message, reason) => {
                 let Some(out) = self.out.get_mut(&message) else { return };
-                if reason == Stop::Withdrawn && out.sent.get() {
+                if reason == Stop::Withdrawn && out.progress.is_begun() {
                     return;
                 }
                 if let Some(stop) = out.stop.take() {
@@ -257,12 +289,26 @@
 
     fn begin(&mut self, call: Call) {
         let (stop, stopped) = oneshot::channel();
-        let sent = Rc::new(Cell::new(false));
+        let progress = Rc::new(Progress::default());
         let (message, endpoint) = (call.message, call.endpoint);
-        self.out.insert(message, Out { stop: Some(stop), sent: sent.clone() });
+        self.out.insert(message, Out { stop: Some(stop), progress: progress.clone() });
         let (pool, inputs) = (self.pool.clone(), self.ends.inputs.clone());
         tokio::task::spawn_local(async move {
-            let ended = pool.call(call, stopped, sent).await;
+            let call = pin!(pool.call(call, stopped, progress.clone()));
+            let written = async {
+                progress.written().await;
+                inputs.tell(Input::Written(message)).await;
+                std::future::pending().await
+            };
+            // First the call: what its task waits for must not wait for the loop.
+            let ended = tokio::select! {
+                biased;
+                ended = call => ended,
+                () = written => return,
+            };
+            if progress.is_untold() {
+                inputs.tell(Input::Written(message)).await;
+            }
             inputs.tell(Input::Ended(message, endpoint, ended)).await;
         });
     }
--- a/crates/gullcart/src/lib.rs
+++ b/crates/gullcart/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod calls;
 mod clients;
+mod console;
 mod discovery;
 mod driver;
 mod vocabulary;
@@ -40,6 +41,8 @@
 /// Sets the chance of calls for lists, and of what is kept, apart from that of decisions.
 const IDLE_SEED: u64 = 0x6964_6c65;
 const LIST_SEED: u64 = 0x6c69_7374;
+/// Names the console's address, before `console` in the configuration: without either there is none.
+const CONSOLE: &str = "BALANCER_CONSOLE";
 /// Names the operators' file of the journal, where there is one.
 const JOURNAL_FILE: &str = "GULLCART_JOURNAL";
 
@@ -47,6 +50,7 @@
 struct Config {
     name: String,
     listen: String,
+    console: Option<String>,
     discovery: String,
     seed: String,
     limits: Limits,
@@ -90,8 +94,9 @@
 
 impl Sockets {
     /// At most half goes to endpoints: calls out, calls that are ending, and idle connections.
-    fn deal(limit: usize, slots: usize) -> Self {
-        let rest = limit.saturating_sub(OTHER_SOCKETS);
+    fn deal(limit: usize, slots: usize, has_console: bool) -> Self {
+        let console = if has_console { console::SOCKETS } else { 0 };
+        let rest = limit.saturating_sub(OTHER_SOCKETS + console);
         let endpoints = ((2 + IDLE_OF_SLOTS) * slots).min(rest / 2).max(1);
         Sockets { clients: rest.saturating_sub(endpoints).max(2), endpoints }
     }
@@ -123,6 +128,23 @@
     }
 }
 
+/// The console's listener, where one is named. Clients are served without it: their messages do not wait for operators.
+async fn open_console(config: &Config) -> Option<TcpListener> {
+    let named = std::env::var(CONSOLE).ok().filter(|address| !address.is_empty());
+    let address = named.or_else(|| config.console.clone())?;
+    match TcpListener::bind(&address).await {
+        Ok(listener) => {
+            let bound = listener.local_addr().map_or(address, |at| at.to_string());
+            info!(address = bound, "the console is open");
+            Some(listener)
+        }
+        Err(error) => {
+            error!(address, %error, "the console cannot be opened; clients are served without it");
+            None
+        }
+    }
+}
+
 pub async fn run() -> Result<(), StartError> {
     // Before all else: without a handler the signal would end the process.
     let hang_up = signal(SignalKind::hangup())?;
@@ -141,6 +163,7 @@
     // Any text serves as a seed, but two couriers must not act alike.
     let seed = u64::from_str_radix(&config.seed, 16)
         .unwrap_or_else(|_| u64::from(crc32fast::hash(config.seed.as_bytes())));
+    let console = open_console(&config).await;
     let options = match std::env::var_os(JOURNAL_FILE) {
         Some(path) => Options::read(Path::new(&path))?,
         None => Options::default(),
@@ -153,7 +176,7 @@
     let (inputs, events) = Inputs::new();
     let (notices, owed) = mpsc::channel(NOTICES);
     let (closing, closes) = watch::channel(false);
-    let sockets = Sockets::deal(config.limits.sockets, slots);
+    let sockets = Sockets::deal(config.limits.sockets, slots, console.is_some());
     let pool = driver::pool(&parsed.settings, sockets.endpoints, seed ^ IDLE_SEED);
     let clock = Clock::new();
     let start = Start {
@@ -174,12 +197,18 @@
         idle: (config.limits.sockets / IDLE_OF_SOCKETS).max(1),
         long_requests: (config.limits.memory_mb * LONG_REQUESTS_PER_MB) as usize,
     };
+    let (ask, questions) = console::questions();
+    let (serves, serving) = watch::channel(false);
+    if let Some(listener) = console {
+        tokio::task::spawn_local(console::serve(listener, ask.clone(), serving));
+    }
     // Clients may come once all that was taken on before has been taken up again.
     let listener = TcpListener::bind(&config.listen)
         .await
         .map_err(|error| StartError::Listen(config.listen.clone(), error))?;
     let address = listener.local_addr()?;
     info!(name = config.name, %address, "listening");
+    serves.send_replace(true);
     tokio::task::spawn_local(clients::serve(listener, inputs.clone(), closes, clients));
     let (found, agent) = watch::channel(config.discovery);
     let calls = CallsForLists::new(couriers, seed ^ LIST_SEED);
@@ -191,5 +220,5 @@
             inputs.tell(Input::Terminate).await;
         }
     });
-    Ok(driver.run(events).await?)
+    Ok(driver.run(events, questions).await?)
 }
--- a/crates/gullcart/src/wire.rs
+++ b/crates/gullcart/src/wire.rs
@@ -40,6 +40,75 @@
     }
 }
 
+/// How much of a call has been written.
+#[derive(Default)]
+pub struct Progress {
+    stage: Cell<Stage>,
+    whole: Notify,
+}
+
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
+enum Stage {
+    /// Nothing was tried, or not a byte was taken.
+    #[default]
+    None,
+    /// It is about to be written, or partly is.
+    Begun,
+    /// Its last byte is written; nobody was told.
+    Whole,
+    /// Its last byte is written, and who waited for it knows.
+    Told,
+}
+
+impl Progress {
+    /// Something of it may be on its way.
+    pub fn is_begun(&self) -> bool {
+        self.stage.get() != Stage::None
+    }
+
+    /// Waits until its last byte is written. To be waited for once.
+    pub async fn written(&self) {
+        while self.stage.get() != Stage::Whole {
+            self.whole.notified().await;
+        }
+        self.stage.set(Stage::Told);
+    }
+
+    /// Its last byte is written, and nobody was told.
+    pub fn is_untold(&self) -> bool {
+        self.stage.get() == Stage::Whole
+    }
+}
+
+/// Where a request ends, from its bytes as they go: behind its head and a body of known length.
+struct Outgoing {
+    progress: Rc<Progress>,
+    /// Bytes of the head's end that have gone.
+    head_end: usize,
+    /// Bytes of the body that have not.
+    body: usize,
+}
+
+/// What ends a head.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+impl Outgoing {
+    fn feed(&mut self, mut bytes: &[u8]) {
+        while let (Some((byte, rest)), true) = (bytes.split_first(), self.head_end < HEAD_END.len()) {
+            self.head_end = match HEAD_END[self.head_end] == *byte {
+                true => self.head_end + 1,
+                false => usize::from(*byte == HEAD_END[0]),
+            };
+            bytes = rest;
+        }
+        self.body = self.body.saturating_sub(bytes.len());
+        if self.head_end == HEAD_END.len() && self.body == 0 && self.progress.stage.get() == Stage::Begun {
+            self.progress.stage.set(Stage::Whole);
+            self.progress.whole.notify_one();
+        }
+    }
+}
+
 /// A connection as its owner sees it, beside the library that speaks HTTP on it.
 pub struct Wire {
     stream: TcpStream,
@@ -48,6 +117,7 @@
     /// Bytes read since then.
     read: Cell<u64>,
     first_line: RefCell<FirstLine>,
+    outgoing: RefCell<Option<Outgoing>>,
     answered: Notify,
     /// After the stream: the descriptor is closed by then.
     _descriptor: Descriptor,
@@ -60,13 +130,16 @@
             written: Cell::default(),
             read: Cell::default(),
             first_line: RefCell::default(),
+            outgoing: RefCell::default(),
             answered: Notify::new(),
             _descriptor: descriptor,
         }
     }
 
-    /// A call is about to be written.
-    pub fn begin(&self) {
+    /// A call with a body of that length is about to be written.
+    pub fn begin(&self, body: usize, progress: Rc<Progress>) {
+        progress.stage.set(Stage::Begun);
+        self.outgoing.replace(Some(Outgoing { progress, head_end: 0, body }));
         self.written.set(0);
         self.read.set(0);
         self.first_line.take();
@@ -102,6 +175,16 @@
         sleep(after).await;
     }
 
+    fn went(&self, bufs: &[io::IoSlice<'_>], mut count: usize) {
+        let mut outgoing = self.outgoing.borrow_mut();
+        let Some(outgoing) = outgoing.as_mut() else { return };
+        for buf in bufs {
+            let gone = count.min(buf.len());
+            outgoing.feed(&buf[..gone]);
+            count -= gone;
+        }
+    }
+
     /// Ends the sending side and waits until the other side has closed too.
     async fn close(&self) -> io::Result<()> {
         SockRef::from(&self.stream).shutdown(Shutdown::Write)?;
@@ -186,6 +269,7 @@
     fn write(
         &self,
         cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
         mut write: impl FnMut(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         let wire = &self.0;
@@ -203,6 +287,7 @@
                 result => {
                     if let Ok(count) = result {
                         wire.written.set(wire.written.get() + count as u64);
+                        wire.went(bufs, count);
                     }
                     return Poll::Ready(result);
                 }
@@ -235,7 +320,7 @@
 
 impl AsyncWrite for WireStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.write(cx, |stream| stream.try_write(buf))
+        self.write(cx, &[io::IoSlice::new(buf)], |stream| stream.try_write(buf))
     }
 
     fn poll_write_vectored(
@@ -243,7 +328,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.write(cx, |stream| stream.try_write_vectored(bufs))
+        self.write(cx, bufs, |stream| stream.try_write_vectored(bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -258,3 +343,29 @@
         Poll::Ready(SockRef::from(&self.0.stream).shutdown(Shutdown::Write))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A call counts as written with its last byte, in whatever pieces it goes, and not before.
+    #[test]
+    fn a_request_is_written_with_its_last_byte() {
+        let head = "POST /hook HTTP/1.1\r\nX-Call-Id: a\rb\r\n\r\n";
+        for body in ["", "\r\n\r\nx"] {
+            let bytes = format!("{head}{body}").into_bytes();
+            for size in 1..bytes.len() {
+                let progress = Rc::new(Progress::default());
+                progress.stage.set(Stage::Begun);
+                let mut outgoing = Outgoing { progress: progress.clone(), head_end: 0, body: body.len() };
+                let mut gone = 0;
+                for piece in bytes.chunks(size) {
+                    assert!(!progress.is_untold(), "{size}: whole after {gone} bytes");
+                    outgoing.feed(piece);
+                    gone += piece.len();
+                }
+                assert!(progress.is_untold(), "{size}: never whole");
+            }
+        }
+    }
+}
