--- a/crates/cloverstile/src/books.rs
+++ b/crates/cloverstile/src/books.rs
@@ -1,10 +1,12 @@
 //! What a courier keeps in mind: types and sums only. Every decision and tuned value is in `choice.rs`.
 
 use crate::interface::*;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// A message between its hand-in and its end (and the end of its last attempt).
+#[derive(Serialize, Deserialize)]
 pub struct Message {
     pub taken: Accepted,
     pub born: Time,
@@ -22,6 +24,7 @@
 }
 
 /// A call out: one slot, one fate, however many messages it carries.
+#[derive(Serialize, Deserialize)]
 pub struct Call {
     pub route: RouteId,
     pub to: EndpointId,
@@ -36,12 +39,13 @@
 }
 
 /// What has one limit, pace and outage: a destination, or one endpoint of it where routes are apart.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RouteId(pub DestinationId, pub Option<EndpointId>);
 
 /// What may be sent next: by which route to which endpoint, which message, at what value.
 pub type Candidate = (RouteId, EndpointId, MessageId, f64);
 
+#[derive(Serialize, Deserialize)]
 pub struct Address {
     pub entry: Endpoint,
     pub calls_out: usize,
@@ -65,7 +69,7 @@
 }
 
 /// Running mean and mean deviation of latencies, in seconds.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Default, Serialize, Deserialize)]
 pub struct Latency {
     pub mean: f64,
     pub deviation: f64,
@@ -87,7 +91,7 @@
 }
 
 /// A count of events that fades with time.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Decaying {
     pub count: f64,
     pub at: Time,
@@ -103,7 +107,7 @@
 }
 
 /// A time without any success on a route, from its last success on: silence alone, until a call fails.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Spell {
     pub began: Time,
     pub next_trial: Time,
@@ -119,7 +123,7 @@
 }
 
 /// Pace and health of a route: one mechanism for limits, outages and cold return.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Route {
     /// Calls a second that it takes from all couriers together, as told last, and as the list has it.
     pub weight: f64,
@@ -159,7 +163,7 @@
 
 /// Whether idle connections are being dropped unseen, so that the next call on one is lost. Courier-wide, as
 /// one courier meets each partner too seldom to learn it there.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Reaping {
     pub risk: f64,
     /// Risk of losing a call on a new connection: what is lost there is not for idleness.
--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -7,9 +7,11 @@
 
 use crate::books::*;
 use crate::interface::*;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+mod carried;
 mod standing;
 pub use standing::{Hold, Standing};
 
@@ -106,9 +108,11 @@
 // ---- State ----
 
 /// A courier: records events in `handle`, acts in `decide`.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Courier {
+    #[serde(skip)]
     settings: Settings,
+    #[serde(skip)]
     rng: fastrand::Rng,
     addresses: BTreeMap<EndpointId, Address>,
     routes: BTreeMap<RouteId, Route>,
@@ -133,6 +137,7 @@
     wake: Option<(Time, u64)>,
     token: u64,
     /// What is to be done, until `decide` hands it over.
+    #[serde(skip)]
     actions: Vec<Action>,
 }
 
--- a/crates/cloverstile/src/interface.rs
+++ b/crates/cloverstile/src/interface.rs
@@ -1,10 +1,11 @@
 //! What a courier is told and what it may answer. Types only; every decision is in `choice.rs`.
 
+use serde::{Deserialize, Serialize};
 use std::ops::{Add, Sub};
 use std::time::Duration;
 
 /// A moment on the caller's clock, in nanoseconds from any fixed start. Never goes backwards.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Time(pub u64);
 
 impl Time {
@@ -39,7 +40,7 @@
 macro_rules! ids {
     ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
         $(#[$doc])*
-        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         pub struct $name(pub $inner);
     )*};
 }
@@ -244,7 +245,7 @@
 }
 
 /// Whether an endpoint may be given new work. It says nothing of health.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Mode {
     /// Listed.
     Ready,
@@ -255,7 +256,7 @@
 }
 
 /// An entry of the list of endpoints.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Endpoint {
     /// Its id.
     pub id: EndpointId,
@@ -283,7 +284,7 @@
 }
 
 /// A message that the courier now owes one final answer.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Accepted {
     /// Its id, which never comes twice.
     pub id: MessageId,
--- a/crates/gullcart-emulator/src/world.rs
+++ b/crates/gullcart-emulator/src/world.rs
@@ -420,6 +420,7 @@
             known: place.agent.list(),
             now: EPOCH,
             epoch_ms: BEGIN_MS + now.0 / 1000,
+            fingerprint: 0,
             #[cfg(feature = "broken")]
             broken: gullcart_engine::broken::Broken::chosen(self.broken).unwrap_or_default(),
         };
--- a/crates/gullcart-engine/src/broken.rs
+++ b/crates/gullcart-engine/src/broken.rs
@@ -82,7 +82,7 @@
 }
 
 /// The chosen fault.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Broken {
     fault: Option<Fault>,
     count: Cell<u32>,
--- a/crates/gullcart-engine/src/directory.rs
+++ b/crates/gullcart-engine/src/directory.rs
@@ -2,11 +2,13 @@
 
 use cloverstile::{DestinationId, Endpoint, EndpointId, KindId, Listing, Mode, Parsed, ZoneId};
 use gullcart_message::{Target, Update};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use tracing::warn;
 
 /// Numbers for the names that the list uses, and where each endpoint is found.
+#[derive(Default, Serialize, Deserialize)]
 pub struct Directory {
     zones: Vec<String>,
     kinds: Vec<String>,
@@ -15,6 +17,7 @@
     entries: BTreeMap<EndpointId, Entry>,
 }
 
+#[derive(Serialize, Deserialize)]
 struct Entry {
     uid: String,
     zone: ZoneId,
--- a/crates/gullcart-engine/src/engine.rs
+++ b/crates/gullcart-engine/src/engine.rs
@@ -11,6 +11,7 @@
 
 #[cfg(feature = "broken")]
 use crate::broken::{Broken, Fault, DEAF_FOR};
+use crate::carried::{self, Carried, CarriedError, CarriedOut as Out, Label, FORMAT};
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::figures::{Counts, Ends, Reading};
@@ -32,13 +33,6 @@
     shared: bool,
 }
 
-/// A call that is out.
-struct Out {
-    endpoint: EndpointId,
-    attempt: u16,
-    is_stopped: bool,
-}
-
 /// An attempt that was not made.
 const NOT_MADE: Ended =
     Ended { outcome: Outcome::Moot, latency: Duration::ZERO, complete: false, allowance: None };
@@ -55,6 +49,8 @@
     pub now: Time,
     /// Unix milliseconds of [`crate::EPOCH`].
     pub epoch_ms: u64,
+    /// Sum over the settings: who carries books over must have the same.
+    pub fingerprint: u32,
     /// What is broken.
     #[cfg(feature = "broken")]
     pub broken: Broken,
@@ -68,6 +64,8 @@
     directory: Directory,
     class_names: Vec<String>,
     classes: Vec<Class>,
+    settings: Settings,
+    fingerprint: u32,
     most_held: usize,
     /// The messages held, by their ids.
     known: HashMap<String, Known>,
@@ -93,7 +91,100 @@
 impl<S: Store> Engine<S> {
     /// A courier that has taken up again all that the journal holds.
     pub fn new(start: Start, journal: Journal<S>) -> Self {
-        let Start { mut parsed, seed, known, now, epoch_ms, .. } = start;
+        let (now, known) = (start.now, start.known.clone());
+        let mut engine = Engine::empty(start, journal);
+        engine.restore(now, known);
+        engine
+    }
+
+    /// The courier of the process before, as it stopped ([`Engine::freeze`]), with the journal that this one left. Its calls
+    /// out are still out here. Where the block cannot be taken up, the courier starts from the journal alone, and nothing
+    /// is out; the reason is told.
+    pub fn resume(start: Start, journal: Journal<S>, block: &[u8]) -> (Self, Result<(), CarriedError>) {
+        let (now, known, seed) = (start.now, start.known.clone(), start.seed);
+        let mut engine = Engine::empty(start, journal);
+        let carried = carried::read(block, engine.fingerprint);
+        let same = |carried: &Carried| {
+            let held = &engine.journal.image().held;
+            held.iter()
+                .all(|(number, held)| held.verdict.is_some() || carried.courier.holds(MessageId(*number)))
+                && carried.out.keys().all(|message| held.contains_key(&message.0))
+        };
+        let done = match carried {
+            Ok(carried) if same(&carried) => {
+                engine.take_up(now, seed, carried);
+                Ok(())
+            }
+            other => {
+                engine.restore(now, known);
+                Err(other.err().unwrap_or(CarriedError::Journal))
+            }
+        };
+        (engine, done)
+    }
+
+    fn take_up(&mut self, now: Time, seed: u64, carried: Carried) {
+        let Carried { courier, directory, out, shared, wake } = carried;
+        self.courier = courier.resumed(self.settings.clone(), seed);
+        (self.directory, self.out, self.wake) = (directory, out, wake);
+        for (number, held) in &self.journal.image().held {
+            let known = Known { number: *number, shared: shared.contains(&MessageId(*number)) };
+            self.known.insert(held.taken.id.clone(), known);
+            self.counts.found += u64::from(held.verdict.is_none());
+            // The platform may not have answered yet; a notice that comes twice does no harm.
+            if let Some(verdict) = held.verdict {
+                let (message, id) = (MessageId(*number), held.taken.id.clone());
+                self.effects.push(Doing::Tell(Notice { message, id, verdict }));
+            }
+        }
+        self.suspend_listed(now);
+        let (held, out) = self.load();
+        info!(held, out, rev = self.rev(), "the courier goes on in this process");
+    }
+
+    /// Stops between two turns: what happened so far is in the journal, and what it brought about is handed out, but no
+    /// call is begun any more. The block is the courier for [`Engine::resume`], in another process or in this one; none
+    /// where it cannot be written. Whatever is handled after this is lost with this engine.
+    pub fn freeze(&mut self, now: Time) -> Result<(Vec<Doing>, Option<Vec<u8>>), JournalError> {
+        for (message, endpoint) in std::mem::take(&mut self.not_made) {
+            self.ended(now, message, endpoint, NOT_MADE);
+        }
+        self.note_outages(now);
+        self.journal.commit()?;
+        let effects = std::mem::take(&mut self.effects);
+        let label = Label { format: FORMAT, settings: self.fingerprint };
+        let shared = self.known.values().filter(|known| known.shared).map(|known| MessageId(known.number));
+        let carried = Carried {
+            shared: shared.collect(),
+            courier: std::mem::take(&mut self.courier),
+            directory: std::mem::take(&mut self.directory),
+            out: std::mem::take(&mut self.out),
+            wake: self.wake,
+        };
+        Ok((effects, carried::write(&label, &carried).ok()))
+    }
+
+    /// The courier ends soon, by its own doing.
+    pub fn is_ending(&self) -> bool {
+        self.ends.is_some()
+    }
+
+    /// A call that is out, as it was begun; none if it is not.
+    pub fn call(&self, message: MessageId, try_for: Duration) -> Option<Call> {
+        let out = self.out.get(&message)?;
+        let taken = &self.journal.image().held.get(&message.0)?.taken;
+        let address = self.directory.address(out.endpoint)?;
+        let Taken { id, idempotency_key, body, .. } = taken.clone();
+        Some(Call { message, endpoint: out.endpoint, address, id, idempotency_key, body, try_for })
+    }
+
+    /// Calls that are out.
+    pub fn calls_out(&self) -> impl Iterator<Item = (MessageId, EndpointId)> + '_ {
+        self.out.iter().map(|(message, out)| (*message, out.endpoint))
+    }
+
+    fn empty(start: Start, journal: Journal<S>) -> Self {
+        let Start { mut parsed, seed, epoch_ms, fingerprint, .. } = start;
         parsed.settings.answers_take_time = true;
         let directory = Directory::new(&parsed);
         let settings = parsed.settings;
@@ -101,6 +192,8 @@
             class_names: parsed.class_names,
             classes: settings.classes.clone(),
             most_held: settings.most_held,
+            settings: settings.clone(),
+            fingerprint,
             courier: Courier::new(settings, seed),
             clock: Clock::new(epoch_ms),
             journal,
@@ -123,7 +216,6 @@
         };
         engine.counts = Counts::new(engine.classes.len());
         engine.logged = engine.counts.clone();
-        engine.restore(now, known);
         engine
     }
 
--- a/crates/gullcart-engine/src/lib.rs
+++ b/crates/gullcart-engine/src/lib.rs
@@ -11,6 +11,7 @@
 #[cfg(feature = "broken")]
 pub mod broken;
 mod calls_for_lists;
+mod carried;
 mod clock;
 mod directory;
 mod engine;
@@ -21,6 +22,7 @@
 mod vocabulary;
 
 pub use calls_for_lists::CallsForLists;
+pub use carried::{CarriedError, CarriedOut};
 pub use clock::{Clock, EPOCH};
 pub use engine::{Engine, Start};
 pub use figures::{Counts, Ends, Reading};
--- /dev/null
+++ b/crates/gullcart-engine/tests/carried.rs
@@ -0,0 +1,106 @@
+//! What goes on in another process, and what is done where it cannot.
+
+mod common;
+
+use cloverstile::{Outcome, Time};
+use common::*;
+use gullcart_engine::{Call, CarriedError, Effect, Ended, Engine, Input, Start, Ticket, EPOCH};
+use gullcart_journal::simulated::{Crash, Disk};
+use gullcart_message::Verdict;
+use std::time::Duration;
+
+fn calls(effects: &[Effect]) -> Vec<Call> {
+    let begun = |effect: &Effect| match effect {
+        Effect::Begin(call) => Some(call.clone()),
+        _ => None,
+    };
+    effects.iter().filter_map(begun).collect()
+}
+
+fn ended(outcome: Outcome) -> Ended {
+    Ended { outcome, latency: Duration::from_millis(40), complete: outcome == Outcome::Ok, allowance: None }
+}
+
+/// A courier with a salary out to destination 1, stopped for a process after it.
+fn stopped(disk: &Disk) -> (Call, Vec<u8>) {
+    let mut engine = engine(disk, Crash::Process, EPOCH);
+    engine.handle(EPOCH, Input::Enqueue(Ticket(1), enqueue(1, "salary", 1)));
+    let call = calls(&engine.turn(EPOCH).unwrap()).remove(0);
+    let (effects, block) = engine.freeze(EPOCH).unwrap();
+    assert!(effects.is_empty());
+    (call, block.unwrap())
+}
+
+#[test]
+fn a_call_that_is_out_ends_in_the_process_after() {
+    let disk = Disk::new(DISK, Crash::Process, 1);
+    let (call, block) = stopped(&disk);
+    let (mut engine, resumed) = Engine::resume(start(EPOCH), journal(&disk, Crash::Process), &block);
+    assert_eq!(resumed, Ok(()));
+    assert_eq!(engine.call(call.message, call.try_for), Some(call.clone()));
+    assert!(calls(&engine.turn(EPOCH).unwrap()).is_empty());
+    engine.handle(EPOCH, Input::Ended(call.message, call.endpoint, ended(Outcome::Ok)));
+    engine.turn(EPOCH).unwrap();
+    assert_eq!(engine.load(), (0, 0));
+    assert_eq!(engine.counts().sum().served, 1);
+    assert_eq!(engine.counts().left(), 0);
+}
+
+#[test]
+fn a_told_wait_holds_in_the_process_after() {
+    let disk = Disk::new(DISK, Crash::Process, 1);
+    let mut before = engine(&disk, Crash::Process, EPOCH);
+    before.handle(EPOCH, Input::Enqueue(Ticket(1), enqueue(1, "salary", 1)));
+    let call = calls(&before.turn(EPOCH).unwrap()).remove(0);
+    let wait = Outcome::Full(Some(Duration::from_secs(2)));
+    before.handle(EPOCH, Input::Ended(call.message, call.endpoint, ended(wait)));
+    let block = before.freeze(EPOCH).unwrap().1.unwrap();
+    let (mut engine, resumed) = Engine::resume(start(EPOCH), journal(&disk, Crash::Process), &block);
+    assert_eq!(resumed, Ok(()));
+    let mut first = None;
+    for step in 0..100 {
+        let now = EPOCH + Duration::from_millis(50 * step);
+        if !calls(&engine.turn(now).unwrap()).is_empty() {
+            first = Some(now);
+            break;
+        }
+    }
+    assert!(first.is_some_and(|at| at >= EPOCH + Duration::from_secs(2)), "{first:?}");
+}
+
+/// Without the books the journal is enough: as after a crash, what was out may have run.
+fn from_the_journal(settings: Start, damage: impl Fn(&mut Vec<u8>), why: CarriedError) {
+    let disk = Disk::new(DISK, Crash::Process, 1);
+    let (call, mut block) = stopped(&disk);
+    damage(&mut block);
+    let (mut engine, resumed) = Engine::resume(settings, journal(&disk, Crash::Process), &block);
+    assert_eq!(resumed, Err(why));
+    assert_eq!(engine.call(call.message, call.try_for), None);
+    let effects = engine.turn(EPOCH).unwrap();
+    let failed =
+        |effect: &Effect| matches!(effect, Effect::Tell(notice) if notice.verdict == Verdict::Failed);
+    assert!(effects.iter().any(failed), "{effects:?}");
+}
+
+#[test]
+fn books_that_cannot_be_read_are_left_and_the_journal_is_enough() {
+    from_the_journal(start(EPOCH), |block| block.truncate(block.len() - 1), CarriedError::Damaged);
+    from_the_journal(start(EPOCH), |block| block.push(0), CarriedError::Damaged);
+    from_the_journal(start(EPOCH), |block| block[0] = 99, CarriedError::Format(99));
+    let other = Start { fingerprint: 2, ..start(EPOCH) };
+    from_the_journal(other, |_| {}, CarriedError::Settings);
+}
+
+/// What the journal holds and the books do not was taken by somebody else meanwhile.
+#[test]
+fn books_that_do_not_fit_the_journal_are_left() {
+    let disk = Disk::new(DISK, Crash::Process, 1);
+    let (_, block) = stopped(&disk);
+    let later = EPOCH + Duration::from_millis(5);
+    let mut between = engine(&disk, Crash::Process, later);
+    between.handle(later, Input::Enqueue(Ticket(2), enqueue(2, "salary", 2)));
+    between.turn(later).unwrap();
+    drop(between);
+    let (_, resumed) = Engine::resume(start(Time(later.0)), journal(&disk, Crash::Process), &block);
+    assert_eq!(resumed, Err(CarriedError::Journal));
+}
--- a/crates/gullcart-engine/tests/promises.rs
+++ b/crates/gullcart-engine/tests/promises.rs
@@ -47,6 +47,7 @@
 /// A courier at work, with what its world knows.
 struct World {
     disk: Disk,
+    crash: Crash,
     engine: Engine<Disk>,
     now: Time,
     rng: fastrand::Rng,
@@ -64,6 +65,7 @@
         let rng = fastrand::Rng::with_seed(seed);
         World {
             disk,
+            crash,
             engine,
             now: EPOCH,
             rng,
@@ -112,6 +114,25 @@
         self.engine.handle(self.now, input);
     }
 
+    /// The courier goes on in another process: the same messages, calls and figures' gauges, and nothing is told anew but
+    /// ends that the platform has not heard.
+    fn moves(&mut self) {
+        let before = (self.engine.load(), self.engine.reading(self.now).endpoints_excluded);
+        let image = self.engine.journal().image().clone();
+        let (effects, block) = self.engine.freeze(self.now).unwrap();
+        assert!(effects.is_empty(), "{effects:?}");
+        let journal = journal(&self.disk, self.crash);
+        assert_eq!(journal.image().held, image.held);
+        let (engine, resumed) = Engine::resume(start(self.now), journal, &block.unwrap());
+        assert_eq!(resumed, Ok(()));
+        self.engine = engine;
+        assert_eq!((self.engine.load(), self.engine.reading(self.now).endpoints_excluded), before);
+        // What the platform has answered meanwhile was for the process before; it is told all of it once more.
+        self.told.clear();
+        let out: BTreeMap<MessageId, EndpointId> = self.engine.calls_out().collect();
+        assert_eq!(out, self.out);
+    }
+
     fn turn(&mut self) -> Vec<Effect> {
         let effects = self.engine.turn(self.now).unwrap();
         for effect in &effects {
@@ -164,6 +185,9 @@
         let image = after_a_crash(&world.disk, crash);
         kept(&effects, &world.orders, &image)
             .unwrap_or_else(|error| panic!("seed {seed}, turn {turn}: {error}"));
+        if turn % 41 == 40 {
+            world.moves();
+        }
         if turn % 97 == 96 {
             // The process dies, and the next one takes up what it held: nothing unsafe that was out goes again.
             let out: Vec<MessageId> = world.out.keys().copied().collect();
--- a/crates/gullcart/src/calls.rs
+++ b/crates/gullcart/src/calls.rs
@@ -64,6 +64,16 @@
     }
 }
 
+/// A call that the process before has written.
+pub struct CarriedCall {
+    /// Its connection, not blocking.
+    pub stream: Option<std::net::TcpStream>,
+    /// What was read of its answer.
+    pub answer: Vec<u8>,
+    /// How long it has taken.
+    pub elapsed: Duration,
+}
+
 /// The connections to endpoints. Those that are idle are kept by endpoint, the newest last: an address may belong
 /// to another endpoint by now, which must not be given what is left of the one before.
 pub struct Pool {
@@ -169,7 +179,18 @@
     }
 
     /// A connection for a call, and whether it is a new one.
-    async fn connection(&self, call: &Call, until: Instant) -> Result<(Connection, bool), Outcome> {
+    async fn connection(
+        &self,
+        call: &Call,
+        until: Instant,
+        carried: Option<&mut CarriedCall>,
+    ) -> Result<(Connection, bool), Outcome> {
+        if let Some(stream) = carried.and_then(|carried| carried.stream.take()) {
+            let descriptor = Descriptor::new(&self.open, &self.closed);
+            let connected = async { handshake(call.address, TcpStream::from_std(stream)?, descriptor).await };
+            // It was written, so that it may have run.
+            return connected.await.map(|connection| (connection, true)).map_err(|_| Outcome::Reset);
+        }
         match self.take(call.endpoint, call.address).await {
             Some(kept) => Ok((kept, false)),
             None => Ok((self.open(call.address, until).await?, true)),
@@ -186,14 +207,17 @@
         }
     }
 
-    /// Makes one call; `progress` tells how much of it has been written.
+    /// Makes one call; `progress` tells how much of it has been written. One that was carried over goes on where the process
+    /// before left it.
     pub async fn call(
         self: &Rc<Self>,
         call: Call,
         mut stop: oneshot::Receiver<Stop>,
         progress: Rc<Progress>,
+        mut carried: Option<CarriedCall>,
     ) -> Ended {
-        let start = Instant::now();
+        let elapsed = carried.as_ref().map_or(Duration::ZERO, |carried| carried.elapsed);
+        let start = Instant::now().checked_sub(elapsed).unwrap_or_else(Instant::now);
         let end = start + call.try_for;
         let ended = |outcome| Ended { outcome, latency: start.elapsed(), complete: false, allowance: None };
         loop {
@@ -201,7 +225,7 @@
             let (mut connection, fresh) = tokio::select! {
                 biased;
                 reason = &mut stop => return ended(never_sent(reason.ok())),
-                ready = self.connection(&call, until) => match ready {
+                ready = self.connection(&call, until, carried.as_mut()) => match ready {
                     Ok(ready) => ready,
                     Err(outcome) => return ended(outcome),
                 },
@@ -209,6 +233,9 @@
             let Ok(request) = request(&call) else { return ended(Outcome::Moot) };
             let wire = connection.wire.clone();
             wire.begin(call.body.len(), progress.clone());
+            if let Some(carried) = carried.take() {
+                wire.go_on(carried.answer);
+            }
             let end_of_call = tokio::select! {
                 biased;
                 answer = send(&mut connection.sender, request) => match answer {
@@ -361,6 +388,10 @@
 async fn connect(address: SocketAddr, descriptor: Descriptor) -> io::Result<Connection> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
+    handshake(address, stream, descriptor).await
+}
+
+async fn handshake(address: SocketAddr, stream: TcpStream, descriptor: Descriptor) -> io::Result<Connection> {
     let wire = Rc::new(Wire::new(stream, descriptor));
     let io = TokioIo::new(WireStream(wire.clone()));
     let handshake = http1::Builder::new().title_case_headers(true).max_buf_size(LONGEST_HEAD).handshake(io);
--- a/crates/gullcart/src/clients.rs
+++ b/crates/gullcart/src/clients.rs
@@ -71,27 +71,78 @@
     pub long_requests: usize,
 }
 
-/// Accepts connections until the task is dropped. `closing` turns true when the courier is about to end.
-pub async fn serve(
-    listener: TcpListener,
+/// What the courier is about to do, as its clients' connections have to know.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Phase {
+    #[default]
+    Serving,
+    /// It ends: connections are closed between two requests.
+    Closing,
+    /// It moves to another process: connections are given up as they stand, to [`Clients::given_up`].
+    Moving,
+}
+
+/// A connection on its way to another process.
+pub struct Moved {
+    pub stream: std::net::TcpStream,
+    /// It has not brought a request yet.
+    pub is_fresh: bool,
+    /// What was read and not served.
+    pub unread: Vec<u8>,
+}
+
+/// The clients' connections of a courier.
+#[derive(Clone)]
+pub struct Clients {
+    places: Rc<Places>,
     driver: Inputs,
-    closing: watch::Receiver<bool>,
-    limits: ClientLimits,
-) {
-    let places = Rc::new(Places::new(limits));
+    phase: watch::Receiver<Phase>,
+    /// As many at most as there are places.
+    moved: Rc<RefCell<Vec<Moved>>>,
+}
+
+impl Clients {
+    pub fn new(driver: Inputs, phase: watch::Receiver<Phase>, limits: ClientLimits) -> Self {
+        Clients { places: Rc::new(Places::new(limits)), driver, phase, moved: Rc::default() }
+    }
+
+    /// Connections that are open.
+    pub fn open(&self) -> usize {
+        self.places.occupants.borrow().open.len()
+    }
+
+    /// Those that were given up while the courier moves.
+    pub fn given_up(&self) -> Vec<Moved> {
+        self.moved.take()
+    }
+
+    /// Serves a connection that the process before had.
+    pub fn take_over(&self, moved: Moved) -> io::Result<()> {
+        let stream = TcpStream::from_std(moved.stream)?;
+        self.serve_one(stream, BytesMut::from(&moved.unread[..]), moved.is_fresh);
+        Ok(())
+    }
+
+    fn serve_one(&self, stream: TcpStream, buffer: BytesMut, fresh: bool) {
+        let place = self.places.clone().enter();
+        let (driver, phase, moved) = (self.driver.clone(), self.phase.clone(), self.moved.clone());
+        tokio::task::spawn_local(async move {
+            let client = Client { stream, driver, phase, place, buffer, out: Vec::new(), moved };
+            // A connection that breaks is its client's affair: what was taken on stays so.
+            let _ = client.run(fresh).await;
+        });
+    }
+}
+
+/// Accepts connections until the task is dropped.
+pub async fn serve(listener: TcpListener, clients: Clients) {
+    let places = clients.places.clone();
     let mut failures = Seldom::default();
     let begun = Instant::now();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let place = places.clone().enter();
-                let (driver, closing) = (driver.clone(), closing.clone());
-                tokio::task::spawn_local(async move {
-                    let client =
-                        Client { stream, driver, closing, place, buffer: BytesMut::new(), out: Vec::new() };
-                    // A connection that breaks is its client's affair: what was taken on stays so.
-                    let _ = client.run().await;
-                });
+                clients.serve_one(stream, BytesMut::new(), true);
                 // One place is kept free, so that who comes next is never left in the listener's queue.
                 places.make_room().await;
             }
@@ -257,9 +308,10 @@
     // Before the place: the descriptor is closed by the time that the place is free.
     stream: TcpStream,
     driver: Inputs,
-    closing: watch::Receiver<bool>,
+    phase: watch::Receiver<Phase>,
     buffer: BytesMut,
     out: Vec<u8>,
+    moved: Rc<RefCell<Vec<Moved>>>,
     place: Place,
 }
 
@@ -270,19 +322,22 @@
     End,
     /// The request did not become whole in its time.
     Late,
+    /// The courier moves to another process, and the connection with it.
+    Move,
 }
 
 impl Client {
-    async fn run(mut self) -> io::Result<()> {
+    async fn run(mut self, mut fresh: bool) -> io::Result<()> {
         self.stream.set_nodelay(true)?;
         let places = self.place.places.clone();
         let mut long: Option<SemaphorePermit> = None;
         // When what is due next must have come: the first request, the rest of one, or another one.
         let mut due = Instant::now() + SILENT;
-        // It has not brought a request yet.
-        let mut fresh = true;
         let mut served = 0;
         loop {
+            if *self.phase.borrow() == Phase::Moving {
+                return self.give_up(fresh).await;
+            }
             match decode(&mut self.buffer) {
                 Ok(Some(words)) => {
                     self.place.set(Doing::Busy);
@@ -325,6 +380,7 @@
                 Come::More => {}
                 Come::End => return Ok(()),
                 Come::Late => return self.refuse("the request did not come to its end").await,
+                Come::Move => return self.give_up(fresh).await,
             }
         }
     }
@@ -333,7 +389,7 @@
     /// with a part of one read, and a fresh one only once its first request had time to come.
     async fn read(&mut self, fresh: bool, due: Instant) -> io::Result<Come> {
         let between = self.buffer.is_empty();
-        if between && *self.closing.borrow() {
+        if between && *self.phase.borrow() == Phase::Closing {
             return self.read_last(fresh).await;
         }
         let give_way = self.place.give_way.clone();
@@ -348,7 +404,15 @@
                 () = tokio::time::sleep_until(due) => {
                     return if between { self.read_now() } else { Ok(Come::Late) };
                 }
-                _ = self.closing.changed(), if between => return self.read_last(fresh).await,
+                changed = self.phase.changed() => {
+                    let phase = *self.phase.borrow();
+                    match phase {
+                        _ if changed.is_err() => return Ok(Come::End),
+                        Phase::Moving => return Ok(Come::Move),
+                        Phase::Closing if between => return self.read_last(fresh).await,
+                        Phase::Closing | Phase::Serving => continue,
+                    }
+                }
             }
             self.buffer.reserve(READ);
             match self.stream.try_read_buf(&mut self.buffer) {
@@ -360,6 +424,15 @@
         }
     }
 
+    /// Gives the connection up as it stands, with all answers written. A client that does not read its answers is not
+    /// waited for: its connection ends here.
+    async fn give_up(mut self, is_fresh: bool) -> io::Result<()> {
+        self.flush().await?;
+        let stream = self.stream.into_std()?;
+        self.moved.borrow_mut().push(Moved { stream, is_fresh, unread: self.buffer.to_vec() });
+        Ok(())
+    }
+
     async fn read_last(&mut self, fresh: bool) -> io::Result<Come> {
         if !fresh {
             return self.read_now();
--- /dev/null
+++ b/crates/gullcart/src/config.rs
@@ -0,0 +1,98 @@
+//! What a courier is told at its start, and how its descriptors are dealt out.
+
+use cloverstile::SettingError;
+use gullcart_journal::{JournalError, OptionsError};
+use gullcart_message::Update;
+use serde::Deserialize;
+use std::ffi::OsString;
+use std::path::Path;
+use thiserror::Error;
+
+use crate::console;
+use crate::driver::IDLE_OF_SLOTS;
+
+/// Descriptors kept for files, the runtime, the listener, discovery and notices.
+const OTHER_SOCKETS: usize = 32;
+
+#[derive(Deserialize)]
+pub struct Config {
+    pub name: String,
+    pub listen: String,
+    pub console: Option<String>,
+    pub discovery: String,
+    pub seed: String,
+    pub limits: Limits,
+    pub known: Update,
+    pub settings: serde_json::Value,
+}
+
+#[derive(Deserialize)]
+pub struct Limits {
+    pub memory_mb: f64,
+    pub sockets: usize,
+    pub disk_mb: f64,
+}
+
+impl Config {
+    /// Any text serves as a seed, but two couriers must not act alike.
+    pub fn seed(&self) -> u64 {
+        u64::from_str_radix(&self.seed, 16)
+            .unwrap_or_else(|_| u64::from(crc32fast::hash(self.seed.as_bytes())))
+    }
+
+    /// Sum over the settings and the release: books are carried over only between processes that have the same.
+    pub fn fingerprint(&self) -> u32 {
+        let text = format!("{} {}", env!("CARGO_PKG_VERSION"), self.settings);
+        crc32fast::hash(text.as_bytes())
+    }
+
+    /// Bytes that the folder may hold.
+    pub fn disk(&self) -> u64 {
+        (self.limits.disk_mb * 1e6) as u64
+    }
+}
+
+#[derive(Debug, Error)]
+pub enum StartError {
+    #[error("{0} is not set")]
+    Variable(&'static str),
+    #[error("the configuration: {0}")]
+    Read(#[from] std::io::Error),
+    #[error("the configuration: {0}")]
+    Parse(#[from] serde_json::Error),
+    #[error(transparent)]
+    Setting(#[from] SettingError),
+    #[error(transparent)]
+    Journal(#[from] JournalError),
+    #[error(transparent)]
+    JournalOptions(#[from] OptionsError),
+    #[cfg(feature = "broken")]
+    #[error("{0}")]
+    Broken(String),
+    #[error("cannot listen at {0}: {1}")]
+    Listen(String, std::io::Error),
+}
+
+/// How the descriptors are dealt out: each part keeps to its own, and idle connections give way inside it.
+pub struct Sockets {
+    pub clients: usize,
+    pub endpoints: usize,
+}
+
+impl Sockets {
+    /// At most half goes to endpoints: calls out, calls that are ending, and idle connections.
+    pub fn deal(limit: usize, slots: usize, has_console: bool) -> Self {
+        let console = if has_console { console::SOCKETS } else { 0 };
+        let rest = limit.saturating_sub(OTHER_SOCKETS + console);
+        let endpoints = ((2 + IDLE_OF_SLOTS) * slots).min(rest / 2).max(1);
+        Sockets { clients: rest.saturating_sub(endpoints).max(2), endpoints }
+    }
+}
+
+pub fn variable(name: &'static str) -> Result<OsString, StartError> {
+    std::env::var_os(name).ok_or(StartError::Variable(name))
+}
+
+pub fn read_config(path: &Path) -> Result<Config, StartError> {
+    Ok(serde_json::from_slice(&std::fs::read(path)?)?)
+}
--- a/crates/gullcart/src/console.rs
+++ b/crates/gullcart/src/console.rs
@@ -6,6 +6,7 @@
 use std::cell::RefCell;
 use std::io;
 use std::net::Shutdown;
+use std::os::unix::net::UnixStream;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -35,6 +36,8 @@
     Figures(oneshot::Sender<Reading>),
     /// Something is to be done.
     Order(Order, oneshot::Sender<Result<(), Denied>>),
+    /// A process of the same user asks for the courier.
+    Move(UnixStream),
 }
 
 /// Where the loop is asked, and where it listens.
--- a/crates/gullcart/src/driver.rs
+++ b/crates/gullcart/src/driver.rs
@@ -1,23 +1,30 @@
 //! The loop round the engine: inputs in, effects out, timers. It moves bytes and decides nothing.
 
-use cloverstile::{MessageId, Settings, Time};
+use cloverstile::{MessageId, Outcome, Settings, Time};
 use gullcart_engine::{
-    Answer, Call, Denied, Effect, Engine, IdleShare, Input, Notice, Seldom, Stop, Ticket, EPOCH,
+    Answer, Call, Denied, Effect, Ended, Engine, IdleShare, Input, Notice, Reading, Seldom, Stop, Ticket,
+    EPOCH,
 };
+use gullcart_handover::{Baggage, CarriedCall};
 use gullcart_journal::{Folder, JournalError};
 use std::collections::{HashMap, VecDeque};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc::{Receiver, Sender};
 use tokio::sync::{oneshot, watch};
+use tokio::task::{yield_now, AbortHandle};
 use tokio::time::{interval, sleep_until, Instant};
 use tracing::{info, warn};
 
-use crate::calls::Pool;
+use crate::calls::{self, Pool};
+use crate::clients::{Clients, Phase};
 use crate::console::Question;
+use crate::upgrade;
 use crate::vocabulary::{Inputs, Told};
-use crate::wire::Progress;
+use crate::wire::{Gone, Progress};
 
 /// Inputs that one turn takes in at most.
 const BATCH: usize = 256;
@@ -31,6 +38,11 @@
 pub const IDLE_OF_SLOTS: usize = 4;
 /// Rounds in which requests that were read before the end are still answered.
 const LAST_ROUNDS: usize = 8;
+/// How long a courier that moves waits for its clients' connections to be given up: none of them has anything to wait for but
+/// a client that does not read.
+const STOPPING: Duration = Duration::from_millis(60);
+/// A courier that moved cannot have been on its way for longer.
+const LONGEST_MOVE: Duration = Duration::from_secs(10);
 
 /// The process's clock: the module's time, which begins with it.
 #[derive(Clone, Copy)]
@@ -46,6 +58,16 @@
         Clock { start: Instant::now(), epoch_ms: wall.as_millis() as u64 }
     }
 
+    /// The clock of a courier that stopped at that time of its own, in the process before.
+    pub fn resumed(epoch_ms: u64, stopped: Time) -> Self {
+        let now = Clock::new();
+        let before = stopped - EPOCH;
+        // By the wall, which both processes read; but one that jumps must not move this clock back, nor far on.
+        let by_wall = Duration::from_millis(now.epoch_ms.saturating_sub(epoch_ms));
+        let passed = by_wall.clamp(before, before + LONGEST_MOVE);
+        Clock { start: now.start.checked_sub(passed).unwrap_or(now.start), epoch_ms }
+    }
+
     pub fn now(&self) -> Time {
         EPOCH + self.start.elapsed()
     }
@@ -60,6 +82,28 @@
     stop: Option<oneshot::Sender<Stop>>,
     /// How much of it has gone.
     progress: Rc<Progress>,
+    task: AbortHandle,
+    began: Instant,
+    try_for: Duration,
+}
+
+/// Why the loop ended.
+pub enum End {
+    /// The process is to end.
+    Over,
+    /// Another process asks for the courier, and has greeted.
+    Move(UnixStream),
+}
+
+/// A courier that stands still. It still has the lock of its folder.
+pub struct Stopped {
+    pub engine: Engine<Folder>,
+    /// All that is to move, without the listener and the clients.
+    pub baggage: Baggage,
+    /// The connections of its calls, in the order of the baggage.
+    pub calls: Vec<OwnedFd>,
+    /// What operators were told last.
+    pub reading: Reading,
 }
 
 /// Where the other parts are reached.
@@ -67,7 +111,7 @@
     /// What happens to this part, also by its own doing.
     pub inputs: Inputs,
     pub notices: Sender<Notice>,
-    pub closing: watch::Sender<bool>,
+    pub phase: watch::Sender<Phase>,
 }
 
 /// The connections to endpoints that the settings and the descriptors allow.
@@ -121,10 +165,10 @@
 
     /// Runs until the process is to end.
     pub async fn run(
-        mut self,
-        mut events: Receiver<Told>,
-        mut questions: Receiver<Question>,
-    ) -> Result<(), JournalError> {
+        &mut self,
+        events: &mut Receiver<Told>,
+        questions: &mut Receiver<Question>,
+    ) -> Result<End, JournalError> {
         let mut sweep = interval(SWEEP);
         let mut sweeps = 0;
         let mut batch = Vec::with_capacity(BATCH);
@@ -135,7 +179,11 @@
             tokio::select! {
                 biased;
                 // An operator's answer is owed whatever else waits.
-                Some(question) = questions.recv() => self.asked(question),
+                Some(question) = questions.recv() => {
+                    if let Some(stream) = self.asked(question) {
+                        return Ok(End::Move(stream));
+                    }
+                }
                 _ = events.recv_many(&mut batch, BATCH) => {}
                 () = sleep_until(wake.unwrap_or(never)), if wake.is_some() => {}
                 _ = sweep.tick() => {
@@ -157,13 +205,86 @@
             self.turn()?;
             self.lateness(begun.elapsed(), "a step took long");
             if self.engine.may_end(self.clock.now()) {
-                return self.finish(&mut events).await;
+                return self.finish(events).await.map(|()| End::Over);
             }
         }
     }
 
     /// Answers the requests that have been read but not answered: ending a connection before would lose their
     /// messages. The next process finds them in the journal.
+    /// Goes on with calls that the process before had out.
+    pub fn go_on(&mut self, calls: Vec<(Call, calls::CarriedCall)>) {
+        for (call, carried) in calls {
+            self.begin(call, Some(carried));
+        }
+    }
+
+    /// Stops between two turns, for another process: what was read is answered, clients' connections are given up, and calls
+    /// of which nothing has gone have not been made.
+    pub async fn stop(
+        mut self,
+        events: &mut Receiver<Told>,
+        clients: &Clients,
+    ) -> Result<Stopped, JournalError> {
+        self.ends.phase.send_replace(Phase::Moving);
+        let until = Instant::now() + STOPPING;
+        loop {
+            while let Ok(told) = events.try_recv() {
+                self.take_in(told);
+            }
+            self.turn()?;
+            yield_now().await;
+            if (clients.open() == 0 && events.is_empty()) || Instant::now() >= until {
+                break;
+            }
+        }
+        while let Ok(told) = events.try_recv() {
+            self.take_in(told);
+        }
+        let now = self.clock.now();
+        let mut baggage = Baggage { epoch_ms: self.clock.epoch_ms, stopped_ns: now.0, ..Baggage::default() };
+        let mut calls = Vec::new();
+        for (message, out) in std::mem::take(&mut self.out) {
+            out.task.abort();
+            if out.progress.is_untold() {
+                self.engine.handle(now, Input::Written(message));
+            }
+            let elapsed = out.began.elapsed();
+            let outcome = match (out.progress.gone(), out.stop.is_some()) {
+                (Gone::Nothing, _) => Outcome::Moot,
+                // The courier has called it off already.
+                (_, false) => Outcome::Cancelled,
+                (Gone::Part, true) => Outcome::Reset,
+                (Gone::All, true) => match out.progress.carry() {
+                    Some(carried) => {
+                        calls.push(carried.connection);
+                        baggage.calls.push(CarriedCall {
+                            message: message.0,
+                            try_for_us: out.try_for.as_micros() as u64,
+                            elapsed_us: elapsed.as_micros() as u64,
+                            answer: carried.answer,
+                        });
+                        continue;
+                    }
+                    None => Outcome::Reset,
+                },
+            };
+            let out = self.engine.calls_out().find(|(other, _)| *other == message);
+            if let Some((_, endpoint)) = out {
+                let ended = Ended { outcome, latency: elapsed, complete: false, allowance: None };
+                self.engine.handle(now, Input::Ended(message, endpoint, ended));
+            }
+        }
+        // What is counted here stays here; what is in flight moves.
+        let reading = Reading { in_flight: 0, ..self.engine.reading(now) };
+        let (effects, books) = self.engine.freeze(now)?;
+        for effect in effects {
+            self.act(effect);
+        }
+        baggage.books = books.unwrap_or_default();
+        Ok(Stopped { engine: self.engine, baggage, calls, reading })
+    }
+
     async fn finish(&mut self, events: &mut Receiver<Told>) -> Result<(), JournalError> {
         for _ in 0..LAST_ROUNDS {
             while let Ok(told) = events.try_recv() {
@@ -187,7 +308,8 @@
         }
     }
 
-    fn asked(&mut self, question: Question) {
+    /// Answers a question; the process that asks for the courier, if it may have it.
+    fn asked(&mut self, question: Question) -> Option<UnixStream> {
         match question {
             Question::Figures(reply) => {
                 // Who does not wait any more has given up.
@@ -198,7 +320,15 @@
                 self.ordering.insert(Ticket(self.tickets), reply);
                 self.engine.handle(self.clock.now(), Input::Order(Ticket(self.tickets), order));
             }
+            Question::Move(mut stream) => {
+                if self.engine.is_ending() {
+                    info!("another process asks for the courier, which ends; it can start when this one has ended");
+                } else if upgrade::is_greeted(&mut stream) {
+                    return Some(stream);
+                }
+            }
         }
+        None
     }
 
     fn take_in(&mut self, told: Told) {
@@ -246,7 +376,7 @@
                     let _ = reply.send(done);
                 }
             }
-            Effect::Begin(call) => self.begin(call),
+            Effect::Begin(call) => self.begin(call, None),
             Effect::Stop(message, reason) => {
                 let Some(out) = self.out.get_mut(&message) else { return };
                 if reason == Stop::Withdrawn && out.progress.is_begun() {
@@ -259,7 +389,7 @@
             Effect::Tell(notice) => self.untold.push_back(notice),
             Effect::CloseIdle(endpoint) => self.pool.close(endpoint),
             Effect::CloseShut => self.pool.keep_only(|endpoint| self.engine.is_open(endpoint)),
-            Effect::Closing => drop(self.ends.closing.send_replace(true)),
+            Effect::Closing => drop(self.ends.phase.send_replace(Phase::Closing)),
             #[cfg(feature = "broken")]
             Effect::HearLater(update, after) => {
                 let inputs = self.ends.inputs.clone();
@@ -281,22 +411,26 @@
                 let pool = self.pool.clone();
                 tokio::task::spawn_local(async move {
                     let (_never, stopped) = oneshot::channel();
-                    pool.call(call, stopped, Rc::default()).await;
+                    pool.call(call, stopped, Rc::default(), None).await;
                 });
             }
         }
     }
 
-    fn begin(&mut self, call: Call) {
+    fn begin(&mut self, call: Call, carried: Option<calls::CarriedCall>) {
         let (stop, stopped) = oneshot::channel();
-        let progress = Rc::new(Progress::default());
-        let (message, endpoint) = (call.message, call.endpoint);
-        self.out.insert(message, Out { stop: Some(stop), progress: progress.clone() });
-        let (pool, inputs) = (self.pool.clone(), self.ends.inputs.clone());
-        tokio::task::spawn_local(async move {
-            let call = pin!(pool.call(call, stopped, progress.clone()));
+        let progress = Rc::new(match &carried {
+            Some(_) => Progress::carried_over(),
+            None => Progress::default(),
+        });
+        let elapsed = carried.as_ref().map_or(Duration::ZERO, |carried| carried.elapsed);
+        let began = Instant::now().checked_sub(elapsed).unwrap_or_else(Instant::now);
+        let (message, endpoint, try_for) = (call.message, call.endpoint, call.try_for);
+        let (pool, inputs, told) = (self.pool.clone(), self.ends.inputs.clone(), progress.clone());
+        let task = tokio::task::spawn_local(async move {
+            let call = pin!(pool.call(call, stopped, told.clone(), carried));
             let written = async {
-                progress.written().await;
+                told.written().await;
                 inputs.tell(Input::Written(message)).await;
                 std::future::pending().await
             };
@@ -306,10 +440,12 @@
                 ended = call => ended,
                 () = written => return,
             };
-            if progress.is_untold() {
+            if told.is_untold() {
                 inputs.tell(Input::Written(message)).await;
             }
             inputs.tell(Input::Ended(message, endpoint, ended)).await;
         });
+        let task = task.abort_handle();
+        self.out.insert(message, Out { stop: Some(stop), progress, task, began, try_for });
     }
 }
--- a/crates/gullcart/src/wire.rs
+++ b/crates/gullcart/src/wire.rs
@@ -6,9 +6,10 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
+use std::os::fd::{AsFd, OwnedFd};
 use std::pin::Pin;
-use std::rc::Rc;
-use std::task::{ready, Context, Poll};
+use std::rc::{Rc, Weak};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -20,6 +21,10 @@
 /// More interim answers (1xx) than this before the answer itself are no answer.
 const MOST_INTERIM: u32 = 16;
 
+/// What is kept of the bytes of an answer while it is read, so that another process can go on with it; one that is longer
+/// cannot be carried over.
+const LONGEST_KEPT: usize = 20 << 10;
+
 /// One of a bounded number of descriptors, free again when dropped.
 pub struct Descriptor {
     open: Rc<Cell<usize>>,
@@ -45,6 +50,24 @@
 pub struct Progress {
     stage: Cell<Stage>,
     whole: Notify,
+    /// The connection that carries it.
+    wire: RefCell<Weak<Wire>>,
+}
+
+/// How much of a call has gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Gone {
+    Nothing,
+    Part,
+    All,
+}
+
+/// A call that is out, and how far its answer has come.
+pub struct Carried {
+    /// The connection, beside that of the process that made it.
+    pub connection: OwnedFd,
+    /// What was read of its answer.
+    pub answer: Vec<u8>,
 }
 
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
@@ -66,6 +89,33 @@
         self.stage.get() != Stage::None
     }
 
+    /// How much of it has gone.
+    pub fn gone(&self) -> Gone {
+        let wire = self.wire.borrow().upgrade();
+        match self.stage.get() {
+            Stage::None => Gone::Nothing,
+            Stage::Begun if wire.is_none_or(|wire| wire.is_untouched()) => Gone::Nothing,
+            Stage::Begun => Gone::Part,
+            Stage::Whole | Stage::Told => Gone::All,
+        }
+    }
+
+    /// One whose last byte another process has written, and told of.
+    pub fn carried_over() -> Self {
+        Progress { stage: Cell::new(Stage::Told), ..Progress::default() }
+    }
+
+    /// The call with its connection, for another process; none where not all of it is written, or where too much of its
+    /// answer has come.
+    pub fn carry(&self) -> Option<Carried> {
+        let wire = self.wire.borrow().upgrade()?;
+        if !matches!(self.stage.get(), Stage::Whole | Stage::Told) || wire.is_swallowing.get() {
+            return None;
+        }
+        let answer = wire.kept.borrow().clone()?;
+        Some(Carried { connection: wire.stream.as_fd().try_clone_to_owned().ok()?, answer })
+    }
+
     /// Waits until its last byte is written. To be waited for once.
     pub async fn written(&self) {
         while self.stage.get() != Stage::Whole {
@@ -93,6 +143,10 @@
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
 impl Outgoing {
+    fn is_over(&self) -> bool {
+        self.head_end == HEAD_END.len() && self.body == 0
+    }
+
     fn feed(&mut self, mut bytes: &[u8]) {
         while let (Some((byte, rest)), true) = (bytes.split_first(), self.head_end < HEAD_END.len()) {
             self.head_end = match HEAD_END[self.head_end] == *byte {
@@ -102,7 +156,7 @@
             bytes = rest;
         }
         self.body = self.body.saturating_sub(bytes.len());
-        if self.head_end == HEAD_END.len() && self.body == 0 && self.progress.stage.get() == Stage::Begun {
+        if self.is_over() && self.progress.stage.get() == Stage::Begun {
             self.progress.stage.set(Stage::Whole);
             self.progress.whole.notify_one();
         }
@@ -118,6 +172,13 @@
     read: Cell<u64>,
     first_line: RefCell<FirstLine>,
     outgoing: RefCell<Option<Outgoing>>,
+    /// The request that is written was written by the process before, and goes nowhere; nothing is read meanwhile.
+    is_swallowing: Cell<bool>,
+    reader: RefCell<Option<Waker>>,
+    /// What the process before has read of the answer, and where this one stands in it.
+    before: RefCell<(Vec<u8>, usize)>,
+    /// What was read of the answer, for the process after; none where it is too long.
+    kept: RefCell<Option<Vec<u8>>>,
     answered: Notify,
     /// After the stream: the descriptor is closed by then.
     _descriptor: Descriptor,
@@ -131,20 +192,65 @@
             read: Cell::default(),
             first_line: RefCell::default(),
             outgoing: RefCell::default(),
+            is_swallowing: Cell::default(),
+            reader: RefCell::default(),
+            before: RefCell::default(),
+            kept: RefCell::new(Some(Vec::new())),
             answered: Notify::new(),
             _descriptor: descriptor,
         }
     }
 
     /// A call with a body of that length is about to be written.
-    pub fn begin(&self, body: usize, progress: Rc<Progress>) {
-        progress.stage.set(Stage::Begun);
+    pub fn begin(self: &Rc<Self>, body: usize, progress: Rc<Progress>) {
+        progress.wire.replace(Rc::downgrade(self));
+        if progress.stage.get() != Stage::Told {
+            progress.stage.set(Stage::Begun);
+        }
+        self.kept.replace(Some(Vec::new()));
         self.outgoing.replace(Some(Outgoing { progress, head_end: 0, body }));
         self.written.set(0);
         self.read.set(0);
         self.first_line.take();
     }
 
+    /// The call that was begun is written already, by the process before, which has read so much of its answer.
+    pub fn go_on(&self, answer: Vec<u8>) {
+        self.is_swallowing.set(true);
+        self.written.set(1);
+        self.before.replace((answer, 0));
+    }
+
+    /// What has come: what the process before has read, then what there is to read.
+    fn come(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<usize>> {
+        if self.is_swallowing.get() {
+            self.reader.replace(Some(cx.waker().clone()));
+            return Poll::Pending;
+        }
+        let (before, at) = &mut *self.before.borrow_mut();
+        if *at < before.len() {
+            let count = buf.remaining().min(before.len() - *at);
+            buf.initialize_unfilled_to(count).copy_from_slice(&before[*at..*at + count]);
+            *at += count;
+            return Poll::Ready(Ok(count));
+        }
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buf.initialize_unfilled()) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+
+    fn keep(&self, come: &[u8]) {
+        let mut kept = self.kept.borrow_mut();
+        match kept.as_mut() {
+            Some(bytes) if bytes.len() + come.len() <= LONGEST_KEPT => bytes.extend_from_slice(come),
+            _ => *kept = None,
+        }
+    }
+
     /// Nothing of the call was written.
     pub fn is_untouched(&self) -> bool {
         self.written.get() == 0
@@ -273,6 +379,17 @@
         mut write: impl FnMut(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         let wire = &self.0;
+        if wire.is_swallowing.get() {
+            let count = bufs.iter().map(|buf| buf.len()).sum();
+            wire.went(bufs, count);
+            if wire.outgoing.borrow().as_ref().is_none_or(Outgoing::is_over) {
+                wire.is_swallowing.set(false);
+                if let Some(reader) = wire.reader.take() {
+                    reader.wake();
+                }
+            }
+            return Poll::Ready(Ok(count));
+        }
         // What lies there before a call is written is no answer to it, and must not be taken for one.
         if wire.is_untouched() && !wire.is_quiet() {
             return Poll::Ready(Err(io::Error::new(
@@ -299,22 +416,15 @@
 impl AsyncRead for WireStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let wire = &self.0;
-        loop {
-            ready!(wire.stream.poll_read_ready(cx))?;
-            match wire.stream.try_read(buf.initialize_unfilled()) {
-                Ok(count) => {
-                    let come = &buf.initialize_unfilled()[..count];
-                    wire.first_line.borrow_mut().feed(come)?;
-                    if wire.read.replace(wire.read.get() + count as u64) == 0 && count > 0 {
-                        wire.answered.notify_one();
-                    }
-                    buf.advance(count);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
+        let count = ready!(wire.come(cx, buf))?;
+        let come = &buf.initialize_unfilled()[..count];
+        wire.keep(come);
+        wire.first_line.borrow_mut().feed(come)?;
+        if wire.read.replace(wire.read.get() + count as u64) == 0 && count > 0 {
+            wire.answered.notify_one();
         }
+        buf.advance(count);
+        Poll::Ready(Ok(()))
     }
 }
 
