--- a/crates/cloverstile/src/books.rs
+++ b/crates/cloverstile/src/books.rs
@@ -118,6 +118,8 @@
     pub failed: bool,
     /// Calls were lost or are silent, not just refused.
     pub lost: bool,
+    /// Trials are silent already: nothing is risked beside them.
+    pub only_fit: bool,
     /// The last call was answered, if with an error: trials need no patience, only the fall budget.
     pub answers: bool,
 }
--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -650,12 +650,13 @@
         // What was silent for so long while others were answered was lost by itself, on its connection: it
         // tells nothing of the route, and must not hold its trials up until it times out.
         let route = self.routes.get(&id)?;
-        let (mut oldest, mut alone, mut live) = (None, 0, 0);
+        let (mut oldest, mut alone, mut silent, mut live) = (None, 0, 0, 0);
         for call in route.out.iter().filter_map(|call| self.calls.get(call)) {
             live += usize::from(!call.stalled);
             if call.sent + stall >= route.last_answer {
                 oldest = oldest.or(Some(call.sent));
                 alone += 1;
+                silent += usize::from(call.stalled);
             }
         }
         let route = self.routes.get_mut(&id)?;
@@ -673,10 +674,13 @@
                 route.spell = Some(Spell { began, next_trial, lost: true, ..Spell::default() });
             }
         }
-        if let Some(spell) = &route.spell {
-            // Trials that hang must not gather until they pin the slots of the healthy.
-            let room = ((slots_free as f64 * TRIAL_SLOTS) as usize).max(1);
-            return (alone < room).then_some(spell.next_trial);
+        if let Some(spell) = &mut route.spell {
+            // Trials that hang must not gather until they pin the slots of the healthy; but one that was lost
+            // by itself must not keep the others back until it times out.
+            let room = |slots: usize| ((slots as f64 * TRIAL_SLOTS) as usize).max(1);
+            let may = alone - silent < room(slots_free) && alone < room(self.settings.call_slots);
+            spell.only_fit = alone >= room(slots_free);
+            return may.then_some(spell.next_trial);
         }
         // Bulkhead: no destination has more calls out than slots are left for all others. Stalled ones do not
         // count, or lost calls here and there would hold up each other's destinations with slots left.
@@ -770,6 +774,9 @@
             // A trial spends an attempt: half of them are kept for the return.
             let spare = message.attempts * 2 <= self.settings.send_cap;
             let fit = spell.is_none() || (spare && self.repeatable(message));
+            if !fit && spell.is_some_and(|s| s.only_fit) {
+                continue;
+            }
             if let Some(at) = spell.map(|s| s.next_risk).filter(|at| !fit && *at > now) {
                 earliest(next, Some(at));
                 continue;
--- a/crates/cloverstile/tests/trials.rs
+++ b/crates/cloverstile/tests/trials.rs
@@ -46,3 +46,48 @@
     let unsafe_ones = trials(unsafe_class(), Outcome::Error, ms(20));
     assert!(unsafe_ones < 60, "{unsafe_ones} unsafe messages were lost to a failing destination");
 }
+
+/// The messages that go to a silent destination in five seconds, with most call slots taken elsewhere; by class, 0 for
+/// what may be repeated and 1 for what may not.
+fn beside_a_silent_trial(waiting: &[u8]) -> Vec<u32> {
+    let settings = Settings { call_slots: 8, cancel: false, ..settings(vec![safe(), unsafe_class()]) };
+    let mut bench = Bench::new(settings, vec![endpoint(7, 1), endpoint(8, 2)]);
+    // Others hold four of eight slots, so that a quarter of what is free makes no room for a second trial.
+    for id in 0..4 {
+        bench.accept(id, 0, 2, None);
+        assert_eq!(bench.routes().len(), 1, "{id}");
+        bench.now = bench.now + ms(20);
+    }
+    // Unsafe, and lost by itself on its connection.
+    bench.accept(10, 1, 1, None);
+    assert_eq!(bench.routes().len(), 1);
+    bench.now = bench.now + Duration::from_secs(2);
+    for (id, class) in (20..).zip(waiting) {
+        bench.accept(id, *class, 1, None);
+    }
+    let end = bench.now + Duration::from_secs(5);
+    let mut sent = Vec::new();
+    while bench.now < end {
+        let routes = bench.routes();
+        sent.extend(routes.iter().filter(|(_, to, _)| *to == 7).map(|(id, ..)| *id));
+        bench.now = bench.now + ms(5);
+    }
+    sent
+}
+
+#[test]
+fn one_silent_trial_does_not_keep_the_next_one_back() {
+    assert!(beside_a_silent_trial(&[0, 0]).contains(&20));
+}
+
+#[test]
+fn nothing_is_risked_beside_a_silent_trial() {
+    assert_eq!(beside_a_silent_trial(&[1, 1]), Vec::<u32>::new());
+}
+
+#[test]
+fn silent_trials_do_not_gather() {
+    let sent = beside_a_silent_trial(&[0; 12]);
+    // A quarter of eight slots, with the one that is out.
+    assert_eq!(sent.len(), 1, "{sent:?}");
+}
