--- a/crates/gullcart-emulator/src/faults.rs
+++ b/crates/gullcart-emulator/src/faults.rs
@@ -95,6 +95,8 @@
                     self.input(courier, epoch, Input::Listed(list));
                 }
             }
+            // Not modelled: the courier goes on.
+            Action::Upgrade(_) => {}
             Action::Term(courier) => self.terminate(courier),
             Action::Kill { courier, folder_lost } => self.kill(courier, folder_lost),
             Action::Start(courier) => {
--- a/crates/gullcart-engine/tests/carried.rs
+++ b/crates/gullcart-engine/tests/carried.rs
@@ -6,6 +6,7 @@
 use common::*;
 use gullcart_engine::{Call, CarriedError, Effect, Ended, Engine, Input, Start, Ticket, EPOCH};
 use gullcart_journal::simulated::{Crash, Disk};
+use gullcart_journal::{Journal, Options};
 use gullcart_message::Verdict;
 use std::time::Duration;
 
@@ -104,3 +105,22 @@
     let (_, resumed) = Engine::resume(start(Time(later.0)), journal(&disk, Crash::Process), &block);
     assert_eq!(resumed, Err(CarriedError::Journal));
 }
+
+/// The books grow with what is held, and by little for each message: the bodies stay in the journal.
+#[test]
+fn the_books_hold_little_for_each_message() {
+    let size = |messages: u64| {
+        let disk = Disk::new(64 << 20, Crash::Process, 1);
+        let mut settings = start(EPOCH);
+        settings.parsed.settings.most_held = 20_000;
+        let journal = Journal::replay(disk.clone(), 64 << 20, Options::default(), 7).unwrap();
+        let mut engine = Engine::new(settings, journal);
+        for number in 1..=messages {
+            engine.handle(EPOCH, Input::Enqueue(Ticket(number), enqueue(number, "salary", 1)));
+        }
+        engine.freeze(EPOCH).unwrap().1.unwrap().len() as u64
+    };
+    let (few, many) = (size(100), size(10_000));
+    println!("{few} bytes with 100 messages, {many} with 10,000");
+    assert!((many - few) / 9_900 < 128, "{few}, {many}");
+}
--- a/crates/gullcart-rehearsal/src/day.rs
+++ b/crates/gullcart-rehearsal/src/day.rs
@@ -79,6 +79,8 @@
     },
     /// A courier is started again.
     Start(usize),
+    /// A second process takes a courier over.
+    Upgrade(usize),
     /// A courier's folder takes no more, or does again.
     Full(usize, bool),
 }
@@ -182,6 +184,16 @@
                         put(from, Action::Term(courier));
                         put(to, Action::Start(courier));
                     }
+                    FaultKind::Upgrade => {
+                        let gap = fault.every_s.unwrap_or(fault.length_s);
+                        let times = (fault.length_s / gap).ceil().max(1.0) as u32;
+                        for time in 0..times {
+                            put(
+                                from + Duration::from_secs_f64(gap * f64::from(time)),
+                                Action::Upgrade(courier),
+                            );
+                        }
+                    }
                     FaultKind::Kill => {
                         put(from, Action::Kill { courier, folder_lost: fault.folder_lost });
                         put(to, Action::Start(courier));
--- a/crates/gullcart-rehearsal/src/run/couriers.rs
+++ b/crates/gullcart-rehearsal/src/run/couriers.rs
@@ -18,10 +18,22 @@
         let started = Courier::start(&self.launch, &config, &place.folder.join("state")).await;
         let process = started.map_err(|error| RunError::Start { courier, error })?;
         place.clients.find(Some(process.address()));
-        let mut ended = process.ended();
-        let log = process.log();
+        self.watch(courier, &process, ending);
         *place.process.borrow_mut() = Some(process);
-        let world = self.clone();
+        while !place.clients.ping().await {
+            if place.process.borrow().as_ref().is_none_or(Courier::has_ended) {
+                return Ok(());
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+        self.process(courier, Process::Ready);
+        place.serving.set(true);
+        Ok(())
+    }
+
+    /// Notes a crash: an end that nobody asked for.
+    fn watch(self: &Rc<Self>, courier: usize, process: &Courier, ending: Rc<Cell<bool>>) {
+        let (mut ended, log, world) = (process.ended(), process.log(), self.clone());
         spawn_local(async move {
             // The sender goes only after it has told.
             let _ = ended.wait_for(|ended| *ended).await;
@@ -34,15 +46,36 @@
                 world.remark(format!("courier {courier} ended by itself; its last line: {last}"));
             }
         });
-        while !place.clients.ping().await {
-            if place.process.borrow().as_ref().is_none_or(Courier::has_ended) {
-                return Ok(());
+    }
+
+    /// Starts a second process beside the running one, which takes the courier over; then the first ends. To the judge the two
+    /// are one courier that goes on: every rule holds over it.
+    pub(super) async fn upgrade(self: &Rc<Self>, courier: usize) {
+        let place = &self.places[courier];
+        if !place.serving.get() {
+            return;
+        }
+        let config = match self.configure(courier) {
+            Ok(config) => config,
+            Err(error) => return self.remark(format!("no new configuration could be written: {error}")),
+        };
+        let new = match Courier::start(&self.launch, &config, &place.folder.join("state")).await {
+            Ok(new) => new,
+            Err(error) => {
+                self.process(courier, Process::Crashed);
+                return self.remark(format!("courier {courier} was not taken over: {error}"));
             }
-            sleep(Duration::from_millis(5)).await;
+        };
+        let ending = Rc::new(Cell::new(false));
+        place.ending.replace(ending.clone()).set(true);
+        self.watch(courier, &new, ending);
+        let Some(old) = place.process.replace(Some(new)) else { return };
+        old.signal(Signal::TERM);
+        if !old.wait(END).await {
+            self.remark(format!(
+                "the process before of courier {courier} was still there 3.7 s after SIGTERM"
+            ));
         }
-        self.process(courier, Process::Ready);
-        place.serving.set(true);
-        Ok(())
     }
 
     pub(super) async fn terminate(self: &Rc<Self>, courier: usize) {
--- a/crates/gullcart-rehearsal/src/run/faults.rs
+++ b/crates/gullcart-rehearsal/src/run/faults.rs
@@ -44,6 +44,10 @@
                 let world = self.clone();
                 spawn_local(async move { world.start_again(courier).await });
             }
+            Action::Upgrade(courier) => {
+                let world = self.clone();
+                spawn_local(async move { world.upgrade(courier).await });
+            }
             Action::Full(courier, full) => self.full(courier, full),
         }
     }
--- a/crates/gullcart-rehearsal/src/run/mod.rs
+++ b/crates/gullcart-rehearsal/src/run/mod.rs
@@ -13,7 +13,7 @@
     ZONE,
 };
 use crate::report::{Counts, Lateness, Report, Sample, Shown, Verdict, LATE_MS};
-use crate::scenario::{Effect, Scenario};
+use crate::scenario::{Effect, FaultKind, Scenario};
 use gullcart_judge::trace::*;
 use gullcart_judge::{Judge, Rule, ServiceFigures, Weights};
 use gullcart_standins::client::Clients;
--- a/crates/gullcart-rehearsal/src/run/stand.rs
+++ b/crates/gullcart-rehearsal/src/run/stand.rs
@@ -50,8 +50,12 @@
         let known: Value = serde_json::from_str(&agent.known())?;
         let limits = &self.scenario.couriers;
         let seed = self.rng.borrow_mut().u64(..);
+        // An upgrade needs a console; else there is none.
+        let has_upgrades = self.scenario.faults.iter().any(|fault| fault.kind == FaultKind::Upgrade);
+        let console = has_upgrades.then_some("127.0.0.1:0");
         let config = json!({
             "name": format!("n{courier}"), "listen": "127.0.0.1:0", "discovery": agent.address().to_string(),
+            "console": console,
             "seed": format!("{seed:016x}"),
             "limits": {"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.sockets, "disk_mb": limits.disk_mb},
             "known": known, "settings": settings(&self.scenario, &self.day),
--- a/crates/gullcart-rehearsal/src/scenario.rs
+++ b/crates/gullcart-rehearsal/src/scenario.rs
@@ -310,13 +310,15 @@
     Kill,
     /// The state folder takes no more.
     DiskFull,
+    /// A second process is started beside the running one, every `every_s`, and the first ends once the second serves.
+    Upgrade,
 }
 
 impl FaultKind {
     /// Whether its targets are couriers.
     pub fn is_of_couriers(self) -> bool {
         use FaultKind::*;
-        matches!(self, RegisterSilent | RegisterMove | Term | Kill | DiskFull)
+        matches!(self, RegisterSilent | RegisterMove | Term | Kill | DiskFull | Upgrade)
     }
 }
 
@@ -521,6 +523,12 @@
         if !(0.0..=86_400.0).contains(&fault.start_s) {
             return wrong("start_s", "must be 0 or more".to_owned());
         }
+        if fault.kind == Upgrade && fault.every_s.is_some_and(|every| every < 0.5) {
+            return wrong(
+                "every_s",
+                "must be 0.5 or more: one process is given up before the next comes".to_owned(),
+            );
+        }
         let needs_length = !matches!(fault.kind, RegisterMove);
         if !(0.0..=86_400.0).contains(&fault.length_s) || (needs_length && fault.length_s == 0.0) {
             return wrong("length_s", "must be over 0".to_owned());
--- a/crates/gullcart-rehearsal/src/shipped.rs
+++ b/crates/gullcart-rehearsal/src/shipped.rs
@@ -21,6 +21,7 @@
 scenarios![
     "soak",
     "smoke",
+    "upgrade",
     "gauntlet",
     "cold-return",
     "overlap",
