Do not cut off a request whose pieces go on coming, and give who gives way its own module

Now it is closed after 1 s without more of it or after 5 s in all, and where places are short those whose request goes on coming give way last.

The test writes a request byte by byte over 2.1 s and fails without the change.

--- a/crates/gullcart/src/clients.rs
+++ b/crates/gullcart/src/clients.rs
@@ -3,18 +3,18 @@
 use bytes::{Buf, Bytes, BytesMut};
 use socket2::SockRef;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::io::{self, Read};
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, Notify, Semaphore, SemaphorePermit};
+use tokio::sync::{watch, SemaphorePermit};
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 use tracing::warn;
 
+use crate::places::{Doing, Place, Places};
 use crate::vocabulary::Inputs;
 use gullcart_engine::{Answer, Enqueue, Input, Seldom, EPOCH};
 
@@ -28,14 +28,12 @@
 const READ: usize = 4 << 10;
 /// How long a connection may stay without its first request, ...
 const SILENT: Duration = Duration::from_secs(2);
-/// ... with a part of a request, whose client waits 400 ms for an answer, ...
+/// ... with a part of a request and nothing more of it, ...
 const HALF: Duration = Duration::from_secs(1);
+/// ... with a part of a request of which more comes and comes, ...
+const WHOLE: Duration = Duration::from_secs(5);
 /// ... and with no request open after the first: it takes the place of one that asks.
 const IDLE: Duration = Duration::from_secs(2);
-/// While places are short, a part of a request is given up once its client has stopped waiting, and a silent
-/// connection goes before the idle ones once its first request is not to be expected any more.
-const HALF_PRESSED: Duration = Duration::from_millis(400);
-const SILENT_PRESSED: Duration = Duration::from_millis(250);
 /// A client that does not read its answer for this long is not waiting for it.
 const WRITE: Duration = Duration::from_secs(1);
 /// What a refused client still sends is read for so long and up to this size: closing with something unread
@@ -108,7 +106,7 @@
 
     /// Connections that are open.
     pub fn open(&self) -> usize {
-        self.places.occupants.borrow().open.len()
+        self.places.open()
     }
 
     /// Those that were given up while the courier moves.
@@ -156,154 +154,6 @@
     }
 }
 
-/// What a connection is doing, which decides who gives way when places are short.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Doing {
-    /// Has not asked anything yet.
-    Silent,
-    /// Between two requests.
-    Idle,
-    /// A part of a request has come.
-    Half,
-    /// Has a request open.
-    Busy,
-    /// Has been told its error; what it still sends is thrown away.
-    Refused,
-    /// Has been told to give way.
-    Leaving,
-}
-
-/// The open connections of clients.
-struct Places {
-    most: usize,
-    most_idle: usize,
-    occupants: RefCell<Occupants>,
-    /// A connection has closed or changed what it does.
-    changed: Notify,
-    long: Semaphore,
-}
-
-#[derive(Default)]
-struct Occupants {
-    last: u64,
-    open: BTreeMap<u64, Occupant>,
-}
-
-struct Occupant {
-    doing: Doing,
-    since: Instant,
-    give_way: Rc<Notify>,
-}
-
-impl Occupant {
-    /// Who gives way first has the least; none where it may not be closed. Nobody waits for one that has its
-    /// error; a silent one that should have asked by now goes before those that ask now and then.
-    fn rank(&self, now: Instant) -> Option<(u8, Instant)> {
-        let lasted = now - self.since;
-        let rank = match self.doing {
-            Doing::Refused => 0,
-            Doing::Silent if lasted >= SILENT_PRESSED => 1,
-            Doing::Half if lasted >= HALF_PRESSED => 2,
-            Doing::Idle => 3,
-            Doing::Silent => 4,
-            Doing::Half | Doing::Busy | Doing::Leaving => return None,
-        };
-        Some((rank, self.since))
-    }
-
-    fn leave(&mut self) {
-        self.doing = Doing::Leaving;
-        self.give_way.notify_one();
-    }
-}
-
-impl Places {
-    fn new(limits: ClientLimits) -> Self {
-        Places {
-            most: limits.connections,
-            most_idle: limits.idle,
-            occupants: RefCell::default(),
-            changed: Notify::new(),
-            long: Semaphore::new(limits.long_requests),
-        }
-    }
-
-    fn enter(self: Rc<Self>) -> Place {
-        let give_way = Rc::new(Notify::new());
-        let number = {
-            let mut occupants = self.occupants.borrow_mut();
-            occupants.last += 1;
-            let number = occupants.last;
-            let occupant =
-                Occupant { doing: Doing::Silent, since: Instant::now(), give_way: give_way.clone() };
-            occupants.open.insert(number, occupant);
-            number
-        };
-        Place { number, give_way, places: self }
-    }
-
-    /// Waits until a place is free, closing for it the connection that can best be spared.
-    async fn make_room(&self) {
-        while self.occupants.borrow().open.len() >= self.most {
-            self.shed_one();
-            // Those that may not be closed now may be so later.
-            let _ = timeout(SILENT_PRESSED, self.changed.notified()).await;
-        }
-    }
-
-    /// The longest idle one gives way where there are too many.
-    fn bound_idle(&self) {
-        let mut occupants = self.occupants.borrow_mut();
-        let mut idle: Vec<_> = occupants.open.values_mut().filter(|o| o.doing == Doing::Idle).collect();
-        if idle.len() > self.most_idle {
-            if let Some(oldest) = idle.iter_mut().min_by_key(|occupant| occupant.since) {
-                oldest.leave();
-            }
-        }
-    }
-
-    fn shed_one(&self) {
-        let now = Instant::now();
-        let mut occupants = self.occupants.borrow_mut();
-        if occupants.open.values().any(|occupant| occupant.doing == Doing::Leaving) {
-            return;
-        }
-        let ranked = occupants.open.values_mut().filter_map(|o| Some((o.rank(now)?, o)));
-        if let Some((_, occupant)) = ranked.min_by_key(|(rank, _)| *rank) {
-            occupant.leave();
-        }
-    }
-}
-
-/// The place of one connection, free again when dropped.
-struct Place {
-    number: u64,
-    give_way: Rc<Notify>,
-    places: Rc<Places>,
-}
-
-impl Place {
-    fn set(&self, doing: Doing) {
-        if let Some(occupant) = self.places.occupants.borrow_mut().open.get_mut(&self.number) {
-            if occupant.doing == Doing::Leaving {
-                // It stays after all: another one has to give way.
-                self.places.changed.notify_one();
-            }
-            (occupant.doing, occupant.since) = (doing, Instant::now());
-        }
-        if doing == Doing::Idle {
-            self.places.bound_idle();
-        }
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.places.occupants.borrow_mut().open.remove(&self.number);
-        self.places.changed.notify_one();
-    }
-}
-
 struct Client {
     // Before the place: the descriptor is closed by the time that the place is free.
     stream: TcpStream,
@@ -334,6 +184,8 @@
         // When what is due next must have come: the first request, the rest of one, or another one.
         let mut due = Instant::now() + SILENT;
         let mut served = 0;
+        // When the request that is being read began.
+        let mut begun = Instant::now();
         loop {
             if *self.phase.borrow() == Phase::Moving {
                 return self.give_up(fresh).await;
@@ -355,7 +207,8 @@
                         due = Instant::now() + IDLE;
                         self.place.set(Doing::Idle);
                     } else {
-                        due = Instant::now() + HALF;
+                        begun = Instant::now();
+                        due = begun + HALF;
                         self.place.set(Doing::Half);
                     }
                     continue;
@@ -366,7 +219,7 @@
             }
             self.flush().await?;
             if self.buffer.len() >= READ && long.is_none() {
-                match timeout_at(due, places.long.acquire()).await {
+                match timeout_at(due, places.long().acquire()).await {
                     Ok(Ok(permit)) => long = Some(permit),
                     Ok(Err(_)) | Err(_) => return self.refuse("too many long requests").await,
                 }
@@ -374,10 +227,15 @@
             let between = self.buffer.is_empty();
             match self.read(fresh, due).await? {
                 Come::More if between => {
-                    due = Instant::now() + HALF;
+                    begun = Instant::now();
+                    due = begun + HALF;
                     self.place.set(Doing::Half);
                 }
-                Come::More => {}
+                // Who writes slowly is not cut off for it, within a bound.
+                Come::More => {
+                    due = (Instant::now() + HALF).min(begun + WHOLE);
+                    self.place.goes_on();
+                }
                 Come::End => return Ok(()),
                 Come::Late => return self.refuse("the request did not come to its end").await,
                 Come::Move => return self.give_up(fresh).await,
--- a/crates/gullcart/src/lib.rs
+++ b/crates/gullcart/src/lib.rs
@@ -11,6 +11,7 @@
 mod console;
 mod discovery;
 mod driver;
+mod places;
 mod service;
 mod upgrade;
 mod vocabulary;
--- a/crates/gullcart/tests/clients.rs
+++ b/crates/gullcart/tests/clients.rs
@@ -122,3 +122,27 @@
     assert!(courier.client().enqueue("k1", "9", "notice", 1, b"1").starts_with("-ERR "));
     world.no_call();
 }
+
+/// A request that comes in small pieces over two seconds is served; it used to be cut off after one. One that stops half way
+/// is closed all the same.
+#[test]
+fn a_request_that_is_written_slowly_is_served() {
+    let world = World::new(PROGRAM, 1, 3.0);
+    let courier = world.start();
+    let mut stuck = courier.client();
+    stuck.send(b"*5\r\n$7\r\nENQ");
+    let mut client = courier.client();
+    let fields = "d=20000,c=salary,dest=1";
+    let request =
+        format!("*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$2\r\ns1\r\n${}\r\n{fields}\r\n$1\r\nx\r\n", fields.len());
+    let began = std::time::Instant::now();
+    for (at, byte) in request.bytes().enumerate() {
+        // Each byte at its time: a machine that is late only makes the pieces larger.
+        let due = std::time::Duration::from_millis(2100 * at as u64 / request.len() as u64);
+        std::thread::sleep(due.saturating_sub(began.elapsed()));
+        client.send(&[byte]);
+    }
+    assert_eq!(client.line(), "+OK");
+    assert_eq!(world.call().id, "s1");
+    assert!(stuck.line().starts_with("-ERR"));
+}
