--- a/crates/gullcart-standins/src/world.rs
+++ b/crates/gullcart-standins/src/world.rs
@@ -274,6 +274,13 @@
         }
     }
 
+    /// A world whose couriers have a console each, at a port of the system's choice.
+    pub fn with_console(program: &str, endpoints: usize) -> Self {
+        let mut world = World::new(program, endpoints, 3.0);
+        world.variables.push(("BALANCER_CONSOLE".to_owned(), "127.0.0.1:0".to_owned()));
+        world
+    }
+
     /// A world in which the module waits long before it gives anything up.
     pub fn patient(program: &str, endpoints: usize, disk_mb: f64) -> Self {
         World { aim: 100, ..World::new(program, endpoints, disk_mb) }
@@ -550,6 +557,13 @@
         }
     }
 
+    /// Where its console listens.
+    pub fn console(&self) -> SocketAddr {
+        let line = self.log_until("the console is open");
+        let address = line.split_once("address=").and_then(|(_, rest)| rest.split_whitespace().next());
+        address.unwrap().trim_matches('"').parse().unwrap()
+    }
+
     pub fn client(&self) -> Client {
         let stream = TcpStream::connect(self.address).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
--- a/crates/gullcart/tests/console.rs
+++ b/crates/gullcart/tests/console.rs
@@ -8,15 +8,7 @@
 const PROGRAM: &str = env!("CARGO_BIN_EXE_gullcart");
 
 fn world(endpoints: usize) -> World {
-    let mut world = World::new(PROGRAM, endpoints, 3.0);
-    world.variables.push(("BALANCER_CONSOLE".to_owned(), "127.0.0.1:0".to_owned()));
-    world
-}
-
-fn console(courier: &Courier) -> SocketAddr {
-    let line = courier.log_until("the console is open");
-    let address = line.split_once("address=").and_then(|(_, rest)| rest.split_whitespace().next());
-    address.unwrap().trim_matches('"').parse().unwrap()
+    World::with_console(PROGRAM, endpoints)
 }
 
 /// Sends bytes and returns all that is answered until the courier closes.
@@ -45,7 +37,7 @@
 fn it_tells_how_things_stand_and_counts_what_was_seen() {
     let world = world(2);
     let courier = world.start();
-    let console = console(&courier);
+    let console = courier.console();
     assert_eq!(ask(console, b"STATUS\n"), "YES\n");
     let mut client = courier.client();
     assert_eq!(client.enqueue("a1", "0", "salary", 1, b"x"), "+OK");
@@ -69,11 +61,11 @@
 fn an_endpoint_that_is_out_gets_nothing_until_it_is_given_back_over_a_kill_too() {
     let world = world(2);
     let courier = world.start();
-    let at = console(&courier);
+    let at = courier.console();
     assert!(ask(at, b"SUSPEND s-9\n").starts_with("NO "));
     assert_eq!(ask(at, b"SUSPEND s-0\n"), "YES\n");
     let courier = courier.kill_and_restart();
-    let at = console(&courier);
+    let at = courier.console();
     assert_eq!(figure(&ask(at, b"METRICS\n"), "endpoints_excluded"), 1);
     let mut client = courier.client();
     for number in 0..6 {
@@ -95,7 +87,7 @@
 fn bad_callers_are_told_and_keep_nobody_out() {
     let world = world(1);
     let courier = world.start();
-    let at = console(&courier);
+    let at = courier.console();
     let long = vec![b'x'; 4096];
     for bad in [&b"\n"[..], b"HELLO\n", b"\xff\xfe\n", b"STATUS\nSTATUS\n", b"SUSPEND\n", &long] {
         assert!(ask(at, bad).starts_with("NO "), "{bad:?}");
@@ -122,7 +114,7 @@
 fn a_line_may_come_in_pieces_of_any_size() {
     let world = world(1);
     let courier = world.start();
-    let mut stream = TcpStream::connect(console(&courier)).unwrap();
+    let mut stream = TcpStream::connect(courier.console()).unwrap();
     stream.set_nodelay(true).unwrap();
     for byte in b"STATUS\r\n" {
         stream.write_all(&[*byte]).unwrap();
@@ -136,7 +128,7 @@
     let mut world = world(1);
     world.sockets = 96;
     let courier = world.start();
-    let at = console(&courier);
+    let at = courier.console();
     let _clients: Vec<Client> = (0..90).map(|_| courier.client()).collect();
     for _ in 0..5 {
         assert_eq!(ask(at, b"STATUS\n"), "YES\n");
--- a/crates/gullcart/tests/upgrade.rs
+++ b/crates/gullcart/tests/upgrade.rs
@@ -2,7 +2,7 @@
 
 use gullcart_standins::world::*;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::os::linux::net::SocketAddrExt;
 use std::os::unix::fs::MetadataExt;
 use std::os::unix::net::UnixStream;
@@ -11,19 +11,11 @@
 const PROGRAM: &str = env!("CARGO_BIN_EXE_gullcart");
 
 fn world(endpoints: usize) -> World {
-    let mut world = World::new(PROGRAM, endpoints, 3.0);
-    world.variables.push(("BALANCER_CONSOLE".to_owned(), "127.0.0.1:0".to_owned()));
-    world
-}
-
-fn console(courier: &Courier) -> SocketAddr {
-    let line = courier.log_until("the console is open");
-    let address = line.split_once("address=").and_then(|(_, rest)| rest.split_whitespace().next());
-    address.unwrap().trim_matches('"').parse().unwrap()
+    World::with_console(PROGRAM, endpoints)
 }
 
 fn ask(courier: &Courier, line: &str) -> String {
-    let mut stream = TcpStream::connect(console(courier)).unwrap();
+    let mut stream = TcpStream::connect(courier.console()).unwrap();
     stream.write_all(line.as_bytes()).unwrap();
     let mut text = String::new();
     stream.read_to_string(&mut text).unwrap();
