Propose the end of a lease again where the first time came to nothing

Ruled out: the leader's round (it was settled) and the clock of the watch (the lease was over). The leader proposed the end of a lease every 0.3 s, as it thought: each turn in between put the next time off, so that it was said once and never again. Where the round had ended meanwhile that was lost, and a holder that never came back kept its duties.

--- a/crates/gullcart-group/src/lib.rs
+++ b/crates/gullcart-group/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod log;
 pub mod member;
 pub mod node;
+mod pace;
 pub mod say;
 pub mod table;
 pub mod vocabulary;
--- a/crates/gullcart-group/src/voter.rs
+++ b/crates/gullcart-group/src/voter.rs
@@ -6,6 +6,7 @@
 
 use crate::lease::Watch;
 use crate::log::{Image, Log, Record};
+use crate::pace::Pace;
 use crate::say::{Ask, View, MOST_WATCHED};
 use crate::table::{Command, Session, Table, MOST_MEMBERS};
 use crate::vocabulary::{Duty, MemberId, Moment, Terms};
@@ -94,14 +95,14 @@
     applied: usize,
     watch: Watch,
     /// What was proposed a moment ago.
-    ended: BTreeMap<MemberId, Moment>,
-    claimed: BTreeMap<Duty, Moment>,
+    ended: Pace<MemberId>,
+    claimed: Pace<Duty>,
     attached: BTreeMap<MemberId, Attached>,
     /// Said to other voters, until the turn is over.
     votes: Vec<Message<Command>>,
     /// Voters that lack what is no longer kept one by one, and those that were given it a moment ago.
     lacking: BTreeSet<MemberId>,
-    based: BTreeMap<MemberId, Moment>,
+    based: Pace<MemberId>,
     /// Members that are owed a view.
     owed: BTreeSet<MemberId>,
     ticked: Moment,
@@ -137,12 +138,12 @@
             table: Table::default(),
             applied: 0,
             watch: Watch::default(),
-            ended: BTreeMap::new(),
-            claimed: BTreeMap::new(),
+            ended: Pace::new(AGAIN),
+            claimed: Pace::new(AGAIN),
             attached: BTreeMap::new(),
             votes: Vec::new(),
             lacking: BTreeSet::new(),
-            based: BTreeMap::new(),
+            based: Pace::new(BASE_AGAIN),
             owed: BTreeSet::new(),
             ticked: now,
             turned: now,
@@ -317,14 +318,9 @@
         }
         let Some(beat) = beat else { return };
         // Of many that claim a duty at one moment one is enough.
-        let claim = claim.filter(|duty| {
-            let asked = self.claimed.get(duty).is_some_and(|at| now - *at < AGAIN);
-            !asked && self.table.grant(duty).is_none()
-        });
-        if let Some(duty) = &claim {
-            self.claimed.retain(|_, at| now - *at < AGAIN);
-            self.claimed.insert(duty.clone(), now);
-        } else if self.table.session(member).is_none() {
+        let claim =
+            claim.filter(|duty| self.table.grant(duty).is_none() && self.claimed.is_due(now, duty.clone()));
+        if claim.is_none() && self.table.session(member).is_none() {
             // Nothing is held that a sign of life could keep.
             return;
         }
@@ -376,14 +372,9 @@
         self.attached.retain(|_, attached| now - attached.asked < gone);
         let owed = std::mem::take(&mut self.owed);
         let views = owed.into_iter().filter_map(|member| Some((member, self.view(member)?))).collect();
-        self.based.retain(|_, at| now - *at < BASE_AGAIN);
-        let lacking = std::mem::take(&mut self.lacking).into_iter().filter(|to| !self.based.contains_key(to));
-        let lacking: Vec<MemberId> = lacking.collect();
-        let mut bases = Vec::new();
-        for to in lacking {
-            self.based.insert(to, now);
-            bases.push((to, self.log.image()));
-        }
+        let lacking = std::mem::take(&mut self.lacking).into_iter();
+        let bases =
+            lacking.filter(|to| self.based.is_due(now, *to)).map(|to| (to, self.log.image())).collect();
         Output { records: self.log.take_records(), votes, bases, views }
     }
 
@@ -475,9 +466,9 @@
         if self.leader() != Some(self.me) {
             return;
         }
-        self.ended.retain(|_, at| now - *at < AGAIN);
         for (member, Session { life, beat }) in self.watch.over(now, self.patience()) {
-            if self.ended.insert(member, now).is_none() {
+            // Said again where it came to nothing: a round that ends takes with it what was proposed in it.
+            if self.ended.is_due(now, member) {
                 self.propose(Command::Expire { member, life, beat });
             }
         }
