--- a/crates/gullcart-group/src/lease.rs
+++ b/crates/gullcart-group/src/lease.rs
@@ -3,6 +3,7 @@
 
 use crate::table::{Session, Table};
 use crate::vocabulary::{Beat, Life, MemberId, Moment, Terms};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -20,7 +21,7 @@
 }
 
 /// How long one start of a member may act on what it holds.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Lease {
     life: Life,
     last: Beat,
@@ -28,6 +29,7 @@
     sent: VecDeque<(Beat, Moment)>,
     until: Option<Moment>,
     #[cfg(feature = "unguarded")]
+    #[serde(skip)]
     unguarded: Unguarded,
 }
 
@@ -100,6 +102,11 @@
         self.until
     }
 
+    /// In which life.
+    pub fn life(&self) -> Life {
+        self.life
+    }
+
     /// Since when the oldest sign of life waits to be heard of.
     pub fn waits_since(&self) -> Option<Moment> {
         self.sent.front().map(|(_, at)| *at)
--- a/crates/gullcart-group/src/log.rs
+++ b/crates/gullcart-group/src/log.rs
@@ -158,7 +158,7 @@
             Record::Decided(count) => self.decided = count,
             Record::Trim(count) => {
                 let gone = (count.saturating_sub(self.trimmed) as usize).min(self.log.len());
-                self.log.drain(..gone).for_each(|command| self.base.apply(&command));
+                self.log.drain(..gone).for_each(|command| drop(self.base.apply(&command)));
                 self.trimmed += gone as u64;
             }
             Record::Ends(end) => self.ends = end,
--- a/crates/gullcart-group/src/member.rs
+++ b/crates/gullcart-group/src/member.rs
@@ -4,6 +4,7 @@
 use crate::lease::Lease;
 use crate::say::{Ask, View, MOST_WATCHED};
 use crate::vocabulary::{Duty, Epoch, Life, MemberId, Moment, Terms};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -36,13 +37,36 @@
 }
 
 /// What a member holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Held {
     epoch: Epoch,
     /// It is being given up.
     given_up: bool,
 }
 
+/// A member that stopped, for the process that goes on in its place and in its life.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Packed {
+    lease: Lease,
+    version: u64,
+    wants: Vec<Duty>,
+    held: BTreeMap<Duty, Held>,
+    is_past: bool,
+}
+
+impl Packed {
+    /// What it wanted.
+    pub fn wants(&self) -> &[Duty] {
+        &self.wants
+    }
+
+    /// Whether it can be of this clock: no lease lies so far ahead.
+    fn is_of(&self, now: Moment, terms: &Terms) -> bool {
+        self.lease.until().is_none_or(|until| until <= now + terms.lease)
+            && self.wants.len().max(self.held.len()) <= MOST_WATCHED
+    }
+}
+
 /// A member of the group: one start of its process.
 pub struct Member {
     me: MemberId,
@@ -95,6 +119,31 @@
         }
     }
 
+    /// All that it is. It must do nothing after this.
+    pub fn pack(&self) -> Packed {
+        Packed {
+            lease: self.lease.clone(),
+            version: self.version,
+            wants: self.wants.keys().cloned().collect(),
+            held: self.held.clone(),
+            is_past: self.is_past,
+        }
+    }
+
+    /// Goes on as another process that stopped, on the same clock and in the same life; false where it cannot have been that.
+    /// It gives a sign of life at once: nobody did meanwhile.
+    pub fn go_on(&mut self, packed: Packed, now: Moment) -> bool {
+        if packed.lease.life() != self.life || !packed.is_of(now, &self.terms) {
+            return false;
+        }
+        let Packed { lease, version, wants, held, is_past } = packed;
+        (self.lease, self.version, self.held, self.is_past) = (lease, version, held, is_past);
+        for duty in wants {
+            self.want(now, &duty);
+        }
+        true
+    }
+
     /// Takes some guards out.
     #[cfg(feature = "unguarded")]
     pub fn without(mut self, unguarded: Unguarded) -> Self {
--- a/crates/gullcart-group/src/say.rs
+++ b/crates/gullcart-group/src/say.rs
@@ -1,6 +1,7 @@
 //! What members say to each other. Everything that comes from outside is checked before it is listened to.
 
 use crate::log::Image;
+use crate::order::Stamp;
 use crate::table::{Command, Grant, Session};
 use crate::vocabulary::{Beat, Duty, Epoch, Life, MemberId};
 use omnipaxos::messages::Message;
@@ -43,9 +44,11 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Say {
     /// A voter to another one: the library's own words.
-    Vote(Box<Message<Command>>),
+    Vote(Stamp, Box<Message<Command>>),
     /// A voter to one that lacks what is no longer kept one by one: all that it keeps.
-    Base(Box<Image>),
+    Base(Stamp, Box<Image>),
+    /// A voter to one that spoke to another run of it: which one there is.
+    Here(Stamp),
     /// A member to a voter.
     Ask(Ask),
     /// A voter to a member.
@@ -70,14 +73,14 @@
     /// Checks what came from a member that is known to be that one.
     pub fn check(&self, from: MemberId, to: MemberId, voters: &[MemberId]) -> Result<(), Refused> {
         match self {
-            Say::Vote(message) => {
+            Say::Vote(_, message) => {
                 if !(voters.contains(&from) && voters.contains(&to)) {
                     return Err(Refused::Voter);
                 }
                 let honest = message.get_sender() == from.0 && message.get_receiver() == to.0;
                 honest.then_some(()).ok_or(Refused::Address)
             }
-            Say::Base(..) => {
+            Say::Base(..) | Say::Here(..) => {
                 let both = voters.contains(&from) && voters.contains(&to);
                 both.then_some(()).ok_or(Refused::Voter)
             }
--- a/crates/gullcart-group/src/table.rs
+++ b/crates/gullcart-group/src/table.rs
@@ -122,13 +122,13 @@
         self.duties.iter().map(|(duty, grant)| (duty, *grant))
     }
 
-    /// Takes in what was agreed on next.
-    pub fn apply(&mut self, command: &Command) {
+    /// Takes in what was agreed on next; duties that have another holder, or none, by it.
+    pub fn apply(&mut self, command: &Command) -> Vec<Duty> {
         self.apply_guarded(
             command,
             #[cfg(feature = "unguarded")]
             Unguarded::default(),
-        );
+        )
     }
 
     /// The same, without some guards.
@@ -137,16 +137,21 @@
         self.apply_guarded(command, unguarded);
     }
 
-    fn apply_guarded(&mut self, command: &Command, #[cfg(feature = "unguarded")] unguarded: Unguarded) {
+    fn apply_guarded(
+        &mut self,
+        command: &Command,
+        #[cfg(feature = "unguarded")] unguarded: Unguarded,
+    ) -> Vec<Duty> {
+        let mut changed = Vec::new();
         match command {
             Command::Beat { member, life, beat, claim } => {
                 let now = Session { life: *life, beat: *beat };
                 // An older life, or a sign of life that newer ones have passed.
                 if self.lives.get(member).is_some_and(|newest| now <= *newest) {
-                    return;
+                    return changed;
                 }
                 if self.lives.len() >= MOST_MEMBERS && !self.lives.contains_key(member) {
-                    return;
+                    return changed;
                 }
                 self.lives.insert(*member, now);
                 let session = self.sessions.entry(*member).or_insert(now);
@@ -160,10 +165,10 @@
                     }
                 }
                 if session.life != now.life {
-                    return;
+                    return changed;
                 }
                 *session = now;
-                let Some(duty) = claim else { return };
+                let Some(duty) = claim else { return changed };
                 let is_held = self.duties.contains_key(duty);
                 #[cfg(feature = "unguarded")]
                 let is_held = is_held && !unguarded.grants_what_is_held;
@@ -172,12 +177,14 @@
                     self.epoch.0 += 1;
                     let grant = Grant { holder: *member, life: *life, epoch: self.epoch };
                     self.duties.insert(duty.clone(), grant);
+                    changed.push(duty.clone());
                 }
             }
             Command::Release { member, life, duty, epoch } => {
                 let given = Grant { holder: *member, life: *life, epoch: *epoch };
                 if self.duties.get(duty) == Some(&given) {
                     self.duties.remove(duty);
+                    changed.push(duty.clone());
                     #[cfg(feature = "unguarded")]
                     if unguarded.epochs_begin_anew {
                         self.epoch = Epoch(0);
@@ -193,10 +200,17 @@
                         && self.sessions.get(member).is_some_and(|session| session.life == *life));
                 if is_last {
                     self.sessions.remove(member);
-                    self.duties.retain(|_, grant| grant.holder != *member);
+                    self.duties.retain(|duty, grant| {
+                        let stays = grant.holder != *member;
+                        if !stays {
+                            changed.push(duty.clone());
+                        }
+                        stays
+                    });
                 }
             }
         }
+        changed
     }
 }
 
@@ -221,7 +235,7 @@
 
     fn table(commands: &[Command]) -> Table {
         let mut table = Table::default();
-        commands.iter().for_each(|command| table.apply(command));
+        commands.iter().for_each(|command| drop(table.apply(command)));
         table
     }
 
--- a/crates/gullcart-group/src/vocabulary.rs
+++ b/crates/gullcart-group/src/vocabulary.rs
@@ -7,7 +7,7 @@
 
 /// A moment on a process's own clock, which also runs while the process or its machine sleeps. In microseconds from a
 /// beginning of its own: moments of two processes have nothing to do with each other.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Moment(pub u64);
 
 impl Add<Duration> for Moment {
--- a/crates/gullcart-group/src/voter.rs
+++ b/crates/gullcart-group/src/voter.rs
@@ -8,7 +8,7 @@
 use crate::log::{Image, Log, Record};
 use crate::pace::Pace;
 use crate::say::{Ask, View, MOST_WATCHED};
-use crate::table::{Command, Session, Table, MOST_MEMBERS};
+use crate::table::{Command, Session, Table, MOST_DUTIES, MOST_MEMBERS};
 use crate::vocabulary::{Duty, MemberId, Moment, Terms};
 use omnipaxos::messages::sequence_paxos::{PaxosMessage, PaxosMsg};
 use omnipaxos::messages::Message;
@@ -51,6 +51,20 @@
     Stranger(MemberId),
 }
 
+/// Why nobody holds a duty that is wanted, as one voter sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Vacant {
+    /// No leader is known here.
+    #[error("no leader is known here: a majority of the voters does not reach each other, or this one does not reach it")]
+    NoLeader,
+    /// The leader gets nothing agreed on.
+    #[error("what was proposed is not agreed on: the leader does not reach a majority of the voters")]
+    NothingAgreed,
+    /// It was given up or its holder's lease ended a moment ago.
+    #[error("it is free, and whoever claims it first gets it")]
+    BeingClaimed,
+}
+
 /// Guards of a voter that a test can take out.
 #[cfg(feature = "unguarded")]
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -105,10 +119,15 @@
     based: Pace<MemberId>,
     /// Members that are owed a view.
     owed: BTreeSet<MemberId>,
+    /// Since when duties are held, or free, as they are.
+    since: BTreeMap<Duty, Moment>,
+    begun: Moment,
     ticked: Moment,
     turned: Moment,
     /// How much was decided when it last looked, and since when it has proposed more.
     progress: (usize, Option<Moment>),
+    /// Since when it leads and gets nothing decided of what it proposed, however often it began anew.
+    stuck: Option<Moment>,
     /// Since when it follows a leader and has not heard from it what it is to follow.
     unsettled: Moment,
     most_entries: usize,
@@ -145,9 +164,12 @@
             lacking: BTreeSet::new(),
             based: Pace::new(BASE_AGAIN),
             owed: BTreeSet::new(),
+            since: BTreeMap::new(),
+            begun: now,
             ticked: now,
             turned: now,
             progress: (0, None),
+            stuck: None,
             unsettled: now,
             most_entries: MOST_ENTRIES,
             #[cfg(feature = "unguarded")]
@@ -266,11 +288,11 @@
         false
     }
 
-    /// Another voter gives all that it keeps, as this one lacks some of it.
-    pub fn install(&mut self, now: Moment, other: Image) -> Result<(), VoterError> {
+    /// Another voter gives all that it keeps, as this one lacks some of it; whether it began anew with that.
+    pub fn install(&mut self, now: Moment, other: Image) -> Result<bool, VoterError> {
         let mut image = self.log.image();
         if !image.install(other) {
-            return Ok(());
+            return Ok(false);
         }
         let written = self.log.take_records();
         let (log, paxos) = Voter::begin(self.me, &self.voters, image.clone())?;
@@ -282,7 +304,7 @@
         self.owed.extend(self.attached.keys());
         self.apply(now);
         self.drain();
-        Ok(())
+        Ok(true)
     }
 
     /// Takes what the library has to say after each call to it. It puts more entries into a message that it still has, also
@@ -331,6 +353,7 @@
         // One that cannot be proposed now is asked for again by who needs it.
         let _ = self.paxos.append(command);
         self.progress.1.get_or_insert(self.turned);
+        self.stuck.get_or_insert(self.turned);
         self.drain();
     }
 
@@ -384,7 +407,7 @@
     fn leave_idle_round(&mut self, now: Moment) {
         let decided = self.paxos.get_decided_idx();
         if decided > self.progress.0 || self.leader() != Some(self.me) {
-            self.progress = (decided, None);
+            (self.progress, self.stuck) = ((decided, None), None);
         } else if self.progress.1.is_some_and(|since| now - since > IDLE_ROUND) {
             self.progress.1 = None;
             self.paxos.try_become_leader();
@@ -392,6 +415,15 @@
         }
     }
 
+    /// It goes on at once in the place of a process that led: it begins a higher round now, as it would be taken for the leader
+    /// and lead nothing. A voter that was away for longer must not: another one may lead by now.
+    pub fn go_on(&mut self) {
+        if self.leader() == Some(self.me) {
+            self.paxos.try_become_leader();
+            self.drain();
+        }
+    }
+
     /// When the next turn is due at the latest.
     pub fn next_turn(&self) -> Moment {
         self.ticked + TICK
@@ -418,8 +450,8 @@
         for entry in self.paxos.read_decided_suffix(self.applied).unwrap_or_default() {
             // The rest is not decided, or not there any more.
             if let LogEntry::Decided(command) = entry {
-                self.table.apply(&command);
-                self.owe(&command);
+                let changed = self.table.apply(&command);
+                self.owe(&command, changed, now);
             }
         }
         self.applied = decided;
@@ -427,32 +459,39 @@
     }
 
     /// Members to whom a command matters are told how things stand now.
-    fn owe(&mut self, command: &Command) {
-        let touched = match command {
-            Command::Beat { member, claim, .. } => {
-                self.owed.insert(*member);
-                claim.clone()
-            }
-            Command::Release { member, duty, .. } => {
-                self.owed.insert(*member);
-                Some(duty.clone())
-            }
-            Command::Expire { member, .. } => {
-                self.owed.insert(*member);
-                // Which duties that were is not known any more; they are free now.
-                let vacant = |duty: &Duty| self.table.grant(duty).is_none();
-                let watching =
-                    self.attached.iter().filter(|(_, attached)| attached.watches.iter().any(vacant));
-                self.owed.extend(watching.map(|(member, _)| *member));
-                None
-            }
-        };
-        if let Some(duty) = touched {
-            let watching = self.attached.iter().filter(|(_, attached)| attached.watches.contains(&duty));
-            self.owed.extend(watching.map(|(member, _)| *member));
+    fn owe(&mut self, command: &Command, changed: Vec<Duty>, now: Moment) {
+        let (Command::Beat { member, .. } | Command::Release { member, .. } | Command::Expire { member, .. }) =
+            command;
+        self.owed.insert(*member);
+        let watching = self
+            .attached
+            .iter()
+            .filter(|(_, attached)| changed.iter().any(|duty| attached.watches.contains(duty)));
+        self.owed.extend(watching.map(|(member, _)| *member));
+        self.since.extend(changed.into_iter().map(|duty| (duty, now)));
+        if self.since.len() > 2 * MOST_DUTIES {
+            self.since.retain(|duty, _| self.table.grant(duty).is_some());
         }
     }
 
+    /// Since when a duty is held as it is, or free; none where that was before this voter began.
+    pub fn held_since(&self, duty: &Duty) -> Option<Moment> {
+        self.since.get(duty).copied()
+    }
+
+    /// Duties that members here want and nobody holds: since when, and why.
+    pub fn vacant(&self, now: Moment) -> impl Iterator<Item = (&Duty, Moment, Vacant)> + '_ {
+        let why = match (self.leader(), self.stuck) {
+            (None, _) => Vacant::NoLeader,
+            (Some(_), Some(since)) if now - since > self.terms.lease => Vacant::NothingAgreed,
+            (Some(_), _) => Vacant::BeingClaimed,
+        };
+        let wanted: BTreeSet<&Duty> =
+            self.attached.values().flat_map(|attached| attached.watches.iter()).collect();
+        let free = wanted.into_iter().filter(|duty| self.table.grant(duty).is_none());
+        free.map(move |duty| (duty, self.held_since(duty).unwrap_or(self.begun), why))
+    }
+
     fn patience(&self) -> Duration {
         #[cfg(feature = "unguarded")]
         if self.unguarded.no_drift {
--- a/crates/gullcart-handover/src/baggage.rs
+++ b/crates/gullcart-handover/src/baggage.rs
@@ -37,6 +37,8 @@
     pub has_listener: bool,
     pub clients: Vec<CarriedClient>,
     pub calls: Vec<CarriedCall>,
+    /// The courier as a member of its group, in the group's own words; empty where it is in none.
+    pub group: Vec<u8>,
 }
 
 impl Baggage {
--- a/crates/gullcart-handover/src/frame.rs
+++ b/crates/gullcart-handover/src/frame.rs
@@ -4,7 +4,7 @@
 use thiserror::Error;
 
 /// What this release speaks. Whoever changes a type that is carried raises it.
-pub const VERSION: u32 = 1;
+pub const VERSION: u32 = 2;
 /// Bytes of a body at most; a courier that holds more starts anew from its journal.
 pub const LONGEST: usize = 64 << 20;
 /// Descriptors at most.
@@ -100,6 +100,7 @@
             has_listener: true,
             clients: vec![CarriedClient { is_fresh: false, unread: b"*1\r\n".to_vec() }],
             calls: vec![call],
+            group: vec![4],
         }
     }
 
--- a/crates/gullcart-peers/src/bin/gullcart-duty.rs
+++ b/crates/gullcart-peers/src/bin/gullcart-duty.rs
@@ -6,7 +6,7 @@
 #![forbid(unsafe_code)]
 
 use gullcart_group::vocabulary::Duty;
-use gullcart_peers::group::{start, Handle};
+use gullcart_peers::handle::{start, Handle};
 use gullcart_peers::settings::Settings;
 use std::io::{BufRead, Write};
 use std::net::TcpStream;
@@ -37,7 +37,7 @@
 fn run() -> Result<(), Box<dyn std::error::Error>> {
     let settings = Settings::read(&PathBuf::from(std::env::var("GULLCART_GROUP")?))?;
     let me = settings.me.0;
-    let group = start(settings, &PathBuf::from(std::env::var("BALANCER_STATE")?).join("group"))?;
+    let group = start(settings, &PathBuf::from(std::env::var("BALANCER_STATE")?).join("group"), None)?;
     let names = std::env::var("DUTY_NAMES")?;
     let duties: Vec<Duty> = names.split(',').filter_map(Duty::new).collect();
     for duty in &duties {
@@ -61,7 +61,8 @@
     loop {
         match told.recv_timeout(GAP) {
             Ok(_) => {
-                let heard = group.leave(Duration::from_secs(2));
+                let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build()?;
+                let heard = runtime.block_on(group.leave(Duration::from_secs(2)));
                 say(&format!("left {heard}"));
                 return Ok(());
             }
--- a/crates/gullcart-peers/src/group.rs
+++ b/crates/gullcart-peers/src/group.rs
@@ -1,26 +1,25 @@
-//! The group's loop, on a thread of its own with a runtime of its own. The courier asks it what it may do through [`Handle`],
-//! which looks at what was agreed on last and at the clock, and waits for nobody.
+//! The group's loop, on a thread of its own with a runtime of its own. It moves bytes between connections, the folder and the
+//! node, and decides nothing.
 
 use crate::folder::{Keep, KeepError};
 use crate::net::{self, Event, Net};
 use crate::settings::Settings;
-use gullcart_group::door::{Door, Origin};
+use crate::vocabulary::{now, DutyStatus, Given, GroupError, Shared, Status, Wish};
+use gullcart_group::door::{Door, Left, Origin, Passport};
 use gullcart_group::log::{Image, Record};
+use gullcart_group::member::Packed;
 use gullcart_group::node::Node;
-use gullcart_group::vocabulary::{Duty, Epoch, Life, MemberId, Moment};
-use rustix::time::{clock_gettime, ClockId};
-use serde::Serialize;
+use gullcart_group::order::Run;
+use gullcart_group::seat::{Opened, Seat, Step};
+use gullcart_group::vocabulary::{Duty, Life, MemberId};
+use gullcart_group::voter::Voter;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
-use std::thread::JoinHandle;
 use std::time::Duration;
-use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::LocalSet;
 use tokio::time::sleep;
 use tracing::{error, info, warn};
 
@@ -28,226 +27,103 @@
 const EVENTS: usize = 4096;
 /// Events taken up in one turn.
 const BATCH: usize = 256;
-/// Wishes of the courier that wait.
-const WISHES: usize = 1024;
 /// The longest that the loop sleeps.
 const LONGEST: Duration = Duration::from_millis(500);
 /// A process that leaves stays for so long after it has given all up.
 const LINGER: Duration = Duration::from_millis(250);
-/// After its folder failed a voter tries again.
-const AGAIN: Duration = Duration::from_secs(1);
+/// Steps of the seat in one turn at most; the rest is for the next one.
+const STEPS: usize = 8;
 
-/// The time, on the clock that also runs while the machine sleeps.
-pub fn now() -> Moment {
-    let time = clock_gettime(ClockId::Boottime);
-    Moment(time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1000)
-}
-
-/// Why a courier is in no group.
-#[derive(Debug, Error)]
-pub enum GroupError {
-    /// Its folder cannot be used.
-    #[error(transparent)]
-    Keep(#[from] KeepError),
-    /// Its address cannot be had.
-    #[error("cannot listen at {0}: {1}")]
-    Listen(SocketAddr, std::io::Error),
-    /// Its thread cannot be.
-    #[error("the group's thread: {0}")]
-    Thread(std::io::Error),
-    /// The voters cannot be these.
-    #[error(transparent)]
-    Voter(#[from] gullcart_group::voter::VoterError),
-}
-
-/// How the group stands, as this courier sees it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
-pub struct Status {
-    /// This member.
-    pub me: u64,
-    /// Which start of it.
-    pub life: u64,
-    /// Whether it votes now.
-    pub votes: bool,
-    /// Why not, or what else is wrong.
-    pub trouble: Option<String>,
-    /// Who leads.
-    pub leader: Option<u64>,
-    /// Commands agreed on, as far as is known here.
-    pub version: u64,
-    /// Duties, who holds them and under which epoch.
-    pub duties: Vec<(String, u64, u64)>,
-    /// Members with a connection from here.
-    pub reached: Vec<u64>,
-    /// Milliseconds since the group was last heard from.
-    pub heard_ms: u64,
-}
-
-#[derive(Default)]
-struct Shared {
-    /// What may be acted on, until when.
-    held: BTreeMap<Duty, (Epoch, Moment)>,
-    status: Status,
-}
-
-enum Wish {
-    Want(Duty),
-    GiveUp(Duty),
-    Leave(oneshot::Sender<()>),
-}
-
-/// The courier's side.
-pub struct Handle {
-    shared: Arc<Mutex<Shared>>,
-    wishes: mpsc::Sender<Wish>,
+/// All that a loop begins with.
+pub(crate) struct Begin {
+    settings: Settings,
+    folder: PathBuf,
+    keep: Keep,
+    image: Image,
+    passport: Passport,
+    trouble: Option<String>,
+    /// The member that it goes on as.
+    member: Option<Packed>,
+    /// The one that this process was given, whatever became of its life.
+    wants: Vec<Duty>,
+    listener: TcpListener,
     address: SocketAddr,
-    thread: Option<JoinHandle<()>>,
 }
 
-impl Handle {
-    /// Where this member listens for the others.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Under which epoch a duty may be acted on now; to be asked right before each act.
-    pub fn may_act(&self, duty: &Duty) -> Option<Epoch> {
-        let shared = self.shared.lock().ok()?;
-        let (epoch, until) = shared.held.get(duty)?;
-        // The clock last: the lock may have been waited for.
-        (now() < *until).then_some(*epoch)
-    }
-
-    /// Wants to hold a duty; false where too much is asked at once.
-    pub fn want(&self, duty: Duty) -> bool {
-        self.wishes.try_send(Wish::Want(duty)).is_ok()
-    }
-
-    /// Wants it no more: it is not acted on from here on, whatever the group has heard of that.
-    pub fn give_up(&self, duty: Duty) -> bool {
-        if let Ok(mut shared) = self.shared.lock() {
-            shared.held.remove(&duty);
-        }
-        self.wishes.try_send(Wish::GiveUp(duty)).is_ok()
-    }
-
-    /// How the group stands.
-    pub fn status(&self) -> Status {
-        self.shared.lock().map(|shared| shared.status.clone()).unwrap_or_default()
+impl Begin {
+    /// Opens the folder and the address.
+    pub fn open(settings: Settings, folder: &Path, given: Option<Given>) -> Result<Self, GroupError> {
+        let left: Option<Left> = given.as_ref().map(|given| given.left);
+        let (mut keep, origin, image) = Keep::open(folder, settings.disk, fastrand::u64(1..), left)?;
+        let listen = |error| GroupError::Listen(settings.listen, error);
+        let listener = TcpListener::bind(settings.listen).map_err(listen)?;
+        listener.set_nonblocking(true).map_err(listen)?;
+        let address = listener.local_addr().map_err(listen)?;
+        let trouble = match &origin {
+            Origin::Copied(_) => Some("its folder is a copy, or was put back: it is a new member".to_owned()),
+            Origin::New(_) | Origin::Same(_) | Origin::GoesOn(_) => None,
+        };
+        let goes_on = matches!(origin, Origin::GoesOn(_));
+        let passport = origin.passport();
+        // Before anybody hears of this life, or of this process in it: it is never used again.
+        keep.passport(&passport)?;
+        let wants = given.as_ref().map(|given| given.member.wants().to_vec()).unwrap_or_default();
+        let member = given.filter(|_| goes_on).map(|given| given.member);
+        let folder = folder.to_owned();
+        Ok(Begin { settings, folder, keep, image, passport, trouble, member, wants, listener, address })
     }
 
-    /// Gives all up and ends; whether the group has heard of it in time.
-    pub fn leave(mut self, within: Duration) -> bool {
-        let (done, left) = oneshot::channel();
-        if let Ok(mut shared) = self.shared.lock() {
-            shared.held.clear();
-        }
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build();
-        let told = self.wishes.try_send(Wish::Leave(done)).is_ok();
-        let heard = told
-            && runtime.is_ok_and(|runtime| {
-                runtime.block_on(async {
-                    tokio::time::timeout(within, left).await.is_ok_and(|left| left.is_ok())
-                })
-            });
-        drop(std::mem::replace(&mut self.wishes, mpsc::channel(1).0));
-        // It ends by itself; nobody waits for it longer than was said.
-        drop(self.thread.take());
-        heard
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
     }
 }
 
-/// Begins to belong to the group.
-pub fn start(settings: Settings, folder: &Path) -> Result<Handle, GroupError> {
-    let (keep, origin, image) = Keep::open(folder, settings.disk, fastrand::u64(1..))?;
-    let listener = std::net::TcpListener::bind(settings.listen);
-    let listener = listener.and_then(|listener| listener.set_nonblocking(true).map(|()| listener));
-    let listener = listener.map_err(|error| GroupError::Listen(settings.listen, error))?;
-    let address = listener.local_addr().map_err(|error| GroupError::Listen(settings.listen, error))?;
-    let shared = Arc::new(Mutex::new(Shared::default()));
-    let (wishes, wished) = mpsc::channel(WISHES);
-    let (told, folder) = (shared.clone(), folder.to_owned());
-    let run = move || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let done = runtime.map_err(GroupError::Thread).and_then(|runtime| {
-            LocalSet::new().block_on(
-                &runtime,
-                run(settings, folder, keep, origin, image, listener, told.clone(), wished),
-            )
-        });
-        if let Err(error) = done {
-            error!(%error, "this courier belongs to no group any more, and goes on by itself");
-            if let Ok(mut shared) = told.lock() {
-                shared.held.clear();
-                shared.status.votes = false;
-                shared.status.trouble = Some(error.to_string());
-            }
-        }
-    };
-    let thread =
-        std::thread::Builder::new().name("group".to_owned()).spawn(run).map_err(GroupError::Thread)?;
-    info!(%address, "the group listens");
-    Ok(Handle { shared, wishes, address, thread: Some(thread) })
-}
-
 struct Group {
     settings: Settings,
     folder: PathBuf,
     /// None while it fails: then nothing may be promised.
     keep: Option<Keep>,
+    /// What it kept when it was opened again.
+    kept: Option<Image>,
     door: Rc<RefCell<Door>>,
+    seat: Seat,
     node: Node,
     net: Net,
     shared: Arc<Mutex<Shared>>,
-    trouble: Option<String>,
-    open_again: Moment,
-    /// It has voted before, in whatever life: it never begins with nothing again.
-    has_voted: bool,
+    life: Life,
 }
 
-#[allow(clippy::too_many_arguments)]
-async fn run(
-    settings: Settings,
-    folder: PathBuf,
-    mut keep: Keep,
-    origin: Origin,
-    image: Image,
-    listener: std::net::TcpListener,
+/// Belongs to the group until the courier leaves it, or is gone.
+pub(crate) async fn run(
+    begin: Begin,
     shared: Arc<Mutex<Shared>>,
     mut wishes: mpsc::Receiver<Wish>,
 ) -> Result<(), GroupError> {
-    let trouble = match &origin {
-        Origin::Copied(_) => Some("its folder is a copy, or was put back: it is a new member".to_owned()),
-        Origin::New(_) | Origin::Same(_) => None,
-    };
-    let passport = origin.passport();
-    // Before anybody hears of this life: it is never used again.
-    keep.passport(&passport)?;
+    let Begin { settings, folder, keep, image, passport, trouble, member, wants, listener, .. } = begin;
     let life = passport.life;
-    let door = Door::new(settings.me, &settings.ids(), &settings.voters(), passport);
-    let votes = door.may_vote().then(|| image.clone());
-    let (seed, has_voted) = (fastrand::u64(..), votes.is_some());
-    let node = Node::new(settings.me, life, &settings.voters(), settings.terms, votes, seed, now())?;
+    let door = Door::new(settings.me, &settings.ids(), &settings.voters(), passport.clone());
+    let votes = door.may_vote().then_some(image);
+    let (seed, seat) = (fastrand::u64(..), Seat::new(votes.is_some(), trouble));
+    let run = Run { life, hand: passport.hand, begun: 0 };
+    let mut node = Node::new(settings.me, run, &settings.voters(), settings.terms, votes, seed, now())?;
+    for duty in &wants {
+        node.member.want(now(), duty);
+    }
+    if let Some(member) = member {
+        let goes_on = node.go_on(member, now());
+        info!(goes_on, "this process takes the place of another one in the group");
+    }
     let door = Rc::new(RefCell::new(door));
     let (events, mut heard) = mpsc::channel(EVENTS);
     let net = net::open(&settings, listener, door.clone(), events);
-    let mut group = Group {
-        settings,
-        folder,
-        keep: Some(keep),
-        door,
-        node,
-        net,
-        shared,
-        trouble,
-        open_again: now(),
-        has_voted,
-    };
+    let mut group =
+        Group { settings, folder, keep: Some(keep), kept: None, door, seat, node, net, shared, life };
     let mut batch = Vec::with_capacity(BATCH);
     let mut leaving: Option<oneshot::Sender<()>> = None;
     let mut ends_at = None;
     loop {
-        group.turn(life);
+        group.turn();
         let mut longest = LONGEST;
         if leaving.is_some() && group.node.member.is_free() {
             // All that was held is given up, as the group has agreed. Where this voter leads, the others need it yet to hear
@@ -274,6 +150,14 @@
                     group.node.member.give_all_up(now());
                     leaving = Some(done);
                 }
+                Some(Wish::Pack(done)) => {
+                    let left = group.door.borrow().passport().left();
+                    let given = Given { member: group.node.member.pack(), left };
+                    // The folder first: who is told may open it.
+                    drop(group);
+                    let _ = done.send(Box::new(given));
+                    return Ok(());
+                }
                 None => return Ok(()),
             },
             _ = heard.recv_many(&mut batch, BATCH) => {}
@@ -301,116 +185,140 @@
                 }
             }
             Event::Changed => {}
+            Event::Asked(reply) => {
+                // Who does not wait any more has given up.
+                let _ = reply.send(self.status());
+            }
         }
     }
 
     /// What a turn wrote is kept before anything of it is said.
-    fn turn(&mut self, life: Life) {
-        self.settle_door();
+    fn turn(&mut self) {
+        self.settle();
         let output = self.node.turn(now());
-        if !output.records.is_empty() && !self.keep_records(output.records) {
-            return self.show(life);
-        }
-        for (to, say) in output.messages {
-            self.net.send(to, say);
+        if output.records.is_empty() || self.keep_records(output.records) {
+            for (to, say) in output.messages {
+                self.net.send(to, say);
+            }
         }
-        self.show(life);
+        self.show();
     }
 
-    /// A door that was opened is kept, and a voter that may vote begins to.
-    fn settle_door(&mut self) {
-        if self.keep.is_none() && now() >= self.open_again {
-            self.open_again = now() + AGAIN;
-            match Keep::open(&self.folder, self.settings.disk, fastrand::u64(1..)) {
-                Ok((mut keep, Origin::Same(_), image)) => {
-                    // The same process goes on in the same life.
+    /// Does what the seat says is to be done first.
+    fn settle(&mut self) {
+        let mut is_changed = std::mem::take(&mut *self.net.is_changed.borrow_mut());
+        for _ in 0..STEPS {
+            let (votes, is_new) = (self.node.voter().is_some(), std::mem::take(&mut is_changed));
+            let Some(step) = self.seat.next(now(), &self.door.borrow(), votes, is_new) else { return };
+            match step {
+                Step::Halt => {
+                    self.node.halt();
+                    if !self.seat.is_open() {
+                        // Its lock, too: it is judged anew when it is opened again.
+                        self.keep = None;
+                    }
+                }
+                Step::Open => self.open_again(),
+                Step::Keep => {
                     let passport = self.door.borrow().passport().clone();
-                    let kept = keep.passport(&passport);
-                    let votes = self.door.borrow().may_vote();
-                    if kept.is_ok()
-                        && (!votes || self.node.vote_again(self.settings.terms, image, now()).is_ok())
-                    {
-                        info!("what the group keeps can be written again");
-                        (self.keep, self.trouble) = (Some(keep), None);
+                    let kept = self.keep.as_mut().map(|keep| keep.passport(&passport));
+                    if let Some(Err(error)) = kept {
+                        self.lose_folder(&error);
                     }
                 }
-                Ok(_) => self.trouble = Some("its folder is not its own any more".to_owned()),
-                Err(error) => self.trouble = Some(error.to_string()),
+                Step::Begin => self.vote(Image::default()),
+                Step::Resume => match self.kept.take() {
+                    Some(image) => self.vote(image),
+                    None => return,
+                },
             }
         }
-        let is_changed = std::mem::take(&mut *self.net.is_changed.borrow_mut());
-        if is_changed {
-            let passport = self.door.borrow().passport().clone();
-            let kept = self.keep.as_mut().map(|keep| keep.passport(&passport));
-            if let Some(Err(error)) = kept {
-                return self.lose_folder(&error.to_string());
-            }
+    }
+
+    fn vote(&mut self, image: Image) {
+        if let Err(error) = self.node.vote_again(self.settings.terms, image, now()) {
+            error!(%error, "this courier cannot vote");
         }
-        let may_vote = self.door.borrow().may_vote();
-        if !may_vote && self.door.borrow().is_stranger() {
-            self.node.halt();
-            self.trouble = Some("the group knows this member by another folder; replace it".to_owned());
-        } else if may_vote && self.keep.is_some() && self.node.voter().is_none() {
-            if std::mem::replace(&mut self.has_voted, true) {
-                // It could not go on. What it promised is in the folder, and nowhere else.
-                return self.lose_folder("its voter could not go on with what it was given");
-            }
-            // The first time that all have met: nothing was promised yet.
-            let begun = self.node.vote_again(self.settings.terms, Image::default(), now());
-            if let Err(error) = begun {
-                self.trouble = Some(error.to_string());
+    }
+
+    fn open_again(&mut self) {
+        self.keep = None;
+        // As this process left it, it is its own, and in the same life.
+        let left = self.door.borrow().passport().left();
+        let opened = match Keep::open(&self.folder, self.settings.disk, fastrand::u64(1..), Some(left)) {
+            Ok((keep, Origin::GoesOn(_), image)) => {
+                (self.keep, self.kept) = (Some(keep), Some(image));
+                Opened::Own
             }
-        }
+            Ok(_) => Opened::Other,
+            Err(error) => Opened::Failed(error.to_string()),
+        };
+        self.seat.opened(opened);
+        info!(trouble = self.seat.trouble(), "the folder of the group was opened again");
     }
 
     fn keep_records(&mut self, records: Vec<Record>) -> bool {
         let Some(keep) = &mut self.keep else { return false };
         let mut kept = keep.records(records);
         if kept.is_ok() && keep.is_long() {
-            if let Some(Record::Image(image)) = self.node.voter().map(gullcart_group::voter::Voter::image) {
+            if let Some(Record::Image(image)) = self.node.voter().map(Voter::image) {
                 kept = keep.whole(self.door.borrow().passport(), *image);
             }
         }
-        match kept {
-            Ok(()) => true,
-            Err(error) => {
-                self.lose_folder(&error.to_string());
-                false
-            }
-        }
+        kept.inspect_err(|error| self.lose_folder(error)).is_ok()
     }
 
     /// Nothing is promised any more, until the folder can be written again.
-    fn lose_folder(&mut self, why: &str) {
-        error!(why, "what the group keeps cannot be written: this courier votes no more for now");
-        self.trouble = Some(why.to_owned());
+    fn lose_folder(&mut self, why: &KeepError) {
+        error!(%why, "what the group keeps cannot be written: this courier votes no more for now");
+        self.seat.failed(now(), &why.to_string());
         self.node.halt();
         self.keep = None;
-        self.open_again = now() + AGAIN;
     }
 
-    fn show(&self, life: Life) {
+    fn show(&self) {
         let member = &self.node.member;
         let until = member.lease().unwrap_or_default();
         let held = member.acts_on(now()).map(|(duty, epoch)| (duty.clone(), (epoch, until))).collect();
-        let table = self.node.table();
-        let grants = table.into_iter().flat_map(|table| table.grants());
-        let status = Status {
-            me: self.settings.me.0,
-            life: life.0,
-            votes: self.node.voter().is_some(),
-            trouble: self.trouble.clone(),
-            leader: self.node.voter().and_then(|voter| voter.leader()).map(|MemberId(leader)| leader),
-            version: self.node.voter().map_or(0, |voter| voter.version()),
-            duties: grants
-                .map(|(duty, grant)| (duty.name().to_owned(), grant.holder.0, grant.epoch.0))
-                .collect(),
-            reached: self.net.reached().iter().map(|member| member.0).collect(),
-            heard_ms: (now() - member.heard()).as_millis() as u64,
-        };
         if let Ok(mut shared) = self.shared.lock() {
             shared.held = held;
-            shared.status = status;
+            if std::mem::take(&mut shared.is_asked) {
+                shared.status = self.status();
+            }
+        }
+    }
+
+    fn status(&self) -> Status {
+        let (now, member, voter) = (now(), &self.node.member, self.node.voter());
+        let mut duties = Vec::new();
+        if let Some(voter) = voter {
+            let held = voter.table().grants().map(|(duty, grant)| DutyStatus {
+                name: duty.name().to_owned(),
+                holder: Some(grant.holder.0),
+                epoch: Some(grant.epoch.0),
+                since_ms: voter.held_since(duty).map_or(0, |at| (now - at).as_millis() as u64),
+                why: None,
+            });
+            duties.extend(held);
+            duties.extend(voter.vacant(now).map(|(duty, since, why)| DutyStatus {
+                name: duty.name().to_owned(),
+                holder: None,
+                epoch: None,
+                since_ms: (now - since).as_millis() as u64,
+                why: Some(why.to_string()),
+            }));
+        }
+        Status {
+            me: self.settings.me.0,
+            life: self.life.0,
+            votes: voter.is_some(),
+            trouble: self.seat.trouble().map(str::to_owned),
+            leader: voter.and_then(Voter::leader).map(|MemberId(leader)| leader),
+            version: voter.map_or(0, Voter::version),
+            duties,
+            holds: member.acts_on(now).map(|(duty, _)| duty.name().to_owned()).collect(),
+            reached: self.net.reached().iter().map(|member| member.0).collect(),
+            heard_ms: (now - member.heard()).as_millis() as u64,
         }
     }
 }
--- a/crates/gullcart-peers/src/net.rs
+++ b/crates/gullcart-peers/src/net.rs
@@ -1,8 +1,10 @@
 //! Connections of a group: each member calls each other one, says what it has to say on that connection, and hears on those
 //! that the others opened. What cannot be said is lost, which the group is made for.
 
-use crate::sealed::{Greeting, SealError, Sealed, CODE, MOST_FRAME, MOST_GREETING, VERSION};
+use crate::frames::{bad, greet, read_frame, write_frame, write_greeting};
+use crate::sealed::{Greeting, Opening, SealError, Sealed, CODE, MOST_FRAME, MOST_GREETING, VERSION};
 use crate::settings::Settings;
+use crate::vocabulary::{Status, OPERATOR};
 use gullcart_group::door::{Card, Door};
 use gullcart_group::say::Say;
 use gullcart_group::vocabulary::MemberId;
@@ -14,7 +16,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use tracing::{debug, warn};
@@ -30,8 +32,9 @@
 /// A connection on which nothing was said for so long gets an empty frame, and one on which nothing came for longer is closed.
 const QUIET: Duration = Duration::from_secs(2);
 const SILENT: Duration = Duration::from_secs(7);
-/// Connections from others at a time, and between two that cannot be accepted.
-const CALLERS: usize = 640;
+/// Connections from operators, and from members whose connection before is not closed yet, beside one from each member; and
+/// between two that cannot be accepted.
+const MORE_CALLERS: usize = 8;
 const PAUSE: Duration = Duration::from_millis(20);
 
 /// What the loop hears.
@@ -42,6 +45,8 @@
     Said(MemberId, Box<Say>),
     /// Somebody was met for the first time.
     Changed,
+    /// An operator asks how the group stands.
+    Asked(oneshot::Sender<Status>),
 }
 
 /// The connections.
@@ -76,6 +81,7 @@
     reached: Rc<RefCell<BTreeSet<MemberId>>>,
     is_changed: Rc<RefCell<bool>>,
     callers: RefCell<usize>,
+    most_callers: usize,
 }
 
 /// Calls all others, and hears those that call.
@@ -94,16 +100,12 @@
         reached: Rc::clone(&reached),
         is_changed: Rc::clone(&is_changed),
         callers: RefCell::default(),
+        most_callers: settings.talks_to().count() + MORE_CALLERS,
     });
     spawn_local(accept(listener, site.clone()));
-    let voters = settings.voters();
     let mut out = BTreeMap::new();
-    for member in settings.members.iter().filter(|member| member.number != settings.me.0) {
+    for member in settings.talks_to() {
         let id = MemberId(member.number);
-        // Members that do not vote have nothing to say to each other.
-        if !voters.contains(&id) && !voters.contains(&settings.me) {
-            continue;
-        }
         let (say, said) = mpsc::channel(WAITING);
         out.insert(id, say);
         spawn_local(call(site.clone(), id, member.address, said));
@@ -111,29 +113,10 @@
     Net { out, reached, is_changed }
 }
 
-fn bad(error: SealError) -> io::Error {
-    io::Error::new(io::ErrorKind::InvalidData, error)
-}
-
-async fn read_frame(stream: &mut TcpStream, most: usize) -> io::Result<Vec<u8>> {
-    let length = stream.read_u32_le().await? as usize;
-    if !(CODE..=most).contains(&length) {
-        return Err(bad(SealError::Length(length)));
-    }
-    let mut bytes = vec![0; length];
-    stream.read_exact(&mut bytes).await?;
-    Ok(bytes)
-}
-
-async fn write_greeting(stream: &mut TcpStream, greeting: &Greeting, key: &[u8]) -> io::Result<()> {
-    let bytes = greeting.write(key);
-    stream.write_all(&[&(bytes.len() as u32).to_le_bytes()[..], &bytes].concat()).await
-}
-
 impl Site {
-    fn greeting(&self, to: MemberId) -> Greeting {
+    fn greeting(&self, to: MemberId, answers: Option<u128>) -> Greeting {
         let card = self.door.borrow().card(to);
-        Greeting { version: VERSION, card, to: to.0, nonce: fastrand::u128(..) }
+        Greeting { version: VERSION, card, to: to.0, nonce: fastrand::u128(..), answers }
     }
 
     /// Lets somebody in, or not.
@@ -190,15 +173,12 @@
 async fn begin(site: &Site, to: MemberId, address: SocketAddr) -> io::Result<(TcpStream, Sealed)> {
     let mut stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
-    let mine = site.greeting(to);
-    write_greeting(&mut stream, &mine, &site.key).await?;
-    let bytes = read_frame(&mut stream, MOST_GREETING).await?;
-    let theirs = Greeting::read(&site.key, &bytes, site.me.0).map_err(bad)?;
-    if theirs.card.member != to {
-        return Err(bad(SealError::Receiver));
-    }
+    let mine = site.greeting(to, None);
+    let theirs = greet(&mut stream, &mine, &site.key).await?;
     site.meet(theirs.card)?;
-    Ok((stream, Sealed::new(&site.key, &mine, &theirs)))
+    let mut sealed = Sealed::new(&site.key, &mine, &theirs);
+    write_frame(&mut stream, &mut sealed, &Opening::Member).await?;
+    Ok((stream, sealed))
 }
 
 /// Says what there is to say until the connection fails, or nothing will ever be said again.
@@ -228,7 +208,7 @@
             sleep(PAUSE).await;
             continue;
         };
-        if *site.callers.borrow() >= CALLERS {
+        if *site.callers.borrow() >= site.most_callers {
             continue;
         }
         *site.callers.borrow_mut() += 1;
@@ -244,20 +224,38 @@
     }
 }
 
+/// Tells an operator how the group stands.
+async fn answer(mut stream: TcpStream, site: &Site, mut sealed: Sealed) -> io::Result<()> {
+    let (reply, told) = oneshot::channel();
+    let status = timeout(PATIENCE, async {
+        site.events.send(Event::Asked(reply)).await.ok()?;
+        told.await.ok()
+    });
+    let Some(status) = status.await? else { return Ok(()) };
+    timeout(PATIENCE, write_frame(&mut stream, &mut sealed, &status)).await??;
+    stream.shutdown().await
+}
+
 async fn hear(mut stream: TcpStream, site: &Site) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    let greeted = timeout(PATIENCE, async {
+    let opened = timeout(PATIENCE, async {
         let bytes = read_frame(&mut stream, MOST_GREETING).await?;
         let theirs = Greeting::read(&site.key, &bytes, site.me.0).map_err(bad)?;
-        let mine = site.greeting(theirs.card.member);
+        let mine = site.greeting(theirs.card.member, Some(theirs.nonce));
         // It is told who this is before it is let in: it may have to learn that it is known by another folder.
         write_greeting(&mut stream, &mine, &site.key).await?;
-        site.meet(theirs.card)?;
-        Ok::<_, io::Error>((theirs, mine))
+        let mut sealed = Sealed::new(&site.key, &theirs, &mine);
+        let bytes = read_frame(&mut stream, MOST_GREETING).await?;
+        let opening: Opening = sealed.read(&bytes).map_err(bad)?;
+        Ok::<_, io::Error>((theirs, mine, sealed, opening))
     });
-    let (theirs, mine) = greeted.await??;
+    let (theirs, mine, mut sealed, opening) = opened.await??;
     let from = theirs.card.member;
-    let mut sealed = Sealed::new(&site.key, &theirs, &mine);
+    match (opening, from == OPERATOR) {
+        (Opening::Status, true) => return answer(stream, site, Sealed::new(&site.key, &mine, &theirs)).await,
+        (Opening::Member, false) => site.meet(theirs.card)?,
+        _ => return Err(bad(SealError::Unreadable)),
+    }
     loop {
         let length = timeout(SILENT, stream.read_u32_le()).await?? as usize;
         if length == 0 {
@@ -268,9 +266,76 @@
         }
         let mut bytes = vec![0; length];
         timeout(SILENT, stream.read_exact(&mut bytes)).await??;
-        let say = sealed.read(&bytes).map_err(bad)?;
+        let say: Say = sealed.read(&bytes).map_err(bad)?;
         if site.events.send(Event::Said(from, Box::new(say))).await.is_err() {
             return Ok(());
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use gullcart_group::door::{Birth, Mark, Origin};
+    use gullcart_group::vocabulary::{Life, Terms};
+    use tokio::task::LocalSet;
+
+    const KEY: &[u8] = b"a key that is for tests alone";
+
+    fn settings(listen: SocketAddr) -> Settings {
+        let member = |number: u64| crate::settings::Member {
+            name: number.to_string(),
+            number,
+            address: ([127, 0, 0, 1], number as u16).into(),
+            votes: true,
+        };
+        let members = (1..=3).map(member).collect();
+        Settings {
+            me: MemberId(1),
+            listen,
+            key: KEY.to_vec(),
+            terms: Terms::default(),
+            disk: 1 << 20,
+            members,
+        }
+    }
+
+    /// What member 2 said once may be said again by anybody who heard it. It is taken for an old word until who called has shown
+    /// that it made the code of this very connection.
+    #[test]
+    fn a_greeting_of_long_ago_lets_nobody_in() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        LocalSet::new().block_on(&runtime, async {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            listener.set_nonblocking(true).unwrap();
+            let address = listener.local_addr().unwrap();
+            let settings = settings(address);
+            let passport = Origin::of(None, Mark { device: 1, inode: 1, made_ns: 1 }, 9, None).passport();
+            let door = Door::new(settings.me, &settings.ids(), &settings.voters(), passport);
+            let door = Rc::new(RefCell::new(door));
+            let (events, _heard) = mpsc::channel(16);
+            let _net = open(&settings, listener, door.clone(), events);
+            let card = Card { member: MemberId(2), birth: Birth(5), life: Life(1), knows_you: None };
+            let old = Greeting { version: VERSION, card, to: 1, nonce: 7, answers: None };
+            let knows = || door.borrow().card(MemberId(2)).knows_you;
+            let greeted = async || {
+                let mut stream = TcpStream::connect(address).await.unwrap();
+                write_greeting(&mut stream, &old, KEY).await.unwrap();
+                let bytes = read_frame(&mut stream, MOST_GREETING).await.unwrap();
+                (stream, Greeting::read_answer(KEY, &bytes, &old).unwrap())
+            };
+            let (mut stream, _) = greeted().await;
+            stream.write_all(&[&60u32.to_le_bytes()[..], &[0; 60]].concat()).await.unwrap();
+            assert!(stream.read_u8().await.is_err(), "it is closed on who cannot make the code");
+            assert_eq!(knows(), None);
+            // Who can is let in, with the same words.
+            let (mut stream, theirs) = greeted().await;
+            let mut sealed = Sealed::new(KEY, &old, &theirs);
+            write_frame(&mut stream, &mut sealed, &Opening::Member).await.unwrap();
+            while knows().is_none() {
+                tokio::task::yield_now().await;
+            }
+            assert_eq!(knows(), Some(Birth(5)));
+        });
+    }
+}
--- a/crates/gullcart-peers/src/settings.rs
+++ b/crates/gullcart-peers/src/settings.rs
@@ -163,6 +163,18 @@
         })
     }
 
+    /// Descriptors at most: one to and one from each member that this one talks to, and some for its listener, its files, its
+    /// timers and operators.
+    pub fn sockets(&self) -> usize {
+        2 * self.talks_to().count() + 16
+    }
+
+    /// The others with which this one has anything to say: those that do not vote have nothing to say to each other.
+    pub fn talks_to(&self) -> impl Iterator<Item = &Member> + '_ {
+        let votes = self.members.iter().any(|member| member.number == self.me.0 && member.votes);
+        self.members.iter().filter(move |member| member.number != self.me.0 && (votes || member.votes))
+    }
+
     /// Numbers of those that vote.
     pub fn voters(&self) -> Vec<MemberId> {
         self.members.iter().filter(|member| member.votes).map(|member| MemberId(member.number)).collect()
--- a/crates/gullcart/src/config.rs
+++ b/crates/gullcart/src/config.rs
@@ -3,6 +3,7 @@
 use cloverstile::SettingError;
 use gullcart_journal::{JournalError, OptionsError};
 use gullcart_message::Update;
+use gullcart_peers::settings::SettingsError;
 use serde::Deserialize;
 use std::ffi::OsString;
 use std::path::Path;
@@ -66,6 +67,10 @@
     Journal(#[from] JournalError),
     #[error(transparent)]
     JournalOptions(#[from] OptionsError),
+    #[error("the group: {0}")]
+    Group(#[from] SettingsError),
+    #[error("the group may have {0} bytes (disk_kb), which is more than half of the courier's {1} (limits.disk_mb)")]
+    GroupDisk(u64, u64),
     #[cfg(feature = "broken")]
     #[error("{0}")]
     Broken(String),
@@ -81,9 +86,9 @@
 
 impl Sockets {
     /// At most half goes to endpoints: calls out, calls that are ending, and idle connections.
-    pub fn deal(limit: usize, slots: usize, has_console: bool) -> Self {
+    pub fn deal(limit: usize, slots: usize, has_console: bool, of_group: usize) -> Self {
         let console = if has_console { console::SOCKETS } else { 0 };
-        let rest = limit.saturating_sub(OTHER_SOCKETS + console);
+        let rest = limit.saturating_sub(OTHER_SOCKETS + console + of_group);
         let endpoints = ((2 + IDLE_OF_SLOTS) * slots).min(rest / 2).max(1);
         Sockets { clients: rest.saturating_sub(endpoints).max(2), endpoints }
     }
--- a/crates/gullcart/src/lib.rs
+++ b/crates/gullcart/src/lib.rs
@@ -11,6 +11,7 @@
 mod console;
 mod discovery;
 mod driver;
+mod group;
 mod places;
 mod service;
 mod upgrade;
@@ -19,6 +20,7 @@
 
 use gullcart_engine::Reading;
 use gullcart_journal::Options;
+use gullcart_peers::settings::Settings;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -31,12 +33,15 @@
 use crate::config::{read_config, variable, Config};
 use crate::console::Question;
 use crate::driver::End;
+use crate::group::Place;
 use crate::service::{Carried, Move, Service};
 
 /// Names the console's address, before `console` in the configuration: without either there is none.
 const CONSOLE: &str = "BALANCER_CONSOLE";
 /// Names the operators' file of the journal, where there is one.
 const JOURNAL_FILE: &str = "GULLCART_JOURNAL";
+/// Names the operators' file of the group, where there is one.
+const GROUP_FILE: &str = "GULLCART_GROUP";
 /// How long a process whose courier has moved waits for its SIGTERM.
 const PAST: Duration = Duration::from_secs(60);
 
@@ -98,6 +103,14 @@
         Some(path) => Options::read(Path::new(&path))?,
         None => Options::default(),
     };
+    let group = match std::env::var_os(GROUP_FILE) {
+        Some(path) => Some(Settings::read(Path::new(&path))?),
+        None => None,
+    };
+    let costs = group.as_ref().map(Place::costs).unwrap_or_default();
+    if costs.0 > config.disk() / 2 {
+        return Err(StartError::GroupDisk(costs.0, config.disk()));
+    }
     let console = open_console(&config).await;
     let (ask, mut questions) = console::questions();
     let (serves, serving) = watch::channel(false);
@@ -109,8 +122,10 @@
             end.send_replace(true);
         }
     });
+    let place = group.map(|settings| Place::new(settings, &state));
     let service = Service {
         config,
+        group_costs: costs,
         state,
         options,
         agent,
@@ -128,10 +143,12 @@
     let (arrived, journal) = service.take().await?;
     #[cfg(feature = "broken")]
     let journal = journal.answering_early(service.broken.is(gullcart_engine::broken::Fault::EarlyOk));
+    let mut given = Vec::new();
     let mut running = match arrived {
         None => service.start(journal, None).await?,
         Some(mut arrived) => {
-            let baggage = std::mem::take(&mut arrived.baggage);
+            let mut baggage = std::mem::take(&mut arrived.baggage);
+            given = std::mem::take(&mut baggage.group);
             let carried = Carried { baggage, descriptors: std::mem::take(&mut arrived.descriptors) };
             let running = service.start(journal, Some(carried)).await?;
             if let Err(error) = arrived.serves() {
@@ -141,6 +158,16 @@
             running
         }
     };
+    if let Some(place) = &place {
+        place.take(&given);
+        let (place, mut terminated) = (place.clone(), service.terminated.clone());
+        // At once, not when the last message is out: others go on with what is held here.
+        tokio::task::spawn_local(async move {
+            if terminated.wait_for(|is_told| *is_told).await.is_ok() {
+                place.leave().await;
+            }
+        });
+    }
     // As long as this process has the courier, not one run of it: who asks while a hand-over fails is heard after it.
     let asked = service.has_console.then(|| {
         let state = service.state.clone();
@@ -149,11 +176,16 @@
     loop {
         serves.send_replace(true);
         let stream = match running.run(&mut questions).await? {
-            End::Over => return Ok(()),
+            End::Over => {
+                if let Some(place) = &place {
+                    place.left().await;
+                }
+                return Ok(());
+            }
             End::Move(stream) => stream,
         };
         serves.send_replace(false);
-        match service.give(running, stream).await? {
+        match service.give(running, stream, place.as_ref()).await? {
             Move::Stays(stays) => running = *stays,
             Move::Done(reading) => {
                 // The name is the new process's from here on; who waits in the queue asks there.
--- a/crates/gullcart/src/service.rs
+++ b/crates/gullcart/src/service.rs
@@ -21,6 +21,7 @@
 use crate::console::Question;
 use crate::discovery;
 use crate::driver::{self, Clock, Driver, End, Ends, Stopped};
+use crate::group::Place;
 use crate::upgrade::{self, Arrived, Asked};
 use crate::vocabulary::{Inputs, Told};
 
@@ -46,6 +47,8 @@
 pub struct Service {
     pub config: Config,
     pub state: PathBuf,
+    /// Bytes of the folder, and descriptors, that are the group's.
+    pub group_costs: (u64, usize),
     pub options: Options,
     /// Where discovery is, and whether the process was told to end.
     pub agent: watch::Receiver<String>,
@@ -100,7 +103,7 @@
                     }
                 }
             }
-            match Journal::open(&self.state, self.config.disk(), self.options) {
+            match Journal::open(&self.state, self.disk(), self.options) {
                 Err(JournalError::Folder(error))
                     if self.has_console
                         && error.kind() == std::io::ErrorKind::ResourceBusy
@@ -117,6 +120,11 @@
         }
     }
 
+    /// Bytes that the journal may have.
+    fn disk(&self) -> u64 {
+        self.config.disk().saturating_sub(self.group_costs.0)
+    }
+
     /// Begins a courier, or goes on with one that was carried over.
     pub async fn start(
         &self,
@@ -128,7 +136,7 @@
         #[cfg(feature = "broken")]
         let parsed = self.broken.settings(parsed);
         let (slots, couriers, seed) = (parsed.settings.call_slots, parsed.settings.couriers, config.seed());
-        let sockets = Sockets::deal(config.limits.sockets, slots, self.has_console);
+        let sockets = Sockets::deal(config.limits.sockets, slots, self.has_console, self.group_costs.1);
         let pool = driver::pool(&parsed.settings, sockets.endpoints, seed ^ IDLE_SEED);
         let Carried { baggage, descriptors } =
             carried.unwrap_or(Carried { baggage: Baggage::default(), descriptors: Vec::new() });
@@ -253,11 +261,19 @@
     }
 
     /// Stops the courier and gives it to a process that asks; where that fails it goes on here.
-    pub async fn give(&self, running: Running, stream: UnixStream) -> Result<Move, StartError> {
+    pub async fn give(
+        &self,
+        running: Running,
+        stream: UnixStream,
+        place: Option<&Place>,
+    ) -> Result<Move, StartError> {
         let Running { driver, mut events, clients, listener, tasks } = running;
         tasks.iter().for_each(AbortHandle::abort);
         let began = Instant::now();
         let Stopped { engine, mut baggage, calls, reading } = driver.stop(&mut events, &clients).await?;
+        if let Some(place) = place {
+            baggage.group = place.give().await;
+        }
         baggage.has_listener = listener.is_some();
         let mut descriptors: Vec<OwnedFd> = listener.into_iter().collect();
         for Moved { stream, is_fresh, unread } in clients.given_up() {
@@ -275,8 +291,12 @@
         }
         // Its lock goes with it, and is taken again: whoever has it meanwhile is the owner.
         drop(engine);
-        match Journal::open(&self.state, self.config.disk(), self.options) {
+        match Journal::open(&self.state, self.disk(), self.options) {
             Ok(journal) => {
+                if let Some(place) = place {
+                    // In the same life, unless the other process began to live it.
+                    place.take(&std::mem::take(&mut baggage.group));
+                }
                 let carried = Carried { baggage, descriptors };
                 Ok(Move::Stays(Box::new(self.start(journal, Some(carried)).await?)))
             }
--- a/crates/gullcartctl/src/main.rs
+++ b/crates/gullcartctl/src/main.rs
@@ -4,6 +4,7 @@
 
 mod emulate;
 mod fleet;
+mod group;
 mod journal;
 mod prove;
 mod rehearse;
@@ -30,6 +31,8 @@
     Prove(prove::Arguments),
     /// Look at the journal of a courier that does not run, and repair it
     Journal(journal::Arguments),
+    /// Ask the members of a group how it stands
+    Group(group::Arguments),
     /// Add up, second by second, what many couriers say of each destination in their logs
     Fleet(fleet::Arguments),
     /// Run a program that dies with the process that started it
@@ -50,6 +53,7 @@
         Command::Emulate(arguments) => emulate::emulate(&arguments),
         Command::Prove(arguments) => prove::prove(&arguments),
         Command::Journal(arguments) => journal::journal(&arguments),
+        Command::Group(arguments) => group::group(&arguments),
         Command::Fleet(arguments) => fleet::fleet(&arguments),
         Command::CourierGuard { program, arguments } => Err(format!(
             "cannot run {}: {}",
