--- a/crates/cloverstile/src/books.rs
+++ b/crates/cloverstile/src/books.rs
@@ -157,6 +157,8 @@
     /// A call was lost in silence since the last success.
     pub doubtful: bool,
     pub spell: Option<Spell>,
+    /// Who tries it in a spell.
+    pub trials: Trials,
     /// When the slow start began, if one is on.
     pub returned: Option<Time>,
     /// Calls out, the oldest first.
--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -168,6 +168,12 @@
                 }
                 self.forget_if_over(id);
             }
+            Event::Trials(to, trials) => {
+                if let Some(route) = self.routes.get_mut(&RouteId(to, None)) {
+                    route.trials = trials;
+                }
+            }
+            Event::Learnt(to, news) => self.on_learnt(now, to, news),
             Event::Closing(at) => self.closing = Some(at),
             Event::Finished(finished) => self.on_finished(now, finished),
             Event::ClientGone(id) => self.close(id),
@@ -360,6 +366,26 @@
         }
     }
 
+    /// Another courier tried for all: it counts as if this one had, but for what this one saw since.
+    fn on_learnt(&mut self, now: Time, to: DestinationId, news: News) {
+        let chance = self.rng.f64();
+        let blip = self.settings.rules.fall.mul_f64(BLIP_OF_FALL);
+        let Some(route) = self.routes.get_mut(&RouteId(to, None)) else { return };
+        match news {
+            News::Wait(until) if until - now > blip => {
+                route.told_wait = route.told_wait.max(until);
+                route.shut(chance);
+            }
+            News::Wait(_) => {}
+            News::Served(at) => {
+                if route.spell.as_ref().is_some_and(|spell| spell.began < at) {
+                    route.back(at, blip);
+                    route.last_answer = at;
+                }
+            }
+        }
+    }
+
     /// Whether a tenant is past its quota. The quota is for all couriers together, and what others take of it
     /// cannot be seen: what passes the part assumed to be this courier's counts as beyond.
     fn is_over_share(&mut self, now: Time, tenant: TenantId) -> bool {
@@ -544,15 +570,10 @@
                 route.served.count += 1.0;
                 // A destination that gave no success for a while may be cold: it gets a slow start. Couriers
                 // that saw only the end of an outage are covered by counting from the last success.
-                if route.spell.as_ref().is_some_and(|s| s.failed && now - s.began > blip) {
-                    route.returned = Some(now);
-                    route.tokens = 0.0;
-                }
+                route.back(now, blip);
                 if route.bound && told.is_none() {
                     route.rate += RATE_GROWTH * route.rate.min(shortest_aim(settings).recip());
                 }
-                route.spell = None;
-                (route.evidence, route.cuts, route.doubtful) = (0, 0, false);
                 route.last_answer = now;
                 return;
             }
@@ -560,8 +581,7 @@
             // mandeville: 480 of 490 calls at the fall). So the slow start begins there, by chance inside a
             // call of its pace, and nothing is saved up behind the door.
             Outcome::Full(Some(wait)) if wait > blip => {
-                (route.spell, route.returned) = (None, Some(route.told_wait));
-                (route.filled, route.tokens) = (route.told_wait, chance);
+                route.shut(chance);
                 return;
             }
             Outcome::Full(_) => {
@@ -675,6 +695,11 @@
             }
         }
         if let Some(spell) = &mut route.spell {
+            if let Trials::Elsewhere(until) = route.trials {
+                if now < until {
+                    return Some(until);
+                }
+            }
             // Trials that hang must not gather until they pin the slots of the healthy; but one that was lost
             // by itself must not keep the others back until it times out.
             let room = |slots: usize| ((slots as f64 * TRIAL_SLOTS) as usize).max(1);
@@ -1120,11 +1145,31 @@
         let demand = self.demand.rate(now, cold_s(settings), 0.0);
         let least = if self.is_light(now, settings) { shortest_deadline(settings).recip() } else { 0.0 };
         let own = demand.clamp(self.share, self.share * DEMAND_OF_SERVED);
-        let part = own.max(self.weight / couriers(settings));
+        // Who tries for all has all of it: nobody else uses any while the spell lasts.
+        let for_all = self.spell.is_some() && self.tries_for_all(now);
+        let part = own.max(if for_all { self.weight } else { self.weight / couriers(settings) });
         let share = settings.rules.cold_from + (1.0 - settings.rules.cold_from) * warmth;
         (part * share * settings.rules.tip_multiple * FALL_BUDGET_USED).max(least)
     }
 
+    /// It serves again, or did then: a spell that was long enough makes for a slow start.
+    fn back(&mut self, at: Time, blip: Duration) {
+        if self.spell.take().is_some_and(|spell| spell.failed && at - spell.began > blip) {
+            (self.returned, self.tokens) = (Some(at), 0.0);
+        }
+        (self.evidence, self.cuts, self.doubtful) = (0, 0, false);
+    }
+
+    /// Shut until the told wait is over: the slow start begins there.
+    fn shut(&mut self, chance: f64) {
+        (self.spell, self.returned) = (None, Some(self.told_wait));
+        (self.filled, self.tokens) = (self.told_wait, chance);
+    }
+
+    fn tries_for_all(&self, now: Time) -> bool {
+        matches!(self.trials, Trials::Held(until) if now < until)
+    }
+
     /// Mean time between calls to one cold endpoint of several: its even part of the fall budget.
     fn cold_gap(&mut self, now: Time, settings: &Settings, warmth: f64) -> Duration {
         let part = self.fall_part(now, settings, warmth) / self.endpoints.len().max(1) as f64;
@@ -1137,6 +1182,7 @@
     /// is pinned, some get through, and what waits behind growing gaps is late (fast_errors, crash).
     fn plan_trial(&mut self, now: Time, settings: &Settings, chance: f64) {
         let own = Duration::from_secs_f64(self.fall_part(now, settings, 0.0).max(0.001).recip());
+        let for_all = self.tries_for_all(now);
         let Some(spell) = &mut self.spell else { return };
         let (fall, (first, longest)) = (settings.rules.fall, TRIAL_GAPS_OF_FALL);
         let gap = growing_gap(fall, first, spell.trials).min(fall.mul_f64(longest));
@@ -1145,6 +1191,8 @@
         let from = now.max(self.told_wait);
         // Where nobody answers no gap is shorter in the mean than the budget asks: 200 couriers add up.
         spell.next_risk = from + gap.mul_f64(jitter).max(own.mul_f64(0.5 + chance));
+        // Who tries for all need not use up what many would: the first gap does for them.
+        let own = if for_all { own.max(fall.mul_f64(first)) } else { own };
         spell.next_trial = if spell.answers { from + own.mul_f64(jitter) } else { spell.next_risk };
     }
 }
--- a/crates/cloverstile/src/choice/standing.rs
+++ b/crates/cloverstile/src/choice/standing.rs
@@ -1,8 +1,8 @@
 //! How a courier stands with each destination, for those who look on. Nothing is decided here, and looking changes nothing.
 
 use super::{routes_of, Courier};
-use crate::books::{Address, Route};
-use crate::interface::{DestinationId, Mode, Time};
+use crate::books::{Address, Route, RouteId};
+use crate::interface::{DestinationId, Mode, Outing, Time};
 
 /// What the messages of a destination wait for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,6 +71,23 @@
         })
     }
 
+    /// Destinations that are held to be out, by calls that failed.
+    pub fn outings(&self) -> impl Iterator<Item = DestinationId> + '_ {
+        let out = |route: &Route| route.spell.as_ref().is_some_and(|spell| spell.failed);
+        self.routes.iter().filter(move |(id, route)| id.1.is_none() && out(route)).map(|(id, _)| id.0)
+    }
+
+    /// How it stands with one destination; none where that is no route.
+    pub fn outing(&self, to: DestinationId) -> Option<Outing> {
+        let route = self.routes.get(&RouteId(to, None))?;
+        Some(Outing {
+            since: route.spell.as_ref().filter(|spell| spell.failed).map(|spell| spell.began),
+            waiting: self.queues.contains_key(&to),
+            last_answer: route.last_answer,
+            told_wait: route.told_wait,
+        })
+    }
+
     fn hold(&self, now: Time, route: &Route) -> Hold {
         let passed = (now - route.filled).as_secs_f64();
         match () {
--- a/crates/cloverstile/src/interface.rs
+++ b/crates/cloverstile/src/interface.rs
@@ -334,6 +334,40 @@
     pub share: f64,
 }
 
+/// Who tries a destination in an outage, where couriers agree on that.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Trials {
+    /// Each courier for itself.
+    #[default]
+    Own,
+    /// This one for all, until then.
+    Held(Time),
+    /// Another one for all, which tells what it learns. Until then this one does not.
+    Elsewhere(Time),
+}
+
+/// What another courier learnt of a destination in an outage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum News {
+    /// It served a call then.
+    Served(Time),
+    /// It said to wait until then.
+    Wait(Time),
+}
+
+/// How a courier stands with a destination that it held to be out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Outing {
+    /// Since when it is held to be out, by calls that failed; none where it is not.
+    pub since: Option<Time>,
+    /// There are messages to try it with.
+    pub waiting: bool,
+    /// When it last served a call, as far as is known.
+    pub last_answer: Time,
+    /// Until when it said to wait.
+    pub told_wait: Time,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -402,6 +436,10 @@
     Restored(Restored),
     /// An outage seen before a restart; comes after the list.
     Recalled(Outage),
+    /// Who tries a destination in an outage from now on. It holds for destinations that are one route.
+    Trials(DestinationId, Trials),
+    /// Another courier, which tries for all, learnt something.
+    Learnt(DestinationId, News),
     /// The final answer of a message has arrived (see [`Settings::answers_take_time`]).
     Heard(MessageId),
     /// The courier ends at this time: no call is begun that would not be over by then.
--- a/crates/cloverstile/tests/trials.rs
+++ b/crates/cloverstile/tests/trials.rs
@@ -91,3 +91,38 @@
     // A quarter of eight slots, with the one that is out.
     assert_eq!(sent.len(), 1, "{sent:?}");
 }
+
+/// Calls sent in ten seconds to a destination that ends each one so at once, by who is to try it; 300 couriers share it.
+fn trials_of(who: impl Fn(Time) -> Trials, outcome: Outcome) -> usize {
+    let settings = Settings { couriers: 300, ..settings(vec![safe()]) };
+    let mut bench = Bench::new(settings, vec![endpoint(7, 1)]);
+    (0..200).for_each(|id| bench.accept(id, 0, 1, None));
+    let (mut out, mut sent) = (Vec::new(), 0);
+    let end = bench.now + Duration::from_secs(10);
+    while bench.now < end {
+        bench.tell(Event::Trials(DestinationId(1), who(bench.now)));
+        std::mem::take(&mut out).into_iter().for_each(|id| bench.finish(id, 7, outcome, ms(20)));
+        out = bench.routes().into_iter().map(|(id, ..)| id).collect();
+        sent += out.len();
+        bench.now = bench.now + ms(5);
+    }
+    sent
+}
+
+/// Who tries for 300 couriers tries about as often as a few of them would, and those for whom it tries not at all; whatever was
+/// agreed on once, nobody is idle once it is over.
+#[test]
+fn one_tries_for_all_and_nobody_waits_for_it_for_ever() {
+    for outcome in [Outcome::Error, Outcome::ConnectFailed] {
+        let held = trials_of(|now| Trials::Held(now + ms(500)), outcome);
+        let own = trials_of(|_| Trials::Own, outcome);
+        assert!((25..400).contains(&held), "{outcome:?}: {held} by who tries for all");
+        assert!(held > 2 * own, "{outcome:?}: {held} by who tries for all, {own} by each for itself");
+        let elsewhere = trials_of(|now| Trials::Elsewhere(now + ms(500)), outcome);
+        assert!(elsewhere < 10, "{outcome:?}: {elsewhere} by who does not");
+        let (first, over) = (Time(0), Time(0) + Duration::from_secs(1));
+        for past in [Trials::Held(first), Trials::Elsewhere(over)] {
+            assert_eq!(trials_of(|_| past, outcome), own, "{outcome:?}: {past:?} is over");
+        }
+    }
+}
--- a/crates/gullcart-engine/src/engine.rs
+++ b/crates/gullcart-engine/src/engine.rs
@@ -17,6 +17,7 @@
 use crate::figures::{Counts, Ends, Reading};
 use crate::seldom::Seldom;
 use crate::tally::Tally;
+use crate::trials::{DutyView, TrialDuties, TrialWish};
 use crate::vocabulary::{
     Answer, Call, Denied, Effect as Doing, Ended, Enqueue, Input, Notice, Order, Stop, Ticket,
 };
@@ -266,6 +267,20 @@
         Ok(std::mem::take(&mut self.effects))
     }
 
+    /// Looks at the duties that couriers agree on, before a turn: what is to be asked of the group. `asked` are those that it
+    /// has been asked for, `view` is how each stands.
+    pub fn look_at_duties(
+        &mut self,
+        now: Time,
+        duties: &mut TrialDuties,
+        asked: impl IntoIterator<Item = DestinationId>,
+        view: impl Fn(DestinationId) -> Option<DutyView>,
+    ) -> Vec<TrialWish> {
+        let (events, wishes) = duties.look(now, &self.courier, asked, view);
+        events.into_iter().for_each(|event| self.courier.handle(now, event));
+        wishes
+    }
+
     /// Whether the process may end now.
     pub fn may_end(&self, now: Time) -> bool {
         let Some((least, last)) = self.ends else { return false };
--- a/crates/gullcart-engine/src/lib.rs
+++ b/crates/gullcart-engine/src/lib.rs
@@ -19,6 +19,7 @@
 mod idle_share;
 mod seldom;
 mod tally;
+mod trials;
 mod vocabulary;
 
 pub use calls_for_lists::CallsForLists;
@@ -29,4 +30,5 @@
 pub use idle_share::IdleShare;
 pub use seldom::Seldom;
 pub use tally::TALLY;
+pub use trials::{DutyView, Holder, Told, TrialDuties, TrialWish};
 pub use vocabulary::{Answer, Call, Denied, Effect, Ended, Enqueue, Input, Notice, Order, Stop, Ticket};
--- a/crates/gullcart-group/src/member.rs
+++ b/crates/gullcart-group/src/member.rs
@@ -2,8 +2,9 @@
 //! counts its lease from before each sign of life that the group has heard, on a clock that runs while it sleeps.
 
 use crate::lease::Lease;
-use crate::say::{Ask, View, MOST_WATCHED};
-use crate::vocabulary::{Duty, Epoch, Life, MemberId, Moment, Terms};
+use crate::say::{Ask, View, Watched, MOST_WATCHED};
+use crate::table::Note;
+use crate::vocabulary::{Duty, Epoch, Life, MemberId, Moment, Terms, Words};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -34,6 +35,16 @@
 struct Want {
     /// When it is claimed, if it is free then; none while somebody has it.
     claim_at: Option<Moment>,
+    /// It is not claimed before: it was passed on.
+    rests_until: Moment,
+}
+
+/// How a duty stands that a member wants, as it was told last.
+#[derive(Clone, Debug, Default)]
+struct Other {
+    grant: Option<(MemberId, Epoch)>,
+    /// What was told of it, and when that was agreed on at the latest.
+    note: Option<(Note, Moment)>,
 }
 
 /// What a member holds.
@@ -81,7 +92,9 @@
     wants: BTreeMap<Duty, Want>,
     held: BTreeMap<Duty, Held>,
     /// Who holds what is wanted, as last told.
-    others: BTreeMap<Duty, Option<(MemberId, Epoch)>>,
+    others: BTreeMap<Duty, Other>,
+    /// What is to be told of what it holds, until that is agreed on.
+    notes: BTreeMap<Duty, Words>,
     next_beat: Moment,
     next_look: Moment,
     heard: Moment,
@@ -110,6 +123,7 @@
             wants: BTreeMap::new(),
             held: BTreeMap::new(),
             others: BTreeMap::new(),
+            notes: BTreeMap::new(),
             next_beat: now,
             next_look: now,
             heard: now,
@@ -161,7 +175,7 @@
             return false;
         }
         let claim_at = Some(self.claim_after(now));
-        self.wants.insert(duty.clone(), Want { claim_at });
+        self.wants.insert(duty.clone(), Want { claim_at, rests_until: Moment::default() });
         self.next_look = now;
         true
     }
@@ -170,18 +184,51 @@
     pub fn give_up(&mut self, now: Moment, duty: &Duty) {
         self.wants.remove(duty);
         self.others.remove(duty);
+        self.notes.remove(duty);
         if let Some(held) = self.held.get_mut(duty) {
             held.given_up = true;
             self.next_look = now;
         }
     }
 
+    /// Gives it up where it is held, wants to be told of it all the same, and does not claim it for so long.
+    pub fn pass_on(&mut self, now: Moment, duty: &Duty, rest: Duration) {
+        if let Some(want) = self.wants.get_mut(duty) {
+            want.rests_until = now + rest;
+            want.claim_at = want.claim_at.map(|at| at.max(now + rest));
+        }
+        if let Some(held) = self.held.get_mut(duty) {
+            held.given_up = true;
+            self.next_look = now;
+        }
+    }
+
+    /// Tells all that want a duty something of it, while it is held.
+    pub fn tell(&mut self, now: Moment, duty: &Duty, words: Words) {
+        let is_new = self.notes.get(duty) != Some(&words);
+        if is_new && self.held.get(duty).is_some_and(|held| !held.given_up) {
+            self.notes.insert(duty.clone(), words);
+            self.next_look = now;
+        }
+    }
+
+    /// What was told last of a duty that it wants, and when that was agreed on at the latest.
+    pub fn note(&self, duty: &Duty) -> Option<(&Note, Moment)> {
+        let (note, at) = self.others.get(duty)?.note.as_ref()?;
+        Some((note, *at))
+    }
+
     /// Gives all up: the process ends.
     pub fn give_all_up(&mut self, now: Moment) {
         let all: Vec<Duty> = self.wants.keys().chain(self.held.keys()).cloned().collect();
         all.iter().for_each(|duty| self.give_up(now, duty));
     }
 
+    /// All that it wants.
+    pub fn wants(&self) -> impl Iterator<Item = &Duty> + '_ {
+        self.wants.keys()
+    }
+
     /// Under which epoch it may act on a duty now. To be asked right before each act.
     pub fn may_act(&self, now: Moment, duty: &Duty) -> Option<Epoch> {
         let held = self.held.get(duty).filter(|held| !held.given_up)?;
@@ -200,7 +247,7 @@
 
     /// Who holds a duty that it wants, as last told.
     pub fn holder(&self, duty: &Duty) -> Option<(MemberId, Epoch)> {
-        self.others.get(duty).copied().flatten()
+        self.others.get(duty)?.grant
     }
 
     /// Whether a newer start of this member exists: this process has no say any more.
@@ -241,20 +288,30 @@
             }
             self.held.insert(duty, Held { epoch, given_up });
         }
-        for (duty, grant) in view.watched {
-            if !self.wants.contains_key(&duty) {
-                continue;
-            }
+        for Watched { duty, grant, note } in view.watched {
+            let Some(Want { claim_at, rests_until }) = self.wants.get(&duty).copied() else { continue };
             let claim_at = match grant {
-                None => {
-                    let planned = self.wants.get(&duty).and_then(|want| want.claim_at);
-                    planned.or_else(|| Some(self.claim_after(now)))
-                }
+                None => claim_at.or_else(|| Some(self.claim_after(now).max(rests_until))),
                 Some(_) => None,
             };
-            self.others.insert(duty.clone(), grant.map(|grant| (grant.holder, grant.epoch)));
-            self.wants.insert(duty, Want { claim_at });
+            let other = self.others.entry(duty.clone()).or_default();
+            other.grant = grant.map(|grant| (grant.holder, grant.epoch));
+            if let Some((note, ago_us)) = note {
+                // Each voter counts from when it saw it, so that the earliest of what was said is nearest.
+                let at = Moment(now.0.saturating_sub(ago_us));
+                let known = other.note.as_ref().filter(|(known, _)| *known == note).map(|(_, at)| *at);
+                other.note = Some((note, known.map_or(at, |known| known.min(at))));
+            }
+            self.wants.insert(duty, Want { claim_at, rests_until });
         }
+        // What is agreed on is not said again, nor what cannot be any more.
+        let (held, others) = (&self.held, &self.others);
+        self.notes.retain(|duty, words| {
+            let told = others.get(duty).and_then(|other| other.note.as_ref()).map(|(note, _)| note);
+            held.get(duty).is_some_and(|held| {
+                !told.is_some_and(|note| note.epoch == held.epoch && note.words == *words)
+            })
+        });
     }
 
     fn claim_after(&mut self, now: Moment) -> Moment {
@@ -311,7 +368,15 @@
             self.next_look = now + self.terms.beat();
         }
         let watches = self.wants.keys().cloned().collect();
-        let ask = Ask { life: self.life, beat, claim, releases, watches };
+        let noted = |(duty, words): (&Duty, &Words)| {
+            let held = self.held.get(duty)?;
+            Some((duty.clone(), held.epoch, words.clone()))
+        };
+        let notes: Vec<_> = self.notes.iter().filter_map(noted).collect();
+        if !notes.is_empty() {
+            self.next_look = now + self.terms.beat();
+        }
+        let ask = Ask { life: self.life, beat, claim, releases, notes, watches };
         Some((self.voters[self.voter], ask))
     }
 
--- a/crates/gullcart-group/src/say.rs
+++ b/crates/gullcart-group/src/say.rs
@@ -2,8 +2,8 @@
 
 use crate::log::Image;
 use crate::order::Stamp;
-use crate::table::{Command, Grant, Session};
-use crate::vocabulary::{Beat, Duty, Epoch, Life, MemberId};
+use crate::table::{Command, Grant, Note, Session};
+use crate::vocabulary::{Beat, Duty, Epoch, Life, MemberId, Words};
 use omnipaxos::messages::Message;
 use serde::{Deserialize, Serialize};
 
@@ -21,6 +21,8 @@
     pub claim: Option<Duty>,
     /// What it gives up.
     pub releases: Vec<(Duty, Epoch)>,
+    /// What it tells of duties that it holds.
+    pub notes: Vec<(Duty, Epoch, Words)>,
     /// What it wants to be told of.
     pub watches: Vec<Duty>,
 }
@@ -36,8 +38,20 @@
     pub newest_life: Option<Life>,
     /// What it holds, in whatever life.
     pub holds: Vec<(Duty, Life, Epoch)>,
-    /// Who holds what it watches.
-    pub watched: Vec<(Duty, Option<Grant>)>,
+    /// How what it watches stands.
+    pub watched: Vec<Watched>,
+}
+
+/// How a duty stands that a member watches.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Watched {
+    /// Which.
+    pub duty: Duty,
+    /// Who holds it.
+    pub grant: Option<Grant>,
+    /// What was told last of it, and how many microseconds ago that was agreed on at the least; none where the voter that says
+    /// this cannot tell, as it was agreed on before it began.
+    pub note: Option<(Note, u64)>,
 }
 
 /// What one process says to another.
@@ -88,7 +102,7 @@
                 if !voters.contains(&to) {
                     return Err(Refused::Voter);
                 }
-                let most = ask.watches.len().max(ask.releases.len());
+                let most = ask.watches.len().max(ask.releases.len()).max(ask.notes.len());
                 (most <= MOST_WATCHED).then_some(()).ok_or(Refused::Length)
             }
             Say::View(view) => {
--- a/crates/gullcart-group/src/table.rs
+++ b/crates/gullcart-group/src/table.rs
@@ -5,7 +5,7 @@
 //! says what it was proposed on, and does nothing where that is no longer so. A stretch of commands that is taken in once more
 //! from its beginning to the last one changes nothing: the library does that where it joins what it compacted.
 
-use crate::vocabulary::{Beat, Duty, Epoch, Life, MemberId};
+use crate::vocabulary::{Beat, Duty, Epoch, Life, MemberId, Words};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -13,6 +13,8 @@
 pub const MOST_MEMBERS: usize = 1024;
 /// Duties held at a time at most.
 pub const MOST_DUTIES: usize = 16_384;
+/// Duties of which something was told, at most.
+const MOST_NOTES: usize = 1024;
 
 /// What is agreed on, one after the other.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -39,6 +41,19 @@
         /// As it was granted.
         epoch: Epoch,
     },
+    /// A holder tells all that want a duty something of it.
+    Note {
+        /// Who.
+        member: MemberId,
+        /// In which life.
+        life: Life,
+        /// Of which.
+        duty: Duty,
+        /// As it was granted.
+        epoch: Epoch,
+        /// What.
+        words: Words,
+    },
     /// A voter has not heard from a member for longer than its lease since this sign of life.
     Expire {
         /// Who.
@@ -70,6 +85,15 @@
     pub epoch: Epoch,
 }
 
+/// What a holder told last of a duty; it outlasts its grant.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Note {
+    /// Under which epoch.
+    pub epoch: Epoch,
+    /// What.
+    pub words: Words,
+}
+
 /// Guards of the table that a test can take out.
 #[cfg(feature = "unguarded")]
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
@@ -82,6 +106,8 @@
     pub grants_what_is_held: bool,
     /// Epochs begin anew when a duty was given up.
     pub epochs_begin_anew: bool,
+    /// Who held a duty once is listened to.
+    pub listens_to_past_holders: bool,
 }
 
 /// The agreed table.
@@ -94,6 +120,7 @@
     /// Members that may hold something.
     sessions: BTreeMap<MemberId, Session>,
     duties: BTreeMap<Duty, Grant>,
+    notes: BTreeMap<Duty, Note>,
 }
 
 impl Table {
@@ -117,12 +144,17 @@
         self.duties.get(duty).copied()
     }
 
+    /// What was told last of a duty.
+    pub fn note(&self, duty: &Duty) -> Option<&Note> {
+        self.notes.get(duty)
+    }
+
     /// All that is held.
     pub fn grants(&self) -> impl Iterator<Item = (&Duty, Grant)> + '_ {
         self.duties.iter().map(|(duty, grant)| (duty, *grant))
     }
 
-    /// Takes in what was agreed on next; duties that have another holder, or none, by it.
+    /// Takes in what was agreed on next; duties that have another holder, or none, or of which something was told by it.
     pub fn apply(&mut self, command: &Command) -> Vec<Duty> {
         self.apply_guarded(
             command,
@@ -191,6 +223,25 @@
                     }
                 }
             }
+            Command::Note { member, life, duty, epoch, words } => {
+                let given = Grant { holder: *member, life: *life, epoch: *epoch };
+                let is_given = self.duties.get(duty) == Some(&given);
+                #[cfg(feature = "unguarded")]
+                let is_given = is_given || unguarded.listens_to_past_holders;
+                let note = Note { epoch: *epoch, words: words.clone() };
+                if !is_given || self.notes.get(duty) == Some(&note) {
+                    return changed;
+                }
+                if self.notes.len() >= MOST_NOTES && !self.notes.contains_key(duty) {
+                    // The one of longest ago.
+                    let oldest = self.notes.iter().min_by_key(|(_, note)| note.epoch);
+                    if let Some(oldest) = oldest.map(|(duty, _)| duty.clone()) {
+                        self.notes.remove(&oldest);
+                    }
+                }
+                self.notes.insert(duty.clone(), note);
+                changed.push(duty.clone());
+            }
             Command::Expire { member, life, beat } => {
                 let last = Session { life: *life, beat: *beat };
                 let is_last = self.sessions.get(member) == Some(&last);
@@ -261,6 +312,35 @@
         assert_eq!(held(&both), None);
     }
 
+    #[test]
+    fn who_holds_a_duty_is_listened_to_and_nobody_else_and_what_it_told_stays() {
+        let words = |text: &str| Words::new(text.as_bytes()).unwrap();
+        let note = |member, epoch, text| Command::Note {
+            member,
+            life: Life(1),
+            duty: duty(),
+            epoch: Epoch(epoch),
+            words: words(text),
+        };
+        let told = |table: &Table| table.note(&duty()).map(|note| (note.epoch.0, note.words.clone()));
+        let mut table = Table::default();
+        table.apply(&beat(A, 1, 1, true));
+        assert_eq!(table.apply(&note(A, 1, "served")), vec![duty()]);
+        assert_eq!(table.apply(&note(A, 1, "served")), vec![], "it is told already");
+        assert_eq!(table.apply(&note(B, 1, "no")), vec![]);
+        table.apply(&expire(A, 1, 1));
+        assert_eq!(told(&table), Some((1, words("served"))));
+        table.apply(&beat(B, 1, 1, true));
+        // The holder before wakes up.
+        assert_eq!(table.apply(&note(A, 1, "late")), vec![]);
+        assert_eq!(table.apply(&note(B, 2, "down")), vec![duty()]);
+        assert_eq!(told(&table), Some((2, words("down"))));
+        // Without the look at who holds it, what it says now is undone.
+        let unguarded = Unguarded { listens_to_past_holders: true, ..Unguarded::default() };
+        table.apply_without(&note(A, 1, "late"), unguarded);
+        assert_eq!(told(&table), Some((1, words("late"))));
+    }
+
     #[test]
     fn what_comes_twice_or_late_does_nothing() {
         let mut one = table(&[beat(A, 1, 1, true), beat(A, 1, 2, false)]);
--- a/crates/gullcart-group/src/vocabulary.rs
+++ b/crates/gullcart-group/src/vocabulary.rs
@@ -88,6 +88,39 @@
     }
 }
 
+/// Bytes that a holder may tell of a duty at most.
+pub const LONGEST_WORDS: usize = 32;
+
+/// What a holder tells of a duty. What it means is its own affair.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "Vec<u8>", into = "Vec<u8>")]
+pub struct Words(Vec<u8>);
+
+impl Words {
+    /// Some bytes; none where they are too many.
+    pub fn new(bytes: &[u8]) -> Option<Self> {
+        (bytes.len() <= LONGEST_WORDS).then(|| Words(bytes.to_vec()))
+    }
+
+    /// The bytes.
+    pub fn bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+impl TryFrom<Vec<u8>> for Words {
+    type Error = &'static str;
+    fn try_from(bytes: Vec<u8>) -> Result<Self, Self::Error> {
+        Words::new(&bytes).ok_or("a holder may tell 32 bytes at most")
+    }
+}
+
+impl From<Words> for Vec<u8> {
+    fn from(words: Words) -> Vec<u8> {
+        words.0
+    }
+}
+
 /// How long things take. The same for all members of a group: the group's file is compared when they meet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Terms {
--- a/crates/gullcart-group/src/voter.rs
+++ b/crates/gullcart-group/src/voter.rs
@@ -7,9 +7,9 @@
 use crate::lease::Watch;
 use crate::log::{Image, Log, Record};
 use crate::pace::Pace;
-use crate::say::{Ask, View, MOST_WATCHED};
-use crate::table::{Command, Session, Table, MOST_DUTIES, MOST_MEMBERS};
-use crate::vocabulary::{Duty, MemberId, Moment, Terms};
+use crate::say::{Ask, View, Watched, MOST_WATCHED};
+use crate::table::{Command, Note, Session, Table, MOST_DUTIES, MOST_MEMBERS};
+use crate::vocabulary::{Duty, Epoch, MemberId, Moment, Terms};
 use omnipaxos::messages::sequence_paxos::{PaxosMessage, PaxosMsg};
 use omnipaxos::messages::Message;
 use omnipaxos::util::LogEntry;
@@ -83,6 +83,14 @@
     watches: BTreeSet<Duty>,
 }
 
+/// When this voter saw how a duty stands.
+#[derive(Clone, Debug)]
+struct Since {
+    epoch: Option<Epoch>,
+    at: Moment,
+    note: Option<(Note, Moment)>,
+}
+
 /// What is to be done, in this order: records kept for good, then messages sent. Where they cannot be kept nothing may be
 /// sent, and the voter must be made anew from what was kept.
 #[derive(Debug, Default)]
@@ -111,6 +119,7 @@
     /// What was proposed a moment ago.
     ended: Pace<MemberId>,
     claimed: Pace<Duty>,
+    noted: Pace<Duty>,
     attached: BTreeMap<MemberId, Attached>,
     /// Said to other voters, until the turn is over.
     votes: Vec<Message<Command>>,
@@ -119,8 +128,8 @@
     based: Pace<MemberId>,
     /// Members that are owed a view.
     owed: BTreeSet<MemberId>,
-    /// Since when duties are held, or free, as they are.
-    since: BTreeMap<Duty, Moment>,
+    /// Since when duties are held, or free, as they are, and since when what was told of them is agreed on.
+    since: BTreeMap<Duty, Since>,
     begun: Moment,
     ticked: Moment,
     turned: Moment,
@@ -159,6 +168,7 @@
             watch: Watch::default(),
             ended: Pace::new(AGAIN),
             claimed: Pace::new(AGAIN),
+            noted: Pace::new(AGAIN),
             attached: BTreeMap::new(),
             votes: Vec::new(),
             lacking: BTreeSet::new(),
@@ -177,6 +187,8 @@
         };
         voter.begin_table();
         voter.apply(now);
+        // All of it was agreed on before.
+        voter.since.clear();
         Ok(voter)
     }
 
@@ -303,6 +315,7 @@
         self.unsettled = Moment::default();
         self.owed.extend(self.attached.keys());
         self.apply(now);
+        self.since.clear();
         self.drain();
         Ok(true)
     }
@@ -325,7 +338,7 @@
 
     /// A member asks for something.
     pub fn ask(&mut self, now: Moment, member: MemberId, ask: Ask) {
-        let Ask { life, beat, claim, releases, watches } = ask;
+        let Ask { life, beat, claim, releases, notes, watches } = ask;
         if self.attached.len() >= MOST_MEMBERS && !self.attached.contains_key(&member) {
             return;
         }
@@ -338,6 +351,14 @@
                 self.propose(Command::Release { member, life, duty, epoch });
             }
         }
+        for (duty, epoch, words) in notes.into_iter().take(MOST_WATCHED) {
+            let note = Note { epoch, words };
+            let is_held = self.table.grant(&duty).is_some_and(|g| g.holder == member && g.epoch == epoch);
+            if is_held && self.table.note(&duty) != Some(&note) && self.noted.is_due(now, duty.clone()) {
+                let words = note.words;
+                self.propose(Command::Note { member, life, duty, epoch, words });
+            }
+        }
         let Some(beat) = beat else { return };
         // Of many that claim a duty at one moment one is enough.
         let claim =
@@ -437,10 +458,16 @@
             session: self.table.session(member),
             newest_life: self.table.newest_life(member),
             holds: mine.map(|(duty, grant)| (duty.clone(), grant.life, grant.epoch)).collect(),
-            watched: attached.watches.iter().map(|duty| (duty.clone(), self.table.grant(duty))).collect(),
+            watched: attached.watches.iter().map(|duty| self.watched(duty)).collect(),
         })
     }
 
+    fn watched(&self, duty: &Duty) -> Watched {
+        let told = self.since.get(duty).and_then(|since| since.note.as_ref());
+        let note = told.map(|(note, at)| (note.clone(), (self.turned - *at).as_micros() as u64));
+        Watched { duty: duty.clone(), grant: self.table.grant(duty), note }
+    }
+
     /// Takes in what was decided.
     fn apply(&mut self, now: Moment) {
         let decided = self.paxos.get_decided_idx();
@@ -460,15 +487,26 @@
 
     /// Members to whom a command matters are told how things stand now.
     fn owe(&mut self, command: &Command, changed: Vec<Duty>, now: Moment) {
-        let (Command::Beat { member, .. } | Command::Release { member, .. } | Command::Expire { member, .. }) =
-            command;
+        let (Command::Beat { member, .. }
+        | Command::Release { member, .. }
+        | Command::Note { member, .. }
+        | Command::Expire { member, .. }) = command;
         self.owed.insert(*member);
         let watching = self
             .attached
             .iter()
             .filter(|(_, attached)| changed.iter().any(|duty| attached.watches.contains(duty)));
         self.owed.extend(watching.map(|(member, _)| *member));
-        self.since.extend(changed.into_iter().map(|duty| (duty, now)));
+        for duty in changed {
+            let epoch = self.table.grant(&duty).map(|grant| grant.epoch);
+            let since = self.since.entry(duty.clone()).or_insert(Since { epoch, at: now, note: None });
+            if since.epoch != epoch {
+                (since.epoch, since.at) = (epoch, now);
+            }
+            if let (Command::Note { .. }, Some(note)) = (command, self.table.note(&duty)) {
+                since.note = Some((note.clone(), now));
+            }
+        }
         if self.since.len() > 2 * MOST_DUTIES {
             self.since.retain(|duty, _| self.table.grant(duty).is_some());
         }
@@ -476,7 +514,7 @@
 
     /// Since when a duty is held as it is, or free; none where that was before this voter began.
     pub fn held_since(&self, duty: &Duty) -> Option<Moment> {
-        self.since.get(duty).copied()
+        self.since.get(duty).map(|since| since.at)
     }
 
     /// Duties that members here want and nobody holds: since when, and why.
--- a/crates/gullcart-group/tests/common/mod.rs
+++ b/crates/gullcart-group/tests/common/mod.rs
@@ -70,6 +70,8 @@
     /// One turn of it was cut off before what it wrote was kept, or before what it said was sent.
     is_torn: bool,
     wants: Vec<Duty>,
+    /// The epoch under which something was told last of each, in this start.
+    told: BTreeMap<Duty, Epoch>,
     wake: u64,
 }
 
@@ -82,6 +84,8 @@
     /// Longest time in which nobody held a duty that was wanted, after the faults were over.
     pub vacant_us: u64,
     pub messages: u64,
+    /// Words of holders that somebody heard for the first time.
+    pub told: u64,
 }
 
 #[derive(Clone, Copy, Default)]
@@ -92,6 +96,8 @@
     pub forgets_votes: bool,
     /// Messages leave although what they promise was not kept.
     pub sends_before_keeping: bool,
+    /// Holders tell nothing: no guard, but days stay as they were when rare breaches were found.
+    pub tells_nothing: bool,
     /// Words between voters are listened to in whatever order they come.
     pub hears_late_words: bool,
     /// Who gave itself up to another process, and comes back, goes on as it was whatever that one did.
@@ -119,6 +125,11 @@
     pub seen: Seen,
 }
 
+/// What a holder tells: who it is, and under which epoch.
+fn words(member: MemberId, epoch: Epoch) -> Words {
+    Words::new(&[member.0.to_le_bytes(), epoch.0.to_le_bytes()].concat()).unwrap()
+}
+
 pub fn id(place: usize) -> MemberId {
     MemberId(place as u64 + 1)
 }
@@ -138,6 +149,7 @@
             starts_at: Some(0),
             is_torn: false,
             wants: Vec::new(),
+            told: BTreeMap::new(),
             wake: 0,
         });
         let mut world = World {
@@ -219,6 +231,7 @@
             node.member.want(now, &duty);
         }
         process.node = Some(node);
+        process.told.clear();
         process.wake = self.now;
     }
 
@@ -320,6 +333,15 @@
         let clock = self.clock(place);
         let process = &mut self.processes[place];
         let Some(node) = &mut process.node else { return };
+        for duty in process.wants.iter().filter(|_| !self.guards.tells_nothing) {
+            // Who holds it says so once under each epoch.
+            if let Some(epoch) = node.member.may_act(clock, duty) {
+                let words = words(id(place), epoch);
+                if node.member.note(duty).is_none_or(|(note, _)| note.words != words) {
+                    node.member.tell(clock, duty, words);
+                }
+            }
+        }
         let output = node.turn(clock);
         // A cut is worst where something was to be kept.
         let torn = process.is_torn && !output.records.is_empty();
@@ -365,6 +387,25 @@
         Ok(())
     }
 
+    /// What is told of a duty was told by who held it then, and nothing older comes after it.
+    fn hears(&mut self, place: usize) -> Result<(), String> {
+        let process = &mut self.processes[place];
+        let Some(node) = &process.node else { return Ok(()) };
+        for duty in &process.wants {
+            let Some((note, _)) = node.member.note(duty) else { continue };
+            let holder = self.grants.get(&(duty.clone(), note.epoch)).copied();
+            if holder.is_some_and(|holder| note.words != words(holder, note.epoch)) {
+                return Err(format!("{} us: {duty}: {note:?} was told, and {holder:?} held it", self.now));
+            }
+            let last = process.told.insert(duty.clone(), note.epoch);
+            if last.is_some_and(|last| last > note.epoch) {
+                return Err(format!("{} us: {duty}: {note:?} after {last:?}", self.now));
+            }
+            self.seen.told += u64::from(last != Some(note.epoch));
+        }
+        Ok(())
+    }
+
     /// Everybody who may act does; what lands is judged. An error is a breach.
     fn judge(&mut self, duties: usize) -> Result<(), String> {
         for duty in (0..duties).map(duty) {
@@ -460,6 +501,7 @@
                 }
                 self.turn(place);
                 self.agrees(place)?;
+                self.hears(place)?;
                 self.judge(duties)?;
             }
         }
--- a/crates/gullcart-group/tests/library.rs
+++ b/crates/gullcart-group/tests/library.rs
@@ -61,7 +61,8 @@
         self.beat += 1;
         let claim = Duty::new(&format!("duty-{}", self.beat));
         let beat = Some(Beat(self.beat));
-        let ask = Ask { life: Life(1), beat, claim, releases: Vec::new(), watches: Vec::new() };
+        let ask =
+            Ask { life: Life(1), beat, claim, releases: Vec::new(), notes: Vec::new(), watches: Vec::new() };
         self.voters[leader].ask(self.now, MemberId(9), ask);
     }
 
--- a/crates/gullcart-group/tests/random.rs
+++ b/crates/gullcart-group/tests/random.rs
@@ -38,6 +38,7 @@
         disordered_day(seed, Guards::default())
             .unwrap_or_else(|breach| panic!("disordered seed {seed}: {breach}"));
         assert!(seen.acts > 0, "seed {seed}: nobody ever held anything");
+        assert!(seen.told > 0, "seed {seed}: nobody ever heard of a holder");
         (acts, grants, worst) = (acts + seen.acts, grants + seen.grants, worst.max(seen.vacant_us));
     }
     println!("{:?}: {acts} acts, {grants} grants, vacant for {worst} us at the worst", days());
@@ -79,6 +80,7 @@
 
 /// Days until a guard that was taken out is missed.
 fn missed(guards: Guards, from: u64) -> Option<(u64, String)> {
+    let guards = Guards { tells_nothing: true, ..guards };
     (from..from + 600).find_map(|seed| {
         let days = [day(seed, guards), rough_day(seed, guards), disordered_day(seed, guards)];
         days.into_iter().find_map(Result::err).map(|breach| (seed, breach))
@@ -109,7 +111,11 @@
     ];
     for (name, guards) in cases {
         // One day in some two thousand: the search begins near one.
-        let from = if name == "drains at the end" { 540_000 } else { 0 };
+        let from = match name {
+            "drains at the end" => 540_000,
+            "hears late words" => 9_110,
+            _ => 0,
+        };
         let found = missed(guards, from);
         println!("{name}: {found:?}");
         assert!(found.is_some(), "{name}: nobody misses it");
--- a/crates/gullcart-peers/src/group.rs
+++ b/crates/gullcart-peers/src/group.rs
@@ -4,7 +4,7 @@
 use crate::folder::{Keep, KeepError};
 use crate::net::{self, Event, Net};
 use crate::settings::Settings;
-use crate::vocabulary::{now, DutyStatus, Given, GroupError, Shared, Status, Wish};
+use crate::vocabulary::{now, DutyStatus, Given, GroupError, Look, Shared, Status, Wish};
 use gullcart_group::door::{Door, Left, Origin, Passport};
 use gullcart_group::log::{Image, Record};
 use gullcart_group::member::Packed;
@@ -14,12 +14,13 @@
 use gullcart_group::vocabulary::{Duty, Life, MemberId};
 use gullcart_group::voter::Voter;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::time::sleep;
 use tracing::{error, info, warn};
 
@@ -31,6 +32,9 @@
 const LONGEST: Duration = Duration::from_millis(500);
 /// A process that leaves stays for so long after it has given all up.
 const LINGER: Duration = Duration::from_millis(250);
+/// Another one that holds a duty is believed to for so many leases after the group was heard last: who only watches asks it
+/// every other lease.
+const BELIEVED_LEASES: u32 = 4;
 /// Steps of the seat in one turn at most; the rest is for the next one.
 const STEPS: usize = 8;
 
@@ -91,6 +95,7 @@
     node: Node,
     net: Net,
     shared: Arc<Mutex<Shared>>,
+    changed: Arc<Notify>,
     life: Life,
 }
 
@@ -98,6 +103,7 @@
 pub(crate) async fn run(
     begin: Begin,
     shared: Arc<Mutex<Shared>>,
+    changed: Arc<Notify>,
     mut wishes: mpsc::Receiver<Wish>,
 ) -> Result<(), GroupError> {
     let Begin { settings, folder, keep, image, passport, trouble, member, wants, listener, .. } = begin;
@@ -117,8 +123,19 @@
     let door = Rc::new(RefCell::new(door));
     let (events, mut heard) = mpsc::channel(EVENTS);
     let net = net::open(&settings, listener, door.clone(), events);
-    let mut group =
-        Group { settings, folder, keep: Some(keep), kept: None, door, seat, node, net, shared, life };
+    let mut group = Group {
+        settings,
+        folder,
+        keep: Some(keep),
+        kept: None,
+        door,
+        seat,
+        node,
+        net,
+        shared,
+        changed,
+        life,
+    };
     let mut batch = Vec::with_capacity(BATCH);
     let mut leaving: Option<oneshot::Sender<()>> = None;
     let mut ends_at = None;
@@ -146,6 +163,8 @@
                     }
                 }
                 Some(Wish::GiveUp(duty)) => group.node.member.give_up(now(), &duty),
+                Some(Wish::PassOn(duty, rest)) => group.node.member.pass_on(now(), &duty, rest),
+                Some(Wish::Tell(duty, words)) => group.node.member.tell(now(), &duty, words),
                 Some(Wish::Leave(done)) => {
                     group.node.member.give_all_up(now());
                     leaving = Some(done);
@@ -279,9 +298,21 @@
     fn show(&self) {
         let member = &self.node.member;
         let until = member.lease().unwrap_or_default();
-        let held = member.acts_on(now()).map(|(duty, epoch)| (duty.clone(), (epoch, until))).collect();
+        let held: BTreeMap<_, _> =
+            member.acts_on(now()).map(|(duty, epoch)| (duty.clone(), (epoch, until))).collect();
+        let believed = member.heard() + self.settings.terms.lease * BELIEVED_LEASES;
+        let look = |duty: &Duty| {
+            let other = member.holder(duty).filter(|(holder, _)| *holder != self.settings.me);
+            let told = member.note(duty);
+            let told = told.map(|(note, at)| (note.epoch, note.words.bytes().to_vec(), at));
+            (duty.clone(), Look { other_until: other.map(|_| believed), told })
+        };
+        let looks: BTreeMap<_, _> = member.wants().map(look).collect();
         if let Ok(mut shared) = self.shared.lock() {
-            shared.held = held;
+            if !shared.held.keys().eq(held.keys()) || shared.looks != looks {
+                self.changed.notify_one();
+            }
+            (shared.held, shared.looks) = (held, looks);
             if std::mem::take(&mut shared.is_asked) {
                 shared.status = self.status();
             }
--- a/crates/gullcart-peers/src/handle.rs
+++ b/crates/gullcart-peers/src/handle.rs
@@ -3,14 +3,14 @@
 
 use crate::group::{run, Begin};
 use crate::settings::Settings;
-use crate::vocabulary::{now, Given, GroupError, Shared, Status, Wish};
-use gullcart_group::vocabulary::{Duty, Epoch};
+use crate::vocabulary::{now, Given, GroupError, Look, Shared, Status, Wish};
+use gullcart_group::vocabulary::{Duty, Epoch, Words};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::LocalSet;
 use tokio::time::{sleep, timeout};
 use tracing::{error, info};
@@ -26,6 +26,7 @@
     wishes: mpsc::Sender<Wish>,
     address: SocketAddr,
     thread: JoinHandle<()>,
+    changed: Arc<Notify>,
 }
 
 impl Handle {
@@ -36,10 +37,31 @@
 
     /// Under which epoch a duty may be acted on now; to be asked right before each act.
     pub fn may_act(&self, duty: &Duty) -> Option<Epoch> {
+        self.holds(duty).map(|(epoch, _)| epoch)
+    }
+
+    /// The same, and for how long if nothing more is heard.
+    pub fn holds(&self, duty: &Duty) -> Option<(Epoch, Duration)> {
         let shared = self.shared.lock().ok()?;
         let (epoch, until) = shared.held.get(duty)?;
         // The clock last: the lock may have been waited for.
-        (now() < *until).then_some(*epoch)
+        let left = *until - now();
+        (!left.is_zero()).then_some((*epoch, left))
+    }
+
+    /// How a duty stands that is wanted.
+    pub fn look(&self, duty: &Duty) -> Option<Look> {
+        self.shared.lock().ok()?.looks.get(duty).cloned()
+    }
+
+    /// All that is wanted.
+    pub fn wants(&self) -> Vec<Duty> {
+        self.shared.lock().map(|shared| shared.looks.keys().cloned().collect()).unwrap_or_default()
+    }
+
+    /// Notified when what is held, or how something wanted stands, has changed.
+    pub fn changed(&self) -> Arc<Notify> {
+        self.changed.clone()
     }
 
     /// Wants to hold a duty; false where too much is asked at once.
@@ -55,6 +77,19 @@
         self.wishes.try_send(Wish::GiveUp(duty)).is_ok()
     }
 
+    /// Gives it up where it is held, wants to hear of it all the same, and does not claim it for so long.
+    pub fn pass_on(&self, duty: Duty, rest: Duration) -> bool {
+        if let Ok(mut shared) = self.shared.lock() {
+            shared.held.remove(&duty);
+        }
+        self.wishes.try_send(Wish::PassOn(duty, rest)).is_ok()
+    }
+
+    /// Tells all that want a duty something of it, while it is held here.
+    pub fn tell(&self, duty: Duty, words: Words) -> bool {
+        self.wishes.try_send(Wish::Tell(duty, words)).is_ok()
+    }
+
     /// How the group stood when it was last looked at or changed.
     pub fn status(&self) -> Status {
         let Ok(mut shared) = self.shared.lock() else { return Status::default() };
@@ -105,12 +140,13 @@
     let address = begin.address();
     let shared = Arc::new(Mutex::new(Shared::default()));
     let (wishes, wished) = mpsc::channel(WISHES);
-    let told = shared.clone();
+    let (told, changed) = (shared.clone(), Arc::new(Notify::new()));
+    let tell = changed.clone();
     let work = move || {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let done = runtime
             .map_err(GroupError::Thread)
-            .and_then(|runtime| LocalSet::new().block_on(&runtime, run(begin, told.clone(), wished)));
+            .and_then(|runtime| LocalSet::new().block_on(&runtime, run(begin, told.clone(), tell, wished)));
         if let Err(error) = done {
             error!(%error, "this courier belongs to no group any more, and goes on by itself");
             if let Ok(mut shared) = told.lock() {
@@ -123,5 +159,5 @@
     let thread =
         std::thread::Builder::new().name("group".to_owned()).spawn(work).map_err(GroupError::Thread)?;
     info!(%address, "the group listens");
-    Ok(Handle { shared, wishes, address, thread })
+    Ok(Handle { shared, wishes, address, thread, changed })
 }
--- a/crates/gullcart-peers/src/sealed.rs
+++ b/crates/gullcart-peers/src/sealed.rs
@@ -159,7 +159,14 @@
     }
 
     fn say() -> Say {
-        Say::Ask(Ask { life: Life(1), beat: None, claim: None, releases: Vec::new(), watches: Vec::new() })
+        Say::Ask(Ask {
+            life: Life(1),
+            beat: None,
+            claim: None,
+            releases: Vec::new(),
+            notes: Vec::new(),
+            watches: Vec::new(),
+        })
     }
 
     #[test]
--- a/crates/gullcart-peers/src/vocabulary.rs
+++ b/crates/gullcart-peers/src/vocabulary.rs
@@ -3,11 +3,12 @@
 use crate::folder::KeepError;
 use gullcart_group::door::Left;
 use gullcart_group::member::Packed;
-use gullcart_group::vocabulary::{Duty, Epoch, MemberId, Moment};
+use gullcart_group::vocabulary::{Duty, Epoch, MemberId, Moment, Words};
 use rustix::time::{clock_gettime, ClockId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::oneshot;
 
@@ -77,11 +78,22 @@
     pub heard_ms: u64,
 }
 
+/// How a duty stands that is wanted, as it was told last.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Look {
+    /// Another member holds it, and is believed to until then.
+    pub other_until: Option<Moment>,
+    /// What was told of it: under which epoch, in which words, and when that was agreed on at the latest.
+    pub told: Option<(Epoch, Vec<u8>, Moment)>,
+}
+
 /// What both sides see.
 #[derive(Default)]
 pub(crate) struct Shared {
     /// What may be acted on, until when.
     pub held: BTreeMap<Duty, (Epoch, Moment)>,
+    /// All that is wanted.
+    pub looks: BTreeMap<Duty, Look>,
     pub status: Status,
     /// The status was looked at since it was made.
     pub is_asked: bool,
@@ -91,6 +103,8 @@
 pub(crate) enum Wish {
     Want(Duty),
     GiveUp(Duty),
+    PassOn(Duty, Duration),
+    Tell(Duty, Words),
     Leave(oneshot::Sender<()>),
     Pack(oneshot::Sender<Box<Given>>),
 }
--- a/crates/gullcart-standins/src/world.rs
+++ b/crates/gullcart-standins/src/world.rs
@@ -223,6 +223,8 @@
     pub sockets: u32,
     /// Each endpoint has a destination of its own, from 1 on.
     pub apart: bool,
+    /// Couriers that share the endpoints, as they are told.
+    pub couriers: u32,
     /// Further variables that couriers are given.
     pub variables: Vec<(String, String)>,
     disk_mb: f64,
@@ -269,6 +271,7 @@
             slots: 16,
             sockets: 1024,
             apart: false,
+            couriers: 1,
             variables: Vec::new(),
             disk_mb,
         }
@@ -281,6 +284,21 @@
         world
     }
 
+    /// Calls go where those of another world go, which is asked about them.
+    pub fn call_where(&mut self, other: &World) {
+        self.endpoints = other.endpoints.clone();
+    }
+
+    /// The next call before a moment, if one comes.
+    pub fn call_until(&self, end: Instant) -> Option<Call> {
+        loop {
+            match self.seen.recv_timeout(end.saturating_duration_since(Instant::now())).ok()? {
+                Seen::Call(call) => return Some(call),
+                Seen::Notice(_) => {}
+            }
+        }
+    }
+
     /// A world in which the module waits long before it gives anything up.
     pub fn patient(program: &str, endpoints: usize, disk_mb: f64) -> Self {
         World { aim: 100, ..World::new(program, endpoints, disk_mb) }
@@ -374,7 +392,7 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets, "disk_mb": self.disk_mb},
             "known": {"rev": 1, "all": true, "targets": targets},
             "settings": {
-                "Balancers": 1, "Lanes": classes, "MachineTypes": ["banks"], "Zones": ["kingston"],
+                "Balancers": self.couriers, "Lanes": classes, "MachineTypes": ["banks"], "Zones": ["kingston"],
                 "WeightSource": "nominal", "FamilyInfo": {"CallsOut": self.slots, "KindBatch": [1], "OwnLimits": [false]},
                 "Permissions": {"MostHeld": self.most_held, "SendCap": 8, "Cancel": true, "ConnIdle": 15_000_000_000_u64, "ConnectTimeout": 5_000_000_000_u64},
                 "Rules": {"AnswerSlack": 20_000_000, "OrderSettle": 100_000_000, "Fall": 2_000_000_000},
--- a/crates/gullcart/src/driver.rs
+++ b/crates/gullcart/src/driver.rs
@@ -3,7 +3,7 @@
 use cloverstile::{MessageId, Outcome, Settings, Time};
 use gullcart_engine::{
     Answer, Call, Denied, Effect, Ended, Engine, IdleShare, Input, Notice, Reading, Seldom, Stop, Ticket,
-    EPOCH,
+    TrialDuties, EPOCH,
 };
 use gullcart_handover::{Baggage, CarriedCall};
 use gullcart_journal::{Folder, JournalError};
@@ -22,6 +22,7 @@
 use crate::calls::{self, Pool};
 use crate::clients::{Clients, Phase};
 use crate::console::Question;
+use crate::group::Place;
 use crate::upgrade;
 use crate::vocabulary::{Inputs, Told};
 use crate::wire::{Gone, Progress};
@@ -108,6 +109,8 @@
 
 /// Where the other parts are reached.
 pub struct Ends {
+    /// The courier's place in a group, where it has one.
+    pub place: Option<Place>,
     /// What happens to this part, also by its own doing.
     pub inputs: Inputs,
     pub notices: Sender<Notice>,
@@ -128,6 +131,14 @@
     ))
 }
 
+/// Waits until the group has something new; for ever without one.
+async fn changed(place: Option<&Place>) {
+    match place {
+        Some(place) => place.changed().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// The loop.
 pub struct Driver {
     engine: Engine<Folder>,
@@ -145,10 +156,17 @@
     latest: Duration,
     late: Seldom,
     denied: Seldom,
+    duties: TrialDuties,
 }
 
 impl Driver {
-    pub fn new(engine: Engine<Folder>, clock: Clock, pool: Rc<Pool>, ends: Ends) -> Self {
+    pub fn new(
+        engine: Engine<Folder>,
+        clock: Clock,
+        pool: Rc<Pool>,
+        ends: Ends,
+        duties: TrialDuties,
+    ) -> Self {
         Driver {
             engine,
             clock,
@@ -162,6 +180,7 @@
             latest: Duration::ZERO,
             late: Seldom::default(),
             denied: Seldom::default(),
+            duties,
         }
     }
 
@@ -187,6 +206,7 @@
                     }
                 }
                 _ = events.recv_many(&mut batch, BATCH) => {}
+                () = changed(self.ends.place.as_ref()) => {}
                 () = sleep_until(wake.unwrap_or(never)), if wake.is_some() => {}
                 _ = sweep.tick() => {
                     self.pool.sweep();
@@ -356,6 +376,13 @@
     /// Ends a turn and does what it brought about. No other task runs meanwhile, so that nothing leaves the process
     /// before the journal has what it promises.
     fn turn(&mut self) -> Result<(), JournalError> {
+        if let Some(place) = &self.ends.place {
+            // Right before what it decides, and its calls leave within the same turn.
+            let now = self.clock.now();
+            let view = |to| place.view(now, to);
+            let wishes = self.engine.look_at_duties(now, &mut self.duties, place.asked(), view);
+            wishes.into_iter().for_each(|wish| place.wish(wish));
+        }
         for effect in self.engine.turn(self.clock.now())? {
             self.act(effect);
         }
--- a/crates/gullcart/src/group.rs
+++ b/crates/gullcart/src/group.rs
@@ -1,9 +1,12 @@
 //! The courier's place in a group, where `GULLCART_GROUP` names a file. Without it none of this is there: no thread, no socket,
 //! no file. Whatever becomes of the group, the courier carries messages.
 
+use cloverstile::{DestinationId, Time};
+use gullcart_engine::{DutyView, Holder, Told, TrialWish};
+use gullcart_group::vocabulary::{Duty, Words};
 use gullcart_peers::handle::{start, Handle};
 use gullcart_peers::settings::Settings;
-use gullcart_peers::vocabulary::Given;
+use gullcart_peers::vocabulary::{now as boot_now, Given, Look};
 use std::cell::RefCell;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -13,6 +16,8 @@
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
+/// What duties of trials are called, before the destination.
+const TRIALS: &str = "trials/";
 /// Between two looks whether the group has ended by itself, and two tries to belong to it again.
 const LOOK: Duration = Duration::from_secs(1);
 const AGAIN: Duration = Duration::from_secs(5);
@@ -79,6 +84,55 @@
         }
     }
 
+    /// Duties that were asked for.
+    pub fn asked(&self) -> Vec<DestinationId> {
+        let handle = self.handle.borrow();
+        let wants = handle.as_ref().map(Handle::wants).unwrap_or_default();
+        wants.iter().filter_map(destination).collect()
+    }
+
+    /// How a duty stands, in the courier's time.
+    pub fn view(&self, now: Time, to: DestinationId) -> Option<DutyView> {
+        let handle = self.handle.borrow();
+        let (handle, duty) = (handle.as_ref()?, duty(to)?);
+        let Look { other_until, told } = handle.look(&duty)?;
+        // Its clock goes on while the machine sleeps, and the courier's may not: what is left is looked up anew each time.
+        let boot = boot_now();
+        let holder = match (handle.holds(&duty), other_until) {
+            (Some((epoch, left)), _) => Holder::Me { epoch: epoch.0, until: now + left },
+            (None, Some(until)) if until > boot => Holder::Other { until: now + (until - boot) },
+            (None, _) => Holder::Nobody,
+        };
+        let told = told.map(|(epoch, words, at)| Told { epoch: epoch.0, words, at: now - (boot - at) });
+        Some(DutyView { holder, told })
+    }
+
+    /// Asks the group for something. Where it cannot be asked, the courier finds that nothing has changed, and asks again.
+    pub fn wish(&self, wish: TrialWish) {
+        let handle = self.handle.borrow();
+        let Some(handle) = handle.as_ref() else { return };
+        let done = match wish {
+            TrialWish::Want(to) => duty(to).map(|duty| handle.want(duty)),
+            TrialWish::GiveUp(to) => duty(to).map(|duty| handle.give_up(duty)),
+            TrialWish::PassOn(to, rest) => duty(to).map(|duty| handle.pass_on(duty, rest)),
+            TrialWish::Tell(to, words) => {
+                duty(to).zip(Words::new(&words)).map(|(duty, words)| handle.tell(duty, words))
+            }
+        };
+        if done != Some(true) {
+            warn!("the group is asked for too much at once");
+        }
+    }
+
+    /// Waits until something of that has changed; for ever where there is no group.
+    pub async fn changed(&self) {
+        let changed = self.handle.borrow().as_ref().map(Handle::changed);
+        match changed {
+            Some(changed) => changed.notified().await,
+            None => sleep(LOOK).await,
+        }
+    }
+
     fn leave_alone(&self) -> Option<Handle> {
         if let Some(keeper) = self.keeper.take() {
             keeper.abort();
@@ -108,3 +162,12 @@
         }
     }
 }
+
+/// The duty to try a destination for all.
+fn duty(to: DestinationId) -> Option<Duty> {
+    Duty::new(&format!("{TRIALS}{}", to.0))
+}
+
+fn destination(duty: &Duty) -> Option<DestinationId> {
+    duty.name().strip_prefix(TRIALS)?.parse().ok().map(DestinationId)
+}
--- a/crates/gullcart/src/lib.rs
+++ b/crates/gullcart/src/lib.rs
@@ -131,6 +131,7 @@
         agent,
         terminated,
         has_console: console.is_some(),
+        place,
         #[cfg(feature = "broken")]
         broken: {
             use gullcart_engine::broken::{Broken, VARIABLE};
@@ -158,7 +159,7 @@
             running
         }
     };
-    if let Some(place) = &place {
+    if let Some(place) = &service.place {
         place.take(&given);
         let (place, mut terminated) = (place.clone(), service.terminated.clone());
         // At once, not when the last message is out: others go on with what is held here.
@@ -177,7 +178,7 @@
         serves.send_replace(true);
         let stream = match running.run(&mut questions).await? {
             End::Over => {
-                if let Some(place) = &place {
+                if let Some(place) = &service.place {
                     place.left().await;
                 }
                 return Ok(());
@@ -185,7 +186,7 @@
             End::Move(stream) => stream,
         };
         serves.send_replace(false);
-        match service.give(running, stream, place.as_ref()).await? {
+        match service.give(running, stream).await? {
             Move::Stays(stays) => running = *stays,
             Move::Done(reading) => {
                 // The name is the new process's from here on; who waits in the queue asks there.
--- a/crates/gullcart/src/service.rs
+++ b/crates/gullcart/src/service.rs
@@ -1,7 +1,7 @@
 //! The courier's parts put together, in a process that begins with it or that goes on with that of another.
 
 use cloverstile::{parse_settings_json, MessageId, Time};
-use gullcart_engine::{CallsForLists, Engine, Input, Reading, Start};
+use gullcart_engine::{CallsForLists, Engine, Input, Reading, Start, TrialDuties};
 use gullcart_handover::{Act, Baggage, CarriedClient};
 use gullcart_journal::{Folder, Journal, JournalError, Options};
 use std::net::SocketAddr;
@@ -34,6 +34,7 @@
 /// Sets the chance of calls for lists, and of what is kept, apart from that of decisions.
 const IDLE_SEED: u64 = 0x6964_6c65;
 const LIST_SEED: u64 = 0x6c69_7374;
+const DUTY_SEED: u64 = 0x6475_7479;
 /// Connections that wait to be accepted.
 const QUEUE: u32 = 1024;
 /// How long a process waits for the folder that another one holds, where it may: SIGTERM reaches that one 6 s after this one
@@ -54,6 +55,8 @@
     pub agent: watch::Receiver<String>,
     pub terminated: watch::Receiver<bool>,
     pub has_console: bool,
+    /// The courier's place in a group, where it has one.
+    pub place: Option<Place>,
     #[cfg(feature = "broken")]
     pub broken: gullcart_engine::broken::Broken,
 }
@@ -136,6 +139,7 @@
         #[cfg(feature = "broken")]
         let parsed = self.broken.settings(parsed);
         let (slots, couriers, seed) = (parsed.settings.call_slots, parsed.settings.couriers, config.seed());
+        let duties = TrialDuties::new(parsed.settings.rules.fall, seed ^ DUTY_SEED);
         let sockets = Sockets::deal(config.limits.sockets, slots, self.has_console, self.group_costs.1);
         let pool = driver::pool(&parsed.settings, sockets.endpoints, seed ^ IDLE_SEED);
         let Carried { baggage, descriptors } =
@@ -187,7 +191,8 @@
         let (notices, owed) = mpsc::channel(NOTICES);
         let (phase, phases) = watch::channel(clients::Phase::Serving);
         let rev = engine.rev();
-        let mut driver = Driver::new(engine, clock, pool, Ends { inputs: inputs.clone(), notices, phase });
+        let ends = Ends { place: self.place.clone(), inputs: inputs.clone(), notices, phase };
+        let mut driver = Driver::new(engine, clock, pool, ends, duties);
         driver.go_on(calls);
         let limits = ClientLimits {
             connections: sockets.clients,
@@ -261,17 +266,12 @@
     }
 
     /// Stops the courier and gives it to a process that asks; where that fails it goes on here.
-    pub async fn give(
-        &self,
-        running: Running,
-        stream: UnixStream,
-        place: Option<&Place>,
-    ) -> Result<Move, StartError> {
+    pub async fn give(&self, running: Running, stream: UnixStream) -> Result<Move, StartError> {
         let Running { driver, mut events, clients, listener, tasks } = running;
         tasks.iter().for_each(AbortHandle::abort);
         let began = Instant::now();
         let Stopped { engine, mut baggage, calls, reading } = driver.stop(&mut events, &clients).await?;
-        if let Some(place) = place {
+        if let Some(place) = &self.place {
             baggage.group = place.give().await;
         }
         baggage.has_listener = listener.is_some();
@@ -293,7 +293,7 @@
         drop(engine);
         match Journal::open(&self.state, self.disk(), self.options) {
             Ok(journal) => {
-                if let Some(place) = place {
+                if let Some(place) = &self.place {
                     // In the same life, unless the other process began to live it.
                     place.take(&std::mem::take(&mut baggage.group));
                 }
--- a/crates/gullcart/tests/group.rs
+++ b/crates/gullcart/tests/group.rs
@@ -1,76 +1,13 @@
 //! Couriers that belong to a group, as processes: it begins, goes on over upgrades, and costs no message when it fails.
 
-use gullcart_peers::operator::ask;
+mod common;
+
+use common::{Group, PROGRAM};
 use gullcart_peers::settings::Settings;
-use gullcart_peers::vocabulary::Status;
 use gullcart_standins::world::*;
-use std::net::{SocketAddr, TcpListener};
-use std::os::unix::fs::PermissionsExt;
-use std::path::PathBuf;
+use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_gullcart");
-/// Far longer than anything here takes.
-const PATIENCE: Duration = Duration::from_secs(40);
-
-/// Three couriers of one group, each in a world of its own.
-struct Group {
-    worlds: Vec<World>,
-    files: Vec<PathBuf>,
-}
-
-fn free_addresses() -> Vec<SocketAddr> {
-    let listeners: Vec<_> = (0..3).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    listeners.iter().map(|listener| listener.local_addr().unwrap()).collect()
-}
-
-impl Group {
-    fn new() -> Self {
-        let addresses = free_addresses();
-        let mut worlds: Vec<World> = (0..3).map(|_| World::with_console(PROGRAM, 1)).collect();
-        let mut files = Vec::new();
-        for (place, world) in worlds.iter_mut().enumerate() {
-            let key = world.folder().join("key");
-            std::fs::write(&key, "a key that is for tests alone").unwrap();
-            std::fs::set_permissions(&key, std::fs::Permissions::from_mode(0o600)).unwrap();
-            let mut text = format!(
-                "name = \"m{place}\"\nlisten = \"{}\"\nkey_file = \"key\"\ndisk_kb = 256\n",
-                addresses[place]
-            );
-            for (other, address) in addresses.iter().enumerate() {
-                let number = other + 1;
-                text += &format!(
-                    "[[member]]\nname = \"m{other}\"\nnumber = {number}\naddress = \"{address}\"\nvotes = true\n"
-                );
-            }
-            let file = world.folder().join("group.toml");
-            std::fs::write(&file, text).unwrap();
-            world.variables.push(("GULLCART_GROUP".to_owned(), file.display().to_string()));
-            files.push(file);
-        }
-        Group { worlds, files }
-    }
-
-    fn status(&self, place: usize) -> Option<Status> {
-        let settings = Settings::read(&self.files[place]).unwrap();
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        runtime.block_on(ask(&settings, &settings.members[place])).ok()
-    }
-
-    fn until(&self, place: usize, what: &str, is_it: impl Fn(&Status) -> bool) -> Status {
-        let begun = Instant::now();
-        let mut last = None;
-        while begun.elapsed() < PATIENCE {
-            last = self.status(place);
-            if let Some(status) = last.as_ref().filter(|status| is_it(status)) {
-                return status.clone();
-            }
-            std::thread::sleep(Duration::from_millis(10));
-        }
-        panic!("never: {what}; {last:?}")
-    }
-}
-
 #[test]
 fn without_a_file_there_is_no_thread_and_no_folder() {
     let world = World::with_console(PROGRAM, 1);
