Refuse greetings of another group, and measure what a quiet one costs

Two groups that were given one key, or files that were not changed together, would have met: a greeting names a sum over voters and terms, and another one is turned away with words that say so. The quiet group is weighed in virtual time and among daemons.

--- a/crates/gullcart-group/tests/common/mod.rs
+++ b/crates/gullcart-group/tests/common/mod.rs
@@ -84,6 +84,8 @@
     /// Longest time in which nobody held a duty that was wanted, after the faults were over.
     pub vacant_us: u64,
     pub messages: u64,
+    /// ... and their bytes, where they are weighed.
+    pub bytes: u64,
     /// Words of holders that somebody heard for the first time.
     pub told: u64,
 }
@@ -122,6 +124,7 @@
     vacant_since: BTreeMap<Duty, u64>,
     /// The table that voters came to, by its version: they must all come to the same.
     agreed: BTreeMap<u64, Table>,
+    pub weighs: bool,
     pub seen: Seen,
 }
 
@@ -169,6 +172,7 @@
             grants: BTreeMap::new(),
             vacant_since: BTreeMap::new(),
             agreed: BTreeMap::new(),
+            weighs: false,
             seen: Seen::default(),
         };
         if weather.fault_every_us == 0 {
@@ -310,6 +314,9 @@
 
     fn send(&mut self, from: usize, to: MemberId, say: Say) {
         self.seen.messages += 1;
+        if self.weighs {
+            self.seen.bytes += postcard::to_allocvec(&say).map_or(0, |bytes| bytes.len() as u64);
+        }
         let to = to.0 as usize - 1;
         if to >= self.processes.len() || self.cut.get(&(from, to)).is_some_and(|until| *until > self.now) {
             return;
--- a/crates/gullcart-group/tests/random.rs
+++ b/crates/gullcart-group/tests/random.rs
@@ -141,3 +141,35 @@
         }
     }
 }
+
+/// Messages and bytes a second of a quiet group: where nobody wants anything, and where all want one duty that one holds.
+fn quiet(members: usize, voters: usize, wants: bool) -> (f64, f64) {
+    let calm = Weather { fault_every_us: 0, loss: 0.0, twice: 0.0, late_percent: 0, ..Weather::default() };
+    let mut world = World::new(members, voters, 1, calm, Guards { tells_nothing: true, ..Guards::default() });
+    if wants {
+        (0..members).for_each(|place| world.want(place, 1));
+    }
+    world.play(10 * SECOND, 1).unwrap();
+    let before = world.seen.clone();
+    world.weighs = true;
+    world.play(30 * SECOND, 1).unwrap();
+    let (messages, bytes) = (world.seen.messages - before.messages, world.seen.bytes - before.bytes);
+    (messages as f64 / 20.0, bytes as f64 / 20.0)
+}
+
+/// Couriers that do not vote cost nothing while nothing is out, and little each while something is.
+#[test]
+fn a_quiet_group_says_little_whatever_its_size() {
+    let mut all = Vec::new();
+    for (members, voters) in [(3, 3), (30, 3), (300, 3), (300, 7)] {
+        let (idle, idle_bytes) = quiet(members, voters, false);
+        let (busy, busy_bytes) = quiet(members, voters, true);
+        println!(
+            "{members} members, {voters} vote: {idle:.0} messages and {idle_bytes:.0} bytes a second where nothing is wanted, \
+             {busy:.0} and {busy_bytes:.0} where all want one duty"
+        );
+        assert!(busy - idle < 30.0 + 2.0 * members as f64, "{members}: {idle} {busy}");
+        all.push(idle);
+    }
+    assert!(all[2] < 1.1 * all[0], "300 members cost what 3 do while nothing is wanted: {all:?}");
+}
--- a/crates/gullcart-peers/src/net.rs
+++ b/crates/gullcart-peers/src/net.rs
@@ -75,6 +75,7 @@
 /// What all connections share.
 struct Site {
     me: MemberId,
+    group: u64,
     key: Vec<u8>,
     door: Rc<RefCell<Door>>,
     events: mpsc::Sender<Event>,
@@ -94,6 +95,7 @@
     let (reached, is_changed) = (Rc::default(), Rc::default());
     let site = Rc::new(Site {
         me: settings.me,
+        group: settings.group(),
         key: settings.key.clone(),
         door,
         events,
@@ -116,12 +118,15 @@
 impl Site {
     fn greeting(&self, to: MemberId, answers: Option<u128>) -> Greeting {
         let card = self.door.borrow().card(to);
-        Greeting { version: VERSION, card, to: to.0, nonce: fastrand::u128(..), answers }
+        Greeting { version: VERSION, card, to: to.0, group: self.group, nonce: fastrand::u128(..), answers }
     }
 
     /// Lets somebody in, or not.
-    fn meet(&self, card: Card) -> io::Result<()> {
-        let met = self.door.borrow_mut().meet(card);
+    fn meet(&self, greeting: &Greeting) -> io::Result<()> {
+        if greeting.group != self.group {
+            return Err(bad(SealError::Group));
+        }
+        let met = self.door.borrow_mut().meet(greeting.card);
         match met {
             Ok(false) => Ok(()),
             Ok(true) => {
@@ -175,7 +180,7 @@
     stream.set_nodelay(true)?;
     let mine = site.greeting(to, None);
     let theirs = greet(&mut stream, &mine, &site.key).await?;
-    site.meet(theirs.card)?;
+    site.meet(&theirs)?;
     let mut sealed = Sealed::new(&site.key, &mine, &theirs);
     write_frame(&mut stream, &mut sealed, &Opening::Member).await?;
     Ok((stream, sealed))
@@ -253,7 +258,7 @@
     let from = theirs.card.member;
     match (opening, from == OPERATOR) {
         (Opening::Status, true) => return answer(stream, site, Sealed::new(&site.key, &mine, &theirs)).await,
-        (Opening::Member, false) => site.meet(theirs.card)?,
+        (Opening::Member, false) => site.meet(&theirs)?,
         _ => return Err(bad(SealError::Unreadable)),
     }
     loop {
@@ -316,20 +321,28 @@
             let (events, _heard) = mpsc::channel(16);
             let _net = open(&settings, listener, door.clone(), events);
             let card = Card { member: MemberId(2), birth: Birth(5), life: Life(1), knows_you: None };
-            let old = Greeting { version: VERSION, card, to: 1, nonce: 7, answers: None };
+            let group = settings.group();
+            let old = Greeting { version: VERSION, card, to: 1, group, nonce: 7, answers: None };
             let knows = || door.borrow().card(MemberId(2)).knows_you;
-            let greeted = async || {
+            let greeted = async |greeting: &Greeting| {
                 let mut stream = TcpStream::connect(address).await.unwrap();
-                write_greeting(&mut stream, &old, KEY).await.unwrap();
+                write_greeting(&mut stream, greeting, KEY).await.unwrap();
                 let bytes = read_frame(&mut stream, MOST_GREETING).await.unwrap();
-                (stream, Greeting::read_answer(KEY, &bytes, &old).unwrap())
+                (stream, Greeting::read_answer(KEY, &bytes, greeting).unwrap())
             };
-            let (mut stream, _) = greeted().await;
+            let (mut stream, _) = greeted(&old).await;
             stream.write_all(&[&60u32.to_le_bytes()[..], &[0; 60]].concat()).await.unwrap();
             assert!(stream.read_u8().await.is_err(), "it is closed on who cannot make the code");
             assert_eq!(knows(), None);
+            // Nor is one let in that belongs to another group with the same key.
+            let other = Greeting { group: group ^ 1, ..old };
+            let (mut stream, theirs) = greeted(&other).await;
+            let mut sealed = Sealed::new(KEY, &other, &theirs);
+            write_frame(&mut stream, &mut sealed, &Opening::Member).await.unwrap();
+            assert!(stream.read_u8().await.is_err());
+            assert_eq!(knows(), None);
             // Who can is let in, with the same words.
-            let (mut stream, theirs) = greeted().await;
+            let (mut stream, theirs) = greeted(&old).await;
             let mut sealed = Sealed::new(KEY, &old, &theirs);
             write_frame(&mut stream, &mut sealed, &Opening::Member).await.unwrap();
             while knows().is_none() {
--- a/crates/gullcart-peers/src/operator.rs
+++ b/crates/gullcart-peers/src/operator.rs
@@ -20,7 +20,7 @@
         let mut stream = TcpStream::connect(member.address).await?;
         let card = Card { member: OPERATOR, birth: Birth(0), life: Life(0), knows_you: None };
         let nonce = fastrand::u128(..);
-        let mine = Greeting { version: VERSION, card, to: member.number, nonce, answers: None };
+        let mine = Greeting { version: VERSION, card, to: member.number, group: 0, nonce, answers: None };
         let theirs = greet(&mut stream, &mine, &settings.key).await?;
         let mut sealed = Sealed::new(&settings.key, &mine, &theirs);
         write_frame(&mut stream, &mut sealed, &Opening::Status).await?;
--- a/crates/gullcart-peers/src/sealed.rs
+++ b/crates/gullcart-peers/src/sealed.rs
@@ -36,6 +36,9 @@
     /// It was said before.
     #[error("it was said before, on another connection")]
     Old,
+    /// It is of a group with other voters or terms.
+    #[error("it is of another group with the same key, or its file has other voters, lease_ms or drift_ppm")]
+    Group,
     /// It is for somebody else.
     #[error("it is for another member")]
     Receiver,
@@ -50,6 +53,8 @@
     pub card: Card,
     /// To whom.
     pub to: u64,
+    /// In which group ([`crate::settings::Settings::group`]); an operator's tool is in none.
+    pub group: u64,
     /// By chance, so that nothing said before passes again.
     pub nonce: u128,
     /// The number of the greeting that this one answers: it was not said before. Who calls shows the same by its first frame.
@@ -155,7 +160,7 @@
 
     fn greeting(member: u64, to: u64, nonce: u128) -> Greeting {
         let card = Card { member: MemberId(member), birth: Birth(5), life: Life(1), knows_you: None };
-        Greeting { version: VERSION, card, to, nonce, answers: None }
+        Greeting { version: VERSION, card, to, group: 3, nonce, answers: None }
     }
 
     fn say() -> Say {
--- a/crates/gullcart-peers/src/settings.rs
+++ b/crates/gullcart-peers/src/settings.rs
@@ -2,6 +2,7 @@
 
 use gullcart_group::vocabulary::{MemberId, Terms};
 use serde::Deserialize;
+use sha2::{Digest, Sha256};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -163,6 +164,20 @@
         })
     }
 
+    /// What all members must have alike: who votes, and how long leases run. Two groups that were given one key differ in it, and
+    /// so do files that were not changed together.
+    pub fn group(&self) -> u64 {
+        let mut sum = Sha256::new();
+        let Terms { lease, drift_ppm } = self.terms;
+        sum.update((lease.as_micros() as u64).to_le_bytes());
+        sum.update(drift_ppm.to_le_bytes());
+        let mut voters = self.voters();
+        voters.sort();
+        voters.iter().for_each(|voter| sum.update(voter.0.to_le_bytes()));
+        let bytes: [u8; 32] = sum.finalize().into();
+        u64::from_le_bytes(bytes.first_chunk().copied().unwrap_or_default())
+    }
+
     /// Descriptors at most: one to and one from each member that this one talks to, and some for its listener, its files, its
     /// timers and operators.
     pub fn sockets(&self) -> usize {
@@ -221,6 +236,12 @@
             let error = read(&text(top, votes)).unwrap_err();
             assert!(error.contains(word), "{error}");
         }
+        // Another lease, or another voter, makes another group; another name does not.
+        assert_ne!(read(&text("lease_ms = 2000", [true; 3])).unwrap().group(), good.group());
+        let renumbered = text("", [true; 3]).replace("number = 3", "number = 4");
+        assert_ne!(read(&renumbered).unwrap().group(), good.group());
+        let renamed = text("", [true; 3]).replace("name = \"2\"", "name = \"two\"");
+        assert_eq!(read(&renamed).unwrap().group(), good.group());
         let twice = text("", [true; 3]).replace("number = 2", "number = 1");
         assert!(read(&twice).unwrap_err().contains("shares"));
         let nobody = text("", [true; 3]).replace("name = \"0\"\nlisten", "name = \"x\"\nlisten");
--- a/crates/gullcart-standins/src/world.rs
+++ b/crates/gullcart-standins/src/world.rs
@@ -633,6 +633,14 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
     }
 
+    /// Processor time of the process so far, in clock ticks.
+    pub fn ticks(&self) -> u64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        // Behind the name, which ends in a bracket: the twelfth and thirteenth field.
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap().split_whitespace().collect();
+        fields[11].parse::<u64>().unwrap() + fields[12].parse::<u64>().unwrap()
+    }
+
     /// Memory of the process that is in use, in KiB.
     pub fn memory(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
--- a/crates/gullcart/tests/group_trials.rs
+++ b/crates/gullcart/tests/group_trials.rs
@@ -167,3 +167,44 @@
     println!("three couriers, tries in 3 s and time to the first service of the last: {with:?} in a group, {without:?} alone");
     assert!(2 * with.0 < 3 * without.0.max(1), "{with:?} {without:?}");
 }
+
+/// Processor time in clock ticks, and memory in KiB, of a courier in ten seconds of nothing; and its hand-ins' 50th and 99th
+/// percentiles in microseconds, one after the other.
+fn costs(group: &Group) -> (u64, u64, u128, u128) {
+    let couriers: Vec<_> = group.worlds.iter().map(World::start).collect();
+    let world = &group.worlds[0];
+    std::thread::sleep(Duration::from_secs(2));
+    let before = couriers[0].ticks();
+    std::thread::sleep(Duration::from_secs(10));
+    let ticks = couriers[0].ticks() - before;
+    let mut client = couriers[0].client();
+    let mut took: Vec<u128> = Vec::new();
+    for number in 0..2000 {
+        let (key, class) = ((number + 1).to_string(), format!("notice,k=a{number}"));
+        let begun = Instant::now();
+        assert_eq!(client.enqueue(&format!("a{number}"), &key, &class, 1, b"x"), "+OK");
+        took.push(begun.elapsed().as_micros());
+        world.call().answer("200 OK", "");
+    }
+    took.sort_unstable();
+    (ticks, couriers[0].memory(), took[1000], took[1980])
+}
+
+/// What belonging to a quiet group costs a courier. `GROUP_COSTS=1` plays it.
+#[test]
+fn what_a_quiet_group_costs() {
+    if std::env::var_os("GROUP_COSTS").is_none() {
+        return;
+    }
+    for _ in 0..3 {
+        for is_in_group in [true, false] {
+            let mut group = Group::with_one_partner(3);
+            if !is_in_group {
+                let off = |world: &mut World| world.variables.retain(|(name, _)| name != "GULLCART_GROUP");
+                group.worlds.iter_mut().for_each(off);
+            }
+            let (ticks, memory, p50, p99) = costs(&group);
+            println!("group {is_in_group}: {ticks} ticks in 10 s, {memory} KiB, hand-ins p50 {p50} us, p99 {p99} us");
+        }
+    }
+}
