--- a/crates/gullcart-peers/src/net.rs
+++ b/crates/gullcart-peers/src/net.rs
@@ -5,7 +5,7 @@
 use crate::sealed::{Greeting, Opening, SealError, Sealed, CODE, MOST_FRAME, MOST_GREETING, VERSION};
 use crate::settings::Settings;
 use crate::vocabulary::{Status, OPERATOR};
-use gullcart_group::door::{Card, Door};
+use gullcart_group::door::Door;
 use gullcart_group::say::Say;
 use gullcart_group::vocabulary::MemberId;
 use std::cell::RefCell;
@@ -281,7 +281,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use gullcart_group::door::{Birth, Mark, Origin};
+    use gullcart_group::door::{Birth, Card, Mark, Origin};
     use gullcart_group::vocabulary::{Life, Terms};
     use tokio::task::LocalSet;
 
