Ask a group again that was not there, and hold no duty for words that got lost

A wish to try a partner that came while the group was not there, or began anew, was lost for the rest of the outage: the courier went by itself. And a holder whose words got lost, or who had told something under the same epoch before, kept the duty or gave it up unheard. Both are in a test that fails without.

--- a/crates/gullcart-engine/src/trials.rs
+++ b/crates/gullcart-engine/src/trials.rs
@@ -12,6 +12,8 @@
 const HELD_FALLS: u32 = 2;
 /// Where nothing is wanted, outages are looked for so often.
 const LOOK: Duration = Duration::from_millis(5);
+/// Before the group is asked again for what it does not know to be wanted.
+const ASK_AGAIN: Duration = Duration::from_secs(1);
 
 /// Who holds a duty.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -109,8 +111,10 @@
 struct Wanted {
     /// Under which epoch this courier holds it, and since when.
     held: Option<(u64, Time)>,
-    /// What it told under that epoch.
-    told: Option<Vec<u8>>,
+    /// When the group was asked for it last.
+    asked: Time,
+    /// What it told under that epoch, and when.
+    told: Option<(Vec<u8>, Time)>,
     /// What was heard of others last.
     heard: Option<(u64, Vec<u8>)>,
 }
@@ -147,7 +151,7 @@
         for to in courier.outings() {
             let is_new = !self.wanted.contains_key(&to) && self.wanted.len() < MOST;
             if is_new && courier.outing(to).is_some_and(|outing| outing.waiting) {
-                self.wanted.insert(to, Wanted::default());
+                self.wanted.insert(to, Wanted { asked: now, ..Wanted::default() });
                 wishes.push(TrialWish::Want(to));
             }
         }
@@ -160,7 +164,13 @@
         let mut over = Vec::new();
         for (to, wanted) in &mut self.wanted {
             let outing = courier.outing(*to);
-            let view = view(*to).unwrap_or(DutyView { holder: Holder::Nobody, told: None });
+            let view = view(*to);
+            if view.is_none() && now - wanted.asked > ASK_AGAIN {
+                // The group was not there to be asked, or began anew since.
+                wanted.asked = now;
+                wishes.push(TrialWish::Want(*to));
+            }
+            let view = view.unwrap_or(DutyView { holder: Holder::Nobody, told: None });
             let chance = self.rng.f64();
             let (stays, trials) = match outing {
                 Some(outing) => {
@@ -217,6 +227,8 @@
         }
         let since = self.held.map_or(now, |(_, since)| since);
         if is_out {
+            // What was told of the outage before is over.
+            self.told = None;
             let gets_nowhere = now - since > longest;
             if !outing.waiting || gets_nowhere {
                 wishes.push(TrialWish::PassOn(to, longest.mul_f64(1.0 + chance)));
@@ -235,10 +247,14 @@
             };
             let words = lesson.write();
             wishes.push(TrialWish::Tell(to, words.clone()));
-            self.told = Some(words);
+            self.told = Some((words, now));
         }
-        let is_heard = view.told.as_ref().is_some_and(|told| told.epoch == epoch);
-        (!is_heard, Trials::Held(until))
+        // Words that get lost on their way are not waited for without end: others find out for themselves.
+        let is_done = self.told.as_ref().is_some_and(|(words, at)| {
+            let is_heard = view.told.as_ref().is_some_and(|told| told.epoch == epoch && told.words == *words);
+            is_heard || now - *at > longest
+        });
+        (!is_done, Trials::Held(until))
     }
 }
 
@@ -335,6 +351,7 @@
         let (_, wishes) = scene.fails(500);
         assert_eq!(wishes, vec![TrialWish::Want(TO)]);
         // Nobody holds it yet: it tries for itself.
+        scene.held_by(Holder::Nobody);
         assert!(scene.fails(3000).0 > 0);
         scene.held_by(Holder::Other { until: scene.later(3) });
         scene.fails(50);
@@ -393,6 +410,17 @@
         assert!(scene.pass(Duration::from_secs(6), Outcome::Ok).0 > 0);
     }
 
+    #[test]
+    fn a_group_that_was_not_there_is_asked_again_and_lost_words_end_a_duty_all_the_same() {
+        let mut scene = Scene::new();
+        let (_, wishes) = scene.fails(3300);
+        assert_eq!(wishes, vec![TrialWish::Want(TO); wishes.len()]);
+        assert!((3..=4).contains(&wishes.len()), "once a second: {wishes:?}");
+        scene.held_by(Holder::Me { epoch: 4, until: scene.later(60) });
+        let (_, wishes) = scene.pass(Duration::from_secs(7), Outcome::Ok);
+        assert!(matches!(wishes[..], [TrialWish::Tell(..), TrialWish::GiveUp(TO), ..]), "{wishes:?}");
+    }
+
     #[test]
     fn words_of_another_release_mean_nothing() {
         for words in [&b""[..], b"s", b"x12345678", b"s123456789"] {
--- a/crates/gullcart/src/group.rs
+++ b/crates/gullcart/src/group.rs
@@ -107,7 +107,7 @@
         Some(DutyView { holder, told })
     }
 
-    /// Asks the group for something. Where it cannot be asked, the courier finds that nothing has changed, and asks again.
+    /// Asks the group for something. Where it cannot be asked, it is asked again for what is wanted (`gullcart-engine/trials.rs`).
     pub fn wish(&self, wish: TrialWish) {
         let handle = self.handle.borrow();
         let Some(handle) = handle.as_ref() else { return };
