Send no repeat behind its window, however late its connection comes up

There pay-notice is keyed with a window of 5 s. At fault: `sendable_at` and `time_out` in choice.rs look at the window when a call is decided on, and nothing did when it was written (`Pool::call`, `WireStream::write`).

Ruled out by the same trail: a wrong conclusion on what never ran (each first attempt was known as one that may have run), restarts (none), two attempts at a time (none), zones (one), again=1 (none).

Mend: a route says until when it may be sent (`send_by`, the end of the window less its margin); a connection that is not there by then is given up, which says nothing of the endpoint (`Moot`), and the wire looks once more right before each byte. Beside it, found by reading: a call that was carried over at an upgrade and called off in the first turn was taken for one that was never sent, although the process before had written it: an unsafe one would have gone again.

Tests: a connection that comes up late for real (a full queue in front of a listener), one that never comes up, a moment that passes between connection and first byte, a carried call that is called off at once; each fails without its line.

Why nothing showed it before: loopback, stand-ins and emulator let every connection come up within milliseconds.

--- a/crates/cloverstile-wirehost/src/host.rs
+++ b/crates/cloverstile-wirehost/src/host.rs
@@ -177,7 +177,8 @@
 /// A time-out of zero means none on the wire, so the shortest one is a nanosecond.
 fn reply(who: u16, action: Action) -> Reply {
     match action {
-        Action::Route { message, endpoint, try_for } => {
+        // Nothing lies between a route and its sending on the simulator's wire.
+        Action::Route { message, endpoint, try_for, send_by: _ } => {
             Reply::Route { who, call: message.0, endpoint: endpoint.0, try_for: nanos(try_for).max(1) }
         }
         Action::Busy { message, after } => Reply::Busy { who, call: message.0, stay_away: nanos(after) },
--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -920,10 +920,11 @@
         let mut next = Some(first);
         while let Some(message) = next {
             let try_for = self.time_out(now, id, message);
+            let send_by = self.messages.get(&message).and_then(|m| self.last_send(m));
             if let Some(m) = self.messages.get_mut(&message) {
                 m.attempts += 1;
                 m.out = Some(self.last_call);
-                self.actions.push(Action::Route { message, endpoint: to, try_for });
+                self.actions.push(Action::Route { message, endpoint: to, try_for, send_by });
             }
             carried.push(message);
             next = if carried.len() == room { None } else { self.pick(now, id, &mut None).map(|(m, _)| m) };
--- a/crates/cloverstile/src/interface.rs
+++ b/crates/cloverstile/src/interface.rs
@@ -482,6 +482,9 @@
         endpoint: EndpointId,
         /// The attempt's time-out.
         try_for: Duration,
+        /// A repeat takes effect again when it is sent later than this, however late its connection came up: then
+        /// it must not go at all. None where nothing of the kind binds.
+        send_by: Option<Time>,
     },
     /// Final answer: handed back; the client may safely hand it in again.
     Busy {
--- a/crates/cloverstile/tests/common/mod.rs
+++ b/crates/cloverstile/tests/common/mod.rs
@@ -100,7 +100,7 @@
 
     pub fn routes(&mut self) -> Vec<Sent> {
         let routed = |action: &Action| match action {
-            Action::Route { message, endpoint, try_for } => Some((message.0, endpoint.0, *try_for)),
+            Action::Route { message, endpoint, try_for, .. } => Some((message.0, endpoint.0, *try_for)),
             _ => None,
         };
         self.decide().iter().filter_map(routed).collect()
--- a/crates/cloverstile/tests/rules.rs
+++ b/crates/cloverstile/tests/rules.rs
@@ -76,6 +76,30 @@
     assert!(repeats < bench.settings.send_cap);
 }
 
+/// Between a decision and its first byte a connection may take its time to come up: the window binds there too.
+#[test]
+fn a_repeat_says_until_when_it_may_be_sent() {
+    let mut bench = one(keyed());
+    bench.accept(1, 0, 1, None);
+    let (sent, window) = (bench.now, bench.settings.classes[0].repeat_window);
+    let send_by = |action: &Action| match action {
+        Action::Route { send_by, .. } => *send_by,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(bench.until_action(ms(5)).iter().map(send_by).collect::<Vec<_>>(), [None]);
+    let mut repeats = 0;
+    for outcome in [Outcome::ConnectFailed, Outcome::Reset, Outcome::ConnectFailed, Outcome::Timeout] {
+        bench.now = bench.now + ms(700);
+        bench.finish(1, 7, outcome, ms(700));
+        let by = send_by(&bench.until_action(Duration::from_secs(9))[0]);
+        // What never ran binds nothing; from the first attempt that may have run on, its window does.
+        let first = sent + ms(700);
+        repeats += usize::from(by.is_some_and(|by| by > first && by < bench.now + window));
+        assert_eq!(by.is_some(), outcome != Outcome::ConnectFailed || repeats > 0, "{outcome:?}");
+    }
+    assert_eq!(repeats, 3);
+}
+
 #[test]
 fn a_keyed_message_stays_in_the_zone_that_drops_its_repeats() {
     let mut other = endpoint(8, 1);
--- a/crates/gullcart-engine/src/engine.rs
+++ b/crates/gullcart-engine/src/engine.rs
@@ -17,6 +17,7 @@
 use crate::figures::{Counts, Ends, Reading};
 use crate::seldom::Seldom;
 use crate::tally::Tally;
+use crate::trail;
 use crate::trials::{DutyView, TrialDuties, TrialWish};
 use crate::vocabulary::{
     Answer, Call, Denied, Effect as Doing, Ended, Enqueue, Input, Notice, Order, Stop, Ticket,
@@ -176,7 +177,9 @@
         let taken = &self.journal.image().held.get(&message.0)?.taken;
         let address = self.directory.address(out.endpoint)?;
         let Taken { id, idempotency_key, body, .. } = taken.clone();
-        Some(Call { message, endpoint: out.endpoint, address, id, idempotency_key, body, try_for })
+        // All of it is sent already.
+        let send_by = None;
+        Some(Call { message, endpoint: out.endpoint, address, id, idempotency_key, body, try_for, send_by })
     }
 
     /// Calls that are out.
@@ -349,6 +352,7 @@
             let written = self.journal.outcome(number, true);
             self.note(now, written);
         }
+        trail::found(&held.taken.id, number, held.attempts, held.maybe_ran.or(held.out).is_some());
         let maybe_ran = held.maybe_ran.or(held.out).map(|(ms, zone)| (self.clock.of_wall(ms), ZoneId(zone)));
         let answered = held.verdict.is_some();
         let restored = Restored { taken, attempts: held.attempts, maybe_ran, answered };
@@ -467,6 +471,7 @@
                 self.tally.taken(destination);
                 self.known.insert(id, Known { number, shared: false });
                 let taken = self.journal.image().held.get(&number).map(|held| &held.taken);
+                taken.into_iter().for_each(|taken| trail::taken(number, taken));
                 #[cfg(feature = "broken")]
                 let taken = taken.filter(|_| !self.broken.is_seldom(Fault::Swallows));
                 if let Some(accepted) = taken.and_then(|taken| self.accepted(number, taken)) {
@@ -566,6 +571,13 @@
         #[cfg(feature = "broken")]
         let ended = self.broken.ended(ended);
         let Some(out) = self.out.remove(&message) else { return };
+        let never = matches!(
+            ended.outcome,
+            Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot | Outcome::Spent
+        );
+        if let Some(held) = self.journal.image().held.get(&message.0) {
+            trail::ended(&held.taken.id, out.attempt, ended.outcome, ended.latency, !never);
+        }
         if let Some(destination) = self.directory.destination(endpoint) {
             self.tally.ended(destination, ended.outcome, ended.allowance);
         }
@@ -585,10 +597,6 @@
             }
             self.over(now, message);
         } else {
-            let never = matches!(
-                ended.outcome,
-                Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot | Outcome::Spent
-            );
             let written = self.journal.outcome(message.0, !never);
             self.note(now, written);
         }
@@ -623,6 +631,7 @@
     /// Nothing more is owed for a message.
     fn over(&mut self, now: Time, message: MessageId) {
         if let Some(held) = self.journal.image().held.get(&message.0) {
+            trail::over(&held.taken.id);
             self.known.remove(&held.taken.id);
             let written = self.journal.over(message.0);
             self.note(now, written);
@@ -641,7 +650,9 @@
 
     fn act(&mut self, now: Time, action: Action) {
         match action {
-            Action::Route { message, endpoint, try_for } => self.route(now, message, endpoint, try_for),
+            Action::Route { message, endpoint, try_for, send_by } => {
+                self.route(now, message, endpoint, try_for, send_by);
+            }
             Action::StopAttempt { message, .. } => {
                 // A message has one attempt out at most.
                 if let Some(out) = self.out.get_mut(&message).filter(|out| !out.is_stopped) {
@@ -663,7 +674,14 @@
         }
     }
 
-    fn route(&mut self, now: Time, message: MessageId, endpoint: EndpointId, try_for: Duration) {
+    fn route(
+        &mut self,
+        now: Time,
+        message: MessageId,
+        endpoint: EndpointId,
+        try_for: Duration,
+        send_by: Option<Time>,
+    ) {
         let held = self.journal.image().held.get(&message.0);
         let attempt = held.map_or(0, |held| held.attempts as u16);
         let taken = held.map(|held| held.taken.clone());
@@ -689,7 +707,8 @@
             true => format!("{key}{attempt}"),
             false => key,
         });
-        let call = Call { message, endpoint, address, id, idempotency_key, body, try_for };
+        let call = Call { message, endpoint, address, id, idempotency_key, body, try_for, send_by };
+        trail::begins(&call, attempt);
         #[cfg(feature = "broken")]
         if self.broken.is(Fault::SideBySide) {
             self.effects.push(Doing::BeginUnknown(call.clone()));
@@ -712,6 +731,7 @@
         let written = self.journal.owe(message.0, verdict);
         self.note(now, written);
         if let Some(held) = self.journal.image().held.get(&message.0) {
+            trail::owed(&held.taken.id, verdict);
             #[cfg(feature = "broken")]
             if let Some(instead) = self.tells_badly(message, held, verdict) {
                 return self.effects.extend(instead);
--- a/crates/gullcart-engine/src/lib.rs
+++ b/crates/gullcart-engine/src/lib.rs
@@ -19,6 +19,7 @@
 mod idle_share;
 mod seldom;
 mod tally;
+mod trail;
 mod trials;
 mod vocabulary;
 
@@ -30,5 +31,6 @@
 pub use idle_share::IdleShare;
 pub use seldom::Seldom;
 pub use tally::TALLY;
+pub use trail::TRAIL;
 pub use trials::{DutyView, Holder, Told, TrialDuties, TrialWish};
 pub use vocabulary::{Answer, Call, Denied, Effect, Ended, Enqueue, Input, Notice, Order, Stop, Ticket};
--- a/crates/gullcart-engine/src/vocabulary.rs
+++ b/crates/gullcart-engine/src/vocabulary.rs
@@ -1,7 +1,7 @@
 //! What the engine is told, and what it wants done.
 
 use bytes::Bytes;
-use cloverstile::{Allowance, EndpointId, MessageId, Outcome};
+use cloverstile::{Allowance, EndpointId, MessageId, Outcome, Time};
 use gullcart_message::{Taken, Update, Verdict};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -115,6 +115,8 @@
     pub idempotency_key: Option<String>,
     pub body: Bytes,
     pub try_for: Duration,
+    /// After this nothing of it may be sent; none where only `try_for` bounds it.
+    pub send_by: Option<Time>,
 }
 
 /// Why a call is stopped.
--- a/crates/gullcart/src/calls.rs
+++ b/crates/gullcart/src/calls.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use cloverstile::{Allowance, EndpointId, Outcome};
-use gullcart_engine::{Call, Ended, IdleShare, Stop};
+use gullcart_engine::{Call, Ended, IdleShare, Stop, TRAIL};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -18,6 +18,7 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
+use tracing::debug;
 
 use crate::wire::{Descriptor, Progress, Wire, WireStream};
 
@@ -182,7 +183,7 @@
     async fn connection(
         &self,
         call: &Call,
-        until: Instant,
+        limit: ConnectBy,
         carried: Option<&mut CarriedCall>,
     ) -> Result<(Connection, bool), Outcome> {
         if let Some(stream) = carried.and_then(|carried| carried.stream.take()) {
@@ -193,25 +194,27 @@
         }
         match self.take(call.endpoint, call.address).await {
             Some(kept) => Ok((kept, false)),
-            None => Ok((self.open(call.address, until).await?, true)),
+            None => Ok((self.open(call.address, limit).await?, true)),
         }
     }
 
-    async fn open(&self, address: SocketAddr, until: Instant) -> Result<Connection, Outcome> {
+    async fn open(&self, address: SocketAddr, limit: ConnectBy) -> Result<Connection, Outcome> {
         // Without a descriptor nothing was tried, which says nothing of the endpoint.
-        let descriptor = timeout_at(until, self.descriptor()).await.map_err(|_| Outcome::Moot)?;
-        match timeout_at(until, connect(address, descriptor)).await {
+        let descriptor = timeout_at(limit.at, self.descriptor()).await.map_err(|_| Outcome::Moot)?;
+        // Refused, or it never came up: nothing was sent.
+        match timeout_at(limit.at, connect(address, descriptor)).await {
             Ok(Ok(connection)) => Ok(connection),
-            // Refused, or it never came up: nothing was sent.
-            Ok(Err(_)) | Err(_) => Err(Outcome::ConnectFailed),
+            Ok(Err(_)) => Err(Outcome::ConnectFailed),
+            Err(_) => Err(limit.past),
         }
     }
 
     /// Makes one call; `progress` tells how much of it has been written. One that was carried over goes on where the process
-    /// before left it.
+    /// before left it. Nothing is written after `send_by`.
     pub async fn call(
         self: &Rc<Self>,
         call: Call,
+        send_by: Option<Instant>,
         mut stop: oneshot::Receiver<Stop>,
         progress: Rc<Progress>,
         mut carried: Option<CarriedCall>,
@@ -221,18 +224,21 @@
         let end = start + call.try_for;
         let ended = |outcome| Ended { outcome, latency: start.elapsed(), complete: false, allowance: None };
         loop {
-            let until = end.min(start + self.connect_timeout);
+            let limit = ConnectBy::new(end.min(start + self.connect_timeout), send_by);
+            // One that was carried over has been sent: when it is stopped, it may have run.
+            let is_unsent = carried.is_none();
             let (mut connection, fresh) = tokio::select! {
                 biased;
-                reason = &mut stop => return ended(never_sent(reason.ok())),
-                ready = self.connection(&call, until, carried.as_mut()) => match ready {
+                reason = &mut stop, if is_unsent => return ended(never_sent(reason.ok())),
+                ready = self.connection(&call, limit, carried.as_mut()) => match ready {
                     Ok(ready) => ready,
                     Err(outcome) => return ended(outcome),
                 },
             };
+            debug!(target: TRAIL, id = call.id, fresh, after = ?start.elapsed(), "its connection is there");
             let Ok(request) = request(&call) else { return ended(Outcome::Moot) };
             let wire = connection.wire.clone();
-            wire.begin(call.body.len(), progress.clone());
+            wire.begin(call.body.len(), progress.clone(), send_by);
             if let Some(carried) = carried.take() {
                 wire.go_on(carried.answer);
             }
@@ -248,7 +254,8 @@
             };
             let latency = start.elapsed();
             let outcome = match end_of_call {
-                // Not a byte of it was written: it has never run.
+                // Not a byte of it was written: it has never run. That it was too late for it says nothing of the endpoint.
+                End::Broken | End::TimedOut if wire.is_untouched() && wire.is_too_late() => Outcome::Moot,
                 End::Broken if wire.is_untouched() && !fresh => {
                     // A kept connection that turned out to be closed, or to hold bytes that belong to no call:
                     // it goes out on another one.
@@ -294,6 +301,24 @@
     }
 }
 
+/// Until when a connection may come up, and what it means that it has not.
+#[derive(Clone, Copy)]
+struct ConnectBy {
+    at: Instant,
+    past: Outcome,
+}
+
+impl ConnectBy {
+    /// An endpoint that is given the usual time and does not come up is out of reach; one that is given less, as its call
+    /// may not be sent any more, may not be.
+    fn new(usual: Instant, send_by: Option<Instant>) -> Self {
+        match send_by {
+            Some(at) if at < usual => ConnectBy { at, past: Outcome::Moot },
+            _ => ConnectBy { at: usual, past: Outcome::ConnectFailed },
+        }
+    }
+}
+
 /// How a call came to its end without the head of an answer.
 #[derive(Clone, Copy)]
 enum End {
@@ -416,6 +441,150 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use cloverstile::MessageId;
+    use socket2::{Domain, Socket, Type};
+    use std::net::TcpListener;
+    use std::sync::atomic::{AtomicBool, Ordering};
+    use std::sync::Arc;
+
+    /// A door behind which nobody accepts, and all places in front of it are taken: who comes now comes up late, as the
+    /// kernel sends its first word again after a second.
+    struct Crowded {
+        door: TcpListener,
+        address: SocketAddr,
+        _waiting: Vec<Socket>,
+    }
+
+    impl Crowded {
+        fn new() -> Self {
+            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+            socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+            socket.listen(0).unwrap();
+            let door = TcpListener::from(socket);
+            let address = door.local_addr().unwrap();
+            let mut waiting = Vec::new();
+            loop {
+                let one = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+                let is_in = one.connect_timeout(&address.into(), Duration::from_millis(100)).is_ok();
+                if !is_in {
+                    break;
+                }
+                waiting.push(one);
+                assert!(waiting.len() < 16, "the queue never fills");
+            }
+            Crowded { door, address, _waiting: waiting }
+        }
+
+        /// Lets everybody in after a while, and counts what they send until it is over.
+        fn bytes(self, over: &AtomicBool) -> usize {
+            std::thread::sleep(Duration::from_millis(500));
+            self.door.set_nonblocking(true).unwrap();
+            let (mut inside, mut bytes) = (Vec::new(), 0);
+            while !over.load(Ordering::Relaxed) {
+                inside.extend(self.door.accept().ok().map(|(stream, _)| stream));
+                for mut stream in inside.iter() {
+                    stream.set_nonblocking(true).unwrap();
+                    bytes += std::io::Read::read(&mut stream, &mut [0; 1024]).unwrap_or(0);
+                }
+                std::thread::sleep(Duration::from_millis(1));
+            }
+            bytes
+        }
+    }
+
+    fn pool() -> Rc<Pool> {
+        let share = IdleShare::new(1, 1);
+        let patience = Duration::from_secs(10);
+        Rc::new(Pool::new(patience, patience, 8, 4, share))
+    }
+
+    fn call(address: SocketAddr) -> Call {
+        let (message, endpoint, body) = (MessageId(1), EndpointId(1), Bytes::from_static(b"x"));
+        let (id, try_for) = ("a".to_owned(), Duration::from_secs(4));
+        Call { message, endpoint, address, id, idempotency_key: None, body, try_for, send_by: None }
+    }
+
+    fn run<F: std::future::Future>(future: F) -> F::Output {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, future)
+    }
+
+    /// Split day, `split+brink+mass` 623858784409: a repeat was decided on 4.4 s after the first attempt, its connection came
+    /// up a second later as a cut ended, and it took effect again behind the window of 5 s.
+    #[test]
+    fn a_call_whose_connection_comes_up_too_late_is_never_sent() {
+        for is_bound in [true, false] {
+            let crowded = Crowded::new();
+            let address = crowded.address;
+            let over = Arc::new(AtomicBool::new(false));
+            let counting = std::thread::spawn({
+                let over = over.clone();
+                move || crowded.bytes(&over)
+            });
+            let send_by = is_bound.then(|| Instant::now() + Duration::from_millis(300));
+            let ended = run(async {
+                let (_stop, stopped) = oneshot::channel();
+                pool().call(call(address), send_by, stopped, Rc::default(), None).await.outcome
+            });
+            over.store(true, Ordering::Relaxed);
+            // That it never came up in time is no fault of the endpoint. Without a bound it is sent, late: the fault is there.
+            assert_eq!(ended, if is_bound { Outcome::Moot } else { Outcome::Timeout });
+            assert_eq!(counting.join().unwrap() == 0, is_bound);
+        }
+    }
+
+    /// ... and one whose connection never comes up ends then.
+    #[test]
+    fn a_call_waits_no_longer_for_its_connection_than_it_may_be_sent() {
+        let crowded = Crowded::new();
+        let ended = run(async {
+            let (_stop, stopped) = oneshot::channel();
+            let send_by = Instant::now() + Duration::from_millis(50);
+            pool().call(call(crowded.address), Some(send_by), stopped, Rc::default(), None).await
+        });
+        assert_eq!(ended.outcome, Outcome::Moot);
+    }
+
+    /// A courier that goes on in another process may call a carried call off at once, before that has looked at it: it was
+    /// sent all the same, by the process before.
+    #[test]
+    fn a_carried_call_that_is_called_off_at_once_may_have_run() {
+        let door = TcpListener::bind("127.0.0.1:0").unwrap();
+        let stream = std::net::TcpStream::connect(door.local_addr().unwrap()).unwrap();
+        stream.set_nonblocking(true).unwrap();
+        let ended = run(async {
+            let (stop, stopped) = oneshot::channel();
+            stop.send(Stop::CalledOff).unwrap();
+            let carried =
+                CarriedCall { stream: Some(stream), answer: Vec::new(), elapsed: Duration::from_millis(20) };
+            let progress = Rc::new(Progress::carried_over());
+            pool().call(call(door.local_addr().unwrap()), None, stopped, progress, Some(carried)).await
+        });
+        assert_eq!(ended.outcome, Outcome::Cancelled);
+    }
+
+    /// The moment may also pass between the connection and the first byte, as when the process stands still.
+    #[test]
+    fn a_call_is_not_written_behind_its_time() {
+        let door = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = door.local_addr().unwrap();
+        let (ended, progress) = run(async {
+            let (_stop, stopped) = oneshot::channel();
+            let progress: Rc<Progress> = Rc::default();
+            let past = Instant::now().checked_sub(Duration::from_millis(1));
+            let connection = connect(address, Descriptor::new(&Rc::default(), &Rc::default())).await.unwrap();
+            let pool = pool();
+            let rested = Instant::now().checked_sub(REST).unwrap();
+            pool.idle
+                .borrow_mut()
+                .insert(EndpointId(1), vec![Connection { idle_since: rested, ..connection }]);
+            (pool.call(call(address), past, stopped, progress.clone(), None).await, progress)
+        });
+        assert_eq!(ended.outcome, Outcome::Moot);
+        assert!(!progress.is_untold());
+        let (mut inside, _) = door.accept().unwrap();
+        assert_eq!(std::io::Read::read(&mut inside, &mut [0; 1024]).unwrap_or(0), 0, "it was sent");
+    }
 
     #[test]
     fn reports_that_make_no_sense_are_ignored() {
--- a/crates/gullcart/src/driver.rs
+++ b/crates/gullcart/src/driver.rs
@@ -443,7 +443,7 @@
                 let pool = self.pool.clone();
                 tokio::task::spawn_local(async move {
                     let (_never, stopped) = oneshot::channel();
-                    pool.call(call, stopped, Rc::default(), None).await;
+                    pool.call(call, None, stopped, Rc::default(), None).await;
                 });
             }
         }
@@ -458,9 +458,10 @@
         let elapsed = carried.as_ref().map_or(Duration::ZERO, |carried| carried.elapsed);
         let began = Instant::now().checked_sub(elapsed).unwrap_or_else(Instant::now);
         let (message, endpoint, try_for) = (call.message, call.endpoint, call.try_for);
+        let send_by = call.send_by.map(|at| self.clock.instant(at));
         let (pool, inputs, told) = (self.pool.clone(), self.ends.inputs.clone(), progress.clone());
         let task = tokio::task::spawn_local(async move {
-            let call = pin!(pool.call(call, stopped, told.clone(), carried));
+            let call = pin!(pool.call(call, send_by, stopped, told.clone(), carried));
             let written = async {
                 told.written().await;
                 inputs.tell(Input::Written(message)).await;
--- a/crates/gullcart/src/wire.rs
+++ b/crates/gullcart/src/wire.rs
@@ -14,7 +14,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
 
 /// `HTTP/1.1 200` and what ends the number.
 const STATUS_END: usize = 13;
@@ -172,6 +172,8 @@
     read: Cell<u64>,
     first_line: RefCell<FirstLine>,
     outgoing: RefCell<Option<Outgoing>>,
+    /// After this nothing more of the call may be written.
+    send_by: Cell<Option<Instant>>,
     /// The request that is written was written by the process before, and goes nowhere; nothing is read meanwhile.
     is_swallowing: Cell<bool>,
     reader: RefCell<Option<Waker>>,
@@ -192,6 +194,7 @@
             read: Cell::default(),
             first_line: RefCell::default(),
             outgoing: RefCell::default(),
+            send_by: Cell::default(),
             is_swallowing: Cell::default(),
             reader: RefCell::default(),
             before: RefCell::default(),
@@ -201,14 +204,15 @@
         }
     }
 
-    /// A call with a body of that length is about to be written.
-    pub fn begin(self: &Rc<Self>, body: usize, progress: Rc<Progress>) {
+    /// A call with a body of that length is about to be written, by that moment at the latest.
+    pub fn begin(self: &Rc<Self>, body: usize, progress: Rc<Progress>, send_by: Option<Instant>) {
         progress.wire.replace(Rc::downgrade(self));
         if progress.stage.get() != Stage::Told {
             progress.stage.set(Stage::Begun);
         }
         self.kept.replace(Some(Vec::new()));
         self.outgoing.replace(Some(Outgoing { progress, head_end: 0, body }));
+        self.send_by.set(send_by);
         self.written.set(0);
         self.read.set(0);
         self.first_line.take();
@@ -256,6 +260,11 @@
         self.written.get() == 0
     }
 
+    /// The call may not be written any more.
+    pub fn is_too_late(&self) -> bool {
+        self.send_by.get().is_some_and(|by| Instant::now() > by)
+    }
+
     /// Something of an answer has come.
     pub fn is_answered(&self) -> bool {
         self.read.get() > 0
@@ -390,6 +399,10 @@
             }
             return Poll::Ready(Ok(count));
         }
+        // Right before the bytes go: its connection may have come up late, and the process may have stood still.
+        if wire.is_too_late() {
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, "too late to be sent")));
+        }
         // What lies there before a call is written is no answer to it, and must not be taken for one.
         if wire.is_untouched() && !wire.is_quiet() {
             return Poll::Ready(Err(io::Error::new(
