--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -245,7 +245,14 @@
                 _ => (weight * START_PARTS / couriers(&self.settings)).max(an_aim).min(weight),
             };
             let batch = self.settings.kinds.get(usize::from(entry.kind.0)).map_or(1, |k| k.batch.max(1));
-            let route = self.routes.entry(self.route_of(&entry)).or_insert_with(|| {
+            let here = self.route_of(&entry);
+            // One that is given to another destination serves that one alone.
+            let before =
+                self.addresses.get(&entry.id).map(|a| self.route_of(&a.entry)).filter(|r| *r != here);
+            if let Some(route) = before.and_then(|before| self.routes.get_mut(&before)) {
+                route.endpoints.retain(|endpoint| *endpoint != entry.id);
+            }
+            let route = self.routes.entry(here).or_insert_with(|| {
                 let (rate, tokens, filled, latency, last_answer) = (start, 1.0, now, usual, now);
                 let (left, told_at, listed) = (KEPT_LEFT, now, weight);
                 let route = Route { rate, tokens, filled, latency, last_answer, left, ..Route::default() };
@@ -259,6 +266,9 @@
             }
             if let Some(known) = self.addresses.get_mut(&entry.id) {
                 known.entry = entry;
+                if before.is_some() {
+                    route.endpoints.push(known.entry.id);
+                }
                 continue;
             }
             route.endpoints.push(entry.id);
@@ -305,8 +315,10 @@
     fn on_accept(&mut self, now: Time, taken: Accepted) {
         let Some(class) = self.settings.classes.get(usize::from(taken.class.0)) else { return };
         let born = taken.deadline - class.deadline;
-        // A keyed message of a courier that died may have run there at any time since it was handed in.
+        // A keyed message of a courier that died may have run there at any time since it was handed in. Where
+        // that seems to lie ahead the clock was put back since, and when it was cannot be told.
         let may_have_run = taken.from_dead_courier && class.effect == Effect::Keyed;
+        let ran = Some(born).filter(|born| *born <= now).unwrap_or(Time::ZERO);
         if let (true, Some(key)) = (class.in_order, taken.key) {
             self.keys.entry(key).or_default().push_back(taken.id);
         }
@@ -322,7 +334,7 @@
             over_share,
             attempts: 0,
             out: None,
-            maybe_ran: may_have_run.then_some((born, None)),
+            maybe_ran: may_have_run.then_some((ran, None)),
             not_before: now,
             closed: false,
             unheard: false,
@@ -339,9 +351,7 @@
         self.on_accept(now, restored.taken);
         let Some(message) = self.messages.get_mut(&id) else { return };
         message.attempts = restored.attempts;
-        if let Some((sent, zone)) = restored.maybe_ran {
-            message.maybe_ran = message.maybe_ran.or(Some((sent, Some(zone))));
-        }
+        message.maybe_ran = message.maybe_ran.or(restored.maybe_ran);
         if restored.answered {
             message.unheard = true;
             self.close(id);
@@ -422,7 +432,7 @@
             message.attempts = self.settings.send_cap;
         }
         if !never_ran && message.maybe_ran.is_none() {
-            message.maybe_ran = Some((call.sent, Some(call.zone)));
+            message.maybe_ran = Some((call.sent, call.zone.known()));
         }
         let gap = growing_gap(class.aim, BACKOFF_BASE_OF_AIM, message.attempts)
             .min(class.aim.mul_f64(BACKOFF_CAP_OF_AIM));
--- a/crates/cloverstile/src/interface.rs
+++ b/crates/cloverstile/src/interface.rs
@@ -64,6 +64,16 @@
     OrderKey(u64);
 }
 
+impl ZoneId {
+    /// Stands for all zones beyond those that can be numbered: two of them need not be the same.
+    pub const BEYOND: ZoneId = ZoneId(u8::MAX);
+
+    /// Which zone it is; none where that cannot be told.
+    pub fn known(self) -> Option<ZoneId> {
+        (self != ZoneId::BEYOND).then_some(self)
+    }
+}
+
 /// What a repeat of a message does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
@@ -309,8 +319,8 @@
     pub taken: Accepted,
     /// Attempts made for it.
     pub attempts: u32,
-    /// When the first attempt that may have run was sent, and to which zone.
-    pub maybe_ran: Option<(Time, ZoneId)>,
+    /// When the first attempt that may have run was sent, and to which zone, if that is known.
+    pub maybe_ran: Option<(Time, Option<ZoneId>)>,
     /// Its final answer was given, but not yet heard: it keeps its key until then.
     pub answered: bool,
 }
--- a/crates/cloverstile/tests/restart.rs
+++ b/crates/cloverstile/tests/restart.rs
@@ -15,7 +15,7 @@
 fn restored(bench: &Bench, id: u32, key: Option<u64>, attempts: u32, maybe_ran: Option<Time>) -> Restored {
     let class = (ClassId(0), &bench.settings.classes[0]);
     let taken = accepted(bench.now, id, class, 3, key);
-    Restored { taken, attempts, maybe_ran: maybe_ran.map(|at| (at, ZoneId(0))), answered: false }
+    Restored { taken, attempts, maybe_ran: maybe_ran.map(|at| (at, Some(ZoneId(0)))), answered: false }
 }
 
 fn ordered() -> Class {
--- a/crates/cloverstile/tests/rules.rs
+++ b/crates/cloverstile/tests/rules.rs
@@ -117,6 +117,29 @@
     assert_eq!(end, [Action::ReportFailure { message: MessageId(1) }]);
 }
 
+/// Zones beyond those that can be numbered share one number: a repeat that needs the same one stays where it is.
+#[test]
+fn a_keyed_message_is_not_resent_where_its_zone_cannot_be_told() {
+    let class = Class { group: Group::Zone, ..keyed() };
+    let beyond = Endpoint { zone: ZoneId::BEYOND, ..endpoint(7, 1) };
+    let mut bench = Bench::new(settings(vec![class]), vec![beyond]);
+    bench.accept(1, 0, 1, None);
+    assert_eq!(bench.routes().len(), 1);
+    bench.finish(1, 7, Outcome::Reset, ms(50));
+    let end = bench.until_action(Duration::from_secs(30));
+    assert_eq!(end, [Action::ReportFailure { message: MessageId(1) }]);
+}
+
+#[test]
+fn an_endpoint_that_is_given_to_another_destination_serves_that_one_alone() {
+    let mut bench = Bench::new(settings(vec![safe()]), vec![endpoint(7, 1)]);
+    bench.tell(Event::Listed(Listing::Changes(vec![endpoint(7, 2)])));
+    bench.accept(1, 0, 1, None);
+    bench.accept(2, 0, 2, None);
+    let sent: Vec<(u32, u32)> = bench.routes().iter().map(|sent| (sent.0, sent.1)).collect();
+    assert_eq!(sent, [(2, 7)]);
+}
+
 #[test]
 fn gaps_before_repeats_are_drawn_by_chance_and_grow() {
     let mean_gap = |failures: u32| {
--- a/crates/gullcart-engine/src/directory.rs
+++ b/crates/gullcart-engine/src/directory.rs
@@ -12,6 +12,8 @@
 pub struct Directory {
     zones: Vec<String>,
     kinds: Vec<String>,
+    /// Names of zones that the settings hold: they mean the same in every process.
+    named_zones: usize,
     last: u32,
     numbers: HashMap<String, EndpointId>,
     entries: BTreeMap<EndpointId, Entry>,
@@ -32,6 +34,7 @@
     pub fn new(parsed: &Parsed) -> Self {
         Directory {
             zones: parsed.zone_names.clone(),
+            named_zones: parsed.zone_names.len(),
             kinds: parsed.kind_names.clone(),
             last: 0,
             numbers: HashMap::new(),
@@ -54,6 +57,12 @@
         self.entries.get(&id).map_or(ZoneId(0), |entry| entry.zone)
     }
 
+    /// A zone by the number that a process before this one gave it; none where this one may give it to another zone, as
+    /// names that the settings do not hold are numbered as they come.
+    pub fn lasting_zone(&self, number: u8) -> Option<ZoneId> {
+        (usize::from(number) < self.named_zones).then_some(ZoneId(number)).and_then(ZoneId::known)
+    }
+
     pub fn destination(&self, id: EndpointId) -> Option<DestinationId> {
         self.entries.get(&id).map(|entry| entry.destination)
     }
--- a/crates/gullcart-engine/src/engine.rs
+++ b/crates/gullcart-engine/src/engine.rs
@@ -353,7 +353,11 @@
             self.note(now, written);
         }
         trail::found(&held.taken.id, number, held.attempts, held.maybe_ran.or(held.out).is_some());
-        let maybe_ran = held.maybe_ran.or(held.out).map(|(ms, zone)| (self.clock.of_wall(ms), ZoneId(zone)));
+        let maybe_ran = held.maybe_ran.or(held.out).map(|(ms, zone)| {
+            // Sent after now: the wall clock was put back, and how long ago it was cannot be told.
+            let sent = Some(self.clock.of_wall(ms)).filter(|sent| *sent <= now).unwrap_or(Time::ZERO);
+            (sent, self.directory.lasting_zone(zone))
+        });
         let answered = held.verdict.is_some();
         let restored = Restored { taken, attempts: held.attempts, maybe_ran, answered };
         self.courier.handle(now, Event::Restored(restored));
@@ -721,14 +725,21 @@
     fn owe(&mut self, now: Time, message: MessageId, verdict: Verdict) {
         #[cfg(feature = "broken")]
         let verdict = self.broken.verdict(verdict);
-        if self.has_no_end(message) {
+        let is_new = self.has_no_end(message);
+        let (mut verdict, mut written) = (verdict, self.journal.owe(message.0, verdict));
+        if written.is_err() && verdict != Verdict::Failed {
+            // The next process would not know that it was handed back, and might send it beside what its client hands in anew.
+            // Who is told of a failure does not come again.
+            verdict = Verdict::Failed;
+            written = self.journal.owe(message.0, verdict);
+        }
+        if is_new {
             let ends = self.ends_of(message);
             match verdict {
                 Verdict::Failed => ends.failed += 1,
                 Verdict::Returned { .. } => ends.handed_back += 1,
             }
         }
-        let written = self.journal.owe(message.0, verdict);
         self.note(now, written);
         if let Some(held) = self.journal.image().held.get(&message.0) {
             trail::owed(&held.taken.id, verdict);
--- a/crates/gullcart-engine/tests/promises.rs
+++ b/crates/gullcart-engine/tests/promises.rs
@@ -266,6 +266,31 @@
     panic!("the message was never sent");
 }
 
+/// Who is told that a message came back hands it in again: the next process has to know, or sends it beside that. A failure
+/// is told all the same, as nobody comes again after one.
+#[test]
+fn what_cannot_be_written_is_not_handed_back() {
+    for is_writable in [true, false] {
+        let disk = Disk::new(DISK, Crash::Process, 1);
+        let mut engine = engine(&disk, Crash::Process, EPOCH);
+        let targets = (0..8).map(|number| target(number, "DRAINING")).collect();
+        engine.handle(EPOCH, Input::Listed(Update { rev: 2, all: true, targets }));
+        engine.handle(EPOCH, Input::Enqueue(Ticket(1), enqueue(1, "salary", 1)));
+        engine.turn(EPOCH).unwrap();
+        for operation in 1..500 * u64::from(!is_writable) {
+            disk.fail(disk.operations() + operation, Fault::Error);
+        }
+        let late = EPOCH + Duration::from_secs(21);
+        let told = |effect: &Effect| match effect {
+            Effect::Tell(notice) => Some(notice.verdict),
+            _ => None,
+        };
+        let verdicts: Vec<Verdict> = engine.turn(late).unwrap().iter().filter_map(told).collect();
+        assert_eq!(verdicts.len(), 1);
+        assert_eq!(verdicts[0] == Verdict::Failed, !is_writable, "{verdicts:?}");
+    }
+}
+
 #[test]
 fn a_failed_sync_is_final_and_gives_nothing_out() {
     let disk = Disk::new(DISK, Crash::Machine, 1);
