Cut partners off in rehearsals and emulator, and lift every cap on couriers and endpoints to 1,024

Outages of the kind `cut`: nothing is answered, and connections come up only when it is over, as the kernel tries again (on sockets by a full queue in front of the listener; in virtual time by the same steps of 1, 2, 4 s). `connect_s` in scenarios.

Caps: members of a group 300 -> 1,024, couriers of a rehearsal 8 -> 1,024 and of `emulate` 256 -> 1,024 (numbers of couriers in traces had 8 bits), partners 200 and endpoints 16 -> 1,024, duties watched 256 and tried for 64 -> 1,024, destinations in the tally 256 -> 1,024. All grow with what is there. A list of 1,024 in one answer and one change of all of them are tested.

--- a/crates/gullcart-emulator/src/calls.rs
+++ b/crates/gullcart-emulator/src/calls.rs
@@ -4,7 +4,7 @@
 use crate::world::{Address, Arriving, CallThere, Due, World};
 use cloverstile::{Allowance, MessageId, Outcome};
 use gullcart_engine::{Call, Ended, Input, Stop};
-use gullcart_judge::trace::{Answer, By, CallId, CourierId, Event, State};
+use gullcart_judge::trace::{Answer, At, By, CallId, CourierId, Event, State};
 use gullcart_rehearsal::Effect;
 use gullcart_standins::ids;
 use gullcart_standins::partner::Fate;
@@ -13,6 +13,9 @@
 /// What a new connection costs the first call on it.
 const HANDSHAKE: Duration = Duration::from_millis(10);
 
+/// After this the kernel says the first word of a connection again, then after twice as long, and so on.
+const FIRST_RETRY: Duration = Duration::from_secs(1);
+
 fn ended(outcome: Outcome, latency: Duration, allowance: Option<Allowance>) -> Ended {
     Ended { complete: outcome == Outcome::Ok, outcome, latency, allowance }
 }
@@ -51,10 +54,50 @@
         let (at, fresh) = match kept {
             Some(rested) => (rested, false),
             // There and back.
-            None => (self.over_there() + (self.over_there() - now), true),
+            None => (self.comes_up(address) + (self.over_there() - now), true),
         };
-        self.queue.put(at, Due::Write { courier, epoch, message, serial, fresh });
-        self.queue.put(now + call.try_for, Due::GiveUp { courier, epoch, message, serial });
+        let send_by = call.send_by.and_then(|by| self.places[courier].process(epoch).map(|p| p.at(by)));
+        let limit = now + call.try_for.min(Duration::from_secs_f64(self.scenario.couriers.connect_s));
+        // As the daemon's network code has it: too late to be sent says nothing of the endpoint, never up says that it is out.
+        match send_by.filter(|by| *by < limit) {
+            Some(by) if at > by => {
+                self.queue.put(by, Due::Never { courier, epoch, message, serial, outcome: Outcome::Moot })
+            }
+            _ if fresh && at > limit => {
+                let outcome = Outcome::ConnectFailed;
+                self.queue.put(limit, Due::Never { courier, epoch, message, serial, outcome });
+            }
+            _ => {
+                self.queue.put(at, Due::Write { courier, epoch, message, serial, fresh });
+                self.queue.put(now + call.try_for, Due::GiveUp { courier, epoch, message, serial });
+            }
+        }
+    }
+
+    /// When the first word of a connection gets there: where an endpoint is cut off, once the kernel tries again after that.
+    fn comes_up(&mut self, address: Address) -> At {
+        let (now, there) = (self.now, self.over_there());
+        let cut = self.at_address(address).and_then(|(partner, standing)| {
+            self.partners[partner].cut_until(self.endpoints[partner][standing].place)
+        });
+        let (mut at, mut wait) = (there, FIRST_RETRY);
+        while cut.is_some_and(|until| at < until) {
+            at = at.max(now) + wait;
+            wait *= 2;
+        }
+        at
+    }
+
+    /// A call's connection does not come up in time.
+    pub(crate) fn never(
+        &mut self,
+        courier: usize,
+        epoch: u32,
+        message: MessageId,
+        serial: u64,
+        outcome: Outcome,
+    ) {
+        self.finish(courier, epoch, message, serial, outcome, Duration::ZERO);
     }
 
     /// A call that its courier does not know of itself.
@@ -132,7 +175,7 @@
         self.note(Event::Call {
             call,
             message: hand_in.filter(|_| origin.is_some()),
-            courier: CourierId(courier as u8),
+            courier: CourierId(courier as u16),
             endpoint,
             partner: World::partner_id(partner),
             first_byte: first,
--- a/crates/gullcart-emulator/src/clients.rs
+++ b/crates/gullcart-emulator/src/clients.rs
@@ -81,7 +81,7 @@
         self.book.forget.push_back(message);
         self.note(Event::HandIn {
             message,
-            courier: CourierId(courier as u8),
+            courier: CourierId(courier as u16),
             class: ClassId(arrival.class as u8),
             key: arrival.key.map(OrderKey),
             partner: World::partner_id(arrival.partner),
--- a/crates/gullcart-emulator/src/faults.rs
+++ b/crates/gullcart-emulator/src/faults.rs
@@ -151,7 +151,7 @@
         }
         let (update, told) = self.places[courier].agent.changes();
         for (endpoint, state) in told {
-            self.note(Event::Listed { courier: CourierId(courier as u8), endpoint, state });
+            self.note(Event::Listed { courier: CourierId(courier as u16), endpoint, state });
         }
         self.input(courier, epoch, Input::Listed(update));
     }
@@ -160,7 +160,7 @@
     pub(crate) fn count_as_told(&mut self, courier: usize) {
         let (_, told) = self.places[courier].agent.changes();
         for (endpoint, state) in told {
-            self.note(Event::Listed { courier: CourierId(courier as u8), endpoint, state });
+            self.note(Event::Listed { courier: CourierId(courier as u16), endpoint, state });
         }
     }
 
@@ -183,7 +183,7 @@
     }
 
     fn process(&mut self, courier: usize, what: What) {
-        self.note(Event::Process { courier: CourierId(courier as u8), what });
+        self.note(Event::Process { courier: CourierId(courier as u16), what });
     }
 
     fn terminate(&mut self, courier: usize) {
--- a/crates/gullcart-emulator/src/world.rs
+++ b/crates/gullcart-emulator/src/world.rs
@@ -2,7 +2,7 @@
 
 use crate::courier::{Place, Process};
 use crate::queue::Queue;
-use cloverstile::{parse_settings_json, EndpointId, MessageId, Parsed};
+use cloverstile::{parse_settings_json, EndpointId, MessageId, Outcome, Parsed};
 use gullcart_engine::{Answer, Effect, Ended, Engine, IdleShare, Input, Notice, Start, Ticket, EPOCH};
 use gullcart_journal::{Journal, Options};
 use gullcart_judge::trace::{
@@ -123,6 +123,8 @@
     Back { courier: usize, epoch: u32, message: MessageId, serial: u64, ended: Ended, keep: bool },
     /// A courier gives a call up.
     GiveUp { courier: usize, epoch: u32, message: MessageId, serial: u64 },
+    /// A call's connection does not come up in time.
+    Never { courier: usize, epoch: u32, message: MessageId, serial: u64, outcome: Outcome },
     /// A notice reaches the platform.
     Notice(usize, u32, Notice),
     /// A notice's answer reaches its courier.
@@ -358,6 +360,9 @@
                 self.back_at(courier, epoch, message, serial, ended, keep);
             }
             Due::GiveUp { courier, epoch, message, serial } => self.give_up(courier, epoch, message, serial),
+            Due::Never { courier, epoch, message, serial, outcome } => {
+                self.never(courier, epoch, message, serial, outcome);
+            }
             Due::Notice(courier, epoch, notice) => self.noticed(courier, epoch, &notice),
             Due::Heard(courier, epoch, message) => self.input(courier, epoch, Input::Heard(vec![message])),
             Due::News(courier, partner, standing, state) => self.news(courier, partner, standing, state),
@@ -381,7 +386,7 @@
             Due::Start(courier) => self.start(courier)?,
             Due::Ready(courier, epoch) => {
                 if self.places[courier].process(epoch).is_some() {
-                    self.note(Event::Process { courier: CourierId(courier as u8), what: What::Ready });
+                    self.note(Event::Process { courier: CourierId(courier as u16), what: What::Ready });
                     self.places[courier].is_serving = true;
                 }
             }
@@ -406,7 +411,7 @@
     /// A process starts on its folder.
     fn start(&mut self, courier: usize) -> Result<(), EmulationError> {
         let (now, seed) = (self.now, self.rng.u64(..));
-        self.note(Event::Process { courier: CourierId(courier as u8), what: What::Started });
+        self.note(Event::Process { courier: CourierId(courier as u16), what: What::Started });
         let disk = (self.scenario.couriers.disk_mb * 1e6) as u64;
         let place = &mut self.places[courier];
         // What a process may not write, the next one may.
@@ -471,7 +476,7 @@
             Ok(effects) => effects,
             Err(error) => {
                 self.remark(format!("courier {courier} ended by itself: {error}"));
-                self.note(Event::Process { courier: CourierId(courier as u8), what: What::Crashed });
+                self.note(Event::Process { courier: CourierId(courier as u16), what: What::Crashed });
                 self.places[courier].process = None;
                 return;
             }
@@ -543,7 +548,7 @@
             End::Failed => gullcart_judge::trace::Ended::Failed,
             End::Returned { after_ms } => gullcart_judge::trace::Ended::Returned(Some(after_ms)),
         };
-        self.note(Event::Notice { message, courier: CourierId(courier as u8), ended });
+        self.note(Event::Notice { message, courier: CourierId(courier as u16), ended });
         if let Some(message) = message {
             self.note(Event::NoticeAnswered { message });
         }
--- a/crates/gullcart-engine/src/broken.rs
+++ b/crates/gullcart-engine/src/broken.rs
@@ -55,6 +55,8 @@
     HandsBack = "hands-back",
     /// A keyed message is sent again long after its key is forgotten.
     PastWindow = "past-window",
+    /// A repeat goes whenever its connection comes up.
+    LateRepeats = "late-repeats",
     /// Drains are not heard.
     DeafToDrains = "deaf-to-drains",
     /// Drains are heard some seconds too late.
--- a/crates/gullcart-engine/src/engine.rs
+++ b/crates/gullcart-engine/src/engine.rs
@@ -711,6 +711,8 @@
             true => format!("{key}{attempt}"),
             false => key,
         });
+        #[cfg(feature = "broken")]
+        let send_by = send_by.filter(|_| !self.broken.is(Fault::LateRepeats));
         let call = Call { message, endpoint, address, id, idempotency_key, body, try_for, send_by };
         trail::begins(&call, attempt);
         #[cfg(feature = "broken")]
--- a/crates/gullcart-engine/src/tally.rs
+++ b/crates/gullcart-engine/src/tally.rs
@@ -7,7 +7,7 @@
 /// The log's target of these lines: `GULLCART_LOG=gullcart::tally=debug` switches them on.
 pub const TALLY: &str = "gullcart::tally";
 /// Destinations that are told of in one second at most; of the others their number.
-const MOST: usize = 256;
+const MOST: usize = 1024;
 
 /// What happened with one destination.
 #[derive(Default)]
--- a/crates/gullcart-engine/src/trials.rs
+++ b/crates/gullcart-engine/src/trials.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// Destinations that are wanted at a time; beyond them each courier tries for itself.
-const MOST: usize = 64;
+const MOST: usize = 1024;
 /// A holder that gets nowhere for so many times the fall window passes the duty on: it may be its own way that fails.
 const HELD_FALLS: u32 = 2;
 /// Where nothing is wanted, outages are looked for so often.
--- a/crates/gullcart-group/src/say.rs
+++ b/crates/gullcart-group/src/say.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Duties that one member watches, or holds, at most.
-pub const MOST_WATCHED: usize = 256;
+pub const MOST_WATCHED: usize = 1024;
 
 /// What a member asks of a voter.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/gullcart-judge/src/trace.rs
+++ b/crates/gullcart-judge/src/trace.rs
@@ -60,7 +60,7 @@
 id!(/// One call at an endpoint.
     CallId(u64), "call ");
 id!(/// A courier, the same over its restarts.
-    CourierId(u8), "courier ");
+    CourierId(u16), "courier ");
 id!(/// An endpoint, one for each `uid`: one that comes in the place of another has its own.
     EndpointId(u32), "endpoint ");
 id!(/// A partner, the `dest` of a message and `pod_group` of endpoints.
--- a/crates/gullcart-judge/tests/lawful.rs
+++ b/crates/gullcart-judge/tests/lawful.rs
@@ -13,7 +13,7 @@
     class: u8,
     key: u64,
     gap: u64,
-    courier: u8,
+    courier: u16,
     calls: Vec<(u64, Reply)>,
 }
 
@@ -35,7 +35,7 @@
 }
 
 fn plan() -> impl Strategy<Value = Plan> {
-    (0u8..3, 0u64..4, 0u64..60, 0u8..2, prop::collection::vec((1u64..300, reply()), 1..5))
+    (0u8..3, 0u64..4, 0u64..60, 0u16..2, prop::collection::vec((1u64..300, reply()), 1..5))
         .prop_map(|(class, key, gap, courier, calls)| Plan { class, key, gap, courier, calls })
 }
 
--- a/crates/gullcart-peers/src/settings.rs
+++ b/crates/gullcart-peers/src/settings.rs
@@ -1,5 +1,6 @@
 //! The operators' file of the group, checked as a whole before anything of it counts.
 
+use gullcart_group::table::MOST_MEMBERS;
 use gullcart_group::vocabulary::{MemberId, Terms};
 use serde::Deserialize;
 use sha2::{Digest, Sha256};
@@ -8,9 +9,8 @@
 use std::time::Duration;
 use thiserror::Error;
 
-/// Voters at least and at most, and members at most.
+/// Voters at least and at most.
 const VOTERS: std::ops::RangeInclusive<usize> = 3..=7;
-const MOST_MEMBERS: usize = 300;
 /// Bytes of a key at least.
 const LEAST_KEY: usize = 16;
 
@@ -236,6 +236,17 @@
             let error = read(&text(top, votes)).unwrap_err();
             assert!(error.contains(word), "{error}");
         }
+        // As many as there may be, and one more.
+        let more = |count: usize| -> String {
+            let member = |at: usize| {
+                let (number, port) = (at + 1, at + 7000);
+                format!("[[member]]\nname = \"{at}\"\nnumber = {number}\naddress = \"127.0.0.1:{port}\"\n")
+            };
+            text("", [true; 3]) + &(3..count).map(member).collect::<String>()
+        };
+        assert_eq!(read(&more(MOST_MEMBERS)).unwrap().members.len(), MOST_MEMBERS);
+        let error = read(&more(MOST_MEMBERS + 1)).unwrap_err();
+        assert!(error.contains("1025") && error.contains("1024"), "{error}");
         // Another lease, or another voter, makes another group; another name does not.
         assert_ne!(read(&text("lease_ms = 2000", [true; 3])).unwrap().group(), good.group());
         let renumbered = text("", [true; 3]).replace("number = 3", "number = 4");
--- a/crates/gullcart-rehearsal/src/day.rs
+++ b/crates/gullcart-rehearsal/src/day.rs
@@ -242,6 +242,7 @@
                     match fault.how {
                         How::Down => Trouble::Down,
                         How::Silent => Trouble::Silent,
+                        How::Cut => Trouble::Cut,
                         How::Shut => Trouble::Shut(fault.tells_wait),
                     },
                 );
--- a/crates/gullcart-rehearsal/src/figures.rs
+++ b/crates/gullcart-rehearsal/src/figures.rs
@@ -113,7 +113,7 @@
         },
         "Permissions": {
             "MostHeld": day.most_held, "SendCap": 8, "Cancel": true, "ConnIdle": nanos(15.0),
-            "ConnectTimeout": nanos(1.0),
+            "ConnectTimeout": nanos(scenario.couriers.connect_s),
         },
         "Rules": {
             "AnswerSlack": 20_000_000, "OrderSettle": figures.order_settle.as_nanos() as u64,
--- a/crates/gullcart-rehearsal/src/lib.rs
+++ b/crates/gullcart-rehearsal/src/lib.rs
@@ -16,5 +16,5 @@
 pub use page::page;
 pub use report::{Counts, Lateness, Report, Sample, Shown, Verdict};
 pub use run::{run, Options, Progress, RunError, Until};
-pub use scenario::{Effect, Partner, Replace, Scenario, ScenarioError};
+pub use scenario::{Effect, Partner, Replace, Scenario, ScenarioError, MOST_COURIERS};
 pub use shipped::{shipped, Shipped, SHIPPED};
--- a/crates/gullcart-rehearsal/src/report.rs
+++ b/crates/gullcart-rehearsal/src/report.rs
@@ -93,7 +93,7 @@
     /// Its words.
     pub words: &'static str,
     /// By whom.
-    pub courier: u8,
+    pub courier: u16,
     /// With which hand-in.
     pub message: Option<u64>,
     /// What happened.
--- a/crates/gullcart-rehearsal/src/run/clients.rs
+++ b/crates/gullcart-rehearsal/src/run/clients.rs
@@ -94,7 +94,7 @@
             .request();
             self.recorder.note(Event::HandIn {
                 message,
-                courier: CourierId(courier as u8),
+                courier: CourierId(courier as u16),
                 class: ClassId(arrival.class as u8),
                 key: arrival.key.map(OrderKey),
                 partner: partner_id(arrival.partner),
--- a/crates/gullcart-rehearsal/src/run/couriers.rs
+++ b/crates/gullcart-rehearsal/src/run/couriers.rs
@@ -6,7 +6,7 @@
 
 impl World {
     pub(super) fn process(&self, courier: usize, what: Process) {
-        self.recorder.note(Event::Process { courier: CourierId(courier as u8), what });
+        self.recorder.note(Event::Process { courier: CourierId(courier as u16), what });
     }
 
     pub(super) async fn start(self: &Rc<Self>, courier: usize) -> Result<(), RunError> {
--- a/crates/gullcart-rehearsal/src/run/faults.rs
+++ b/crates/gullcart-rehearsal/src/run/faults.rs
@@ -12,7 +12,7 @@
         match action {
             Action::Begin { id, trouble, partner, endpoint, until } => {
                 self.partners[partner].borrow_mut().begin(id, trouble, endpoint, until);
-                if trouble == Trouble::Down {
+                if matches!(trouble, Trouble::Down | Trouble::Cut) {
                     self.reopen(partner);
                 }
             }
@@ -66,8 +66,12 @@
             if self.partners[partner].borrow().is_down(standing.endpoint.place) {
                 standing.doors.iter().for_each(Door::shut);
                 standing.endpoint.break_connections();
-            } else if let Some(error) = standing.doors.iter().find_map(|door| door.reopen().err()) {
-                self.remark(format!("an endpoint's address could not be opened again: {error}"));
+                continue;
+            }
+            let is_cut = self.partners[partner].borrow().cut_until(standing.endpoint.place).is_some();
+            let change = if is_cut { Door::cut } else { Door::reopen };
+            if let Some(error) = standing.doors.iter().find_map(|door| change(door).err()) {
+                self.remark(format!("an endpoint's address could not be opened again or cut off: {error}"));
             }
         }
     }
--- a/crates/gullcart-rehearsal/src/run/mod.rs
+++ b/crates/gullcart-rehearsal/src/run/mod.rs
@@ -267,7 +267,7 @@
         }
         for courier in 0..world.places.len() {
             let list = world.list(courier);
-            let agent = Agent::start(&world.recorder, CourierId(courier as u8), list).await;
+            let agent = Agent::start(&world.recorder, CourierId(courier as u16), list).await;
             *world.places[courier].agent.borrow_mut() = Some(agent.map_err(doing("the register's address"))?);
         }
         Ok(world)
--- a/crates/gullcart-rehearsal/src/run/stand.rs
+++ b/crates/gullcart-rehearsal/src/run/stand.rs
@@ -9,7 +9,7 @@
     pub(super) fn endpoint(&self, partner: usize, place: usize) -> io::Result<Standing> {
         let endpoint = self.new_endpoint(partner, place);
         let doors: io::Result<Vec<Door>> = (0..self.places.len())
-            .map(|courier| Door::open(&self.site, CourierId(courier as u8), endpoint.clone()))
+            .map(|courier| Door::open(&self.site, CourierId(courier as u16), endpoint.clone()))
             .collect();
         Ok(Standing { endpoint, doors: Rc::new(doors?), state: Cell::new(State::Serving) })
     }
--- a/crates/gullcart-rehearsal/src/scenario.rs
+++ b/crates/gullcart-rehearsal/src/scenario.rs
@@ -6,10 +6,11 @@
 use toml::de::{DeTable, DeValue};
 
 /// Bounds on what one machine can play.
-const MOST_COURIERS: usize = 8;
+/// Couriers of one scenario, at most.
+pub const MOST_COURIERS: usize = 1024;
 const MOST_ARRIVALS: f64 = 2e6;
-const MOST_PARTNERS: usize = 200;
-const MOST_ENDPOINTS: usize = 16;
+const MOST_PARTNERS: usize = 1024;
+const MOST_ENDPOINTS: usize = 1024;
 
 /// One thing that is wrong with a scenario file.
 #[derive(Debug, Error, PartialEq, Eq)]
@@ -62,8 +63,10 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Couriers {
-    /// One to eight.
+    /// One to [`MOST_COURIERS`].
     pub count: usize,
+    /// A connection that takes longer has failed.
+    pub connect_s: f64,
     /// Calls out at once, for each; worked out from the traffic where it is left out.
     pub slots: Option<u32>,
     /// Messages held, for each; worked out from the traffic where it is left out.
@@ -78,7 +81,15 @@
 
 impl Default for Couriers {
     fn default() -> Self {
-        Couriers { count: 2, slots: None, most_held: None, memory_mb: 192, sockets: 1024, disk_mb: 3.0 }
+        Couriers {
+            count: 2,
+            connect_s: 1.0,
+            slots: None,
+            most_held: None,
+            memory_mb: 192,
+            sockets: 1024,
+            disk_mb: 3.0,
+        }
     }
 }
 
@@ -332,6 +343,8 @@
     Down,
     /// Takes calls and answers none.
     Silent,
+    /// Cut off: nothing is answered, and new connections come up only when it is over.
+    Cut,
     /// Refuses all.
     Shut,
 }
@@ -479,6 +492,9 @@
         if !(1..=MOST_COURIERS).contains(&self.couriers.count) {
             return Err(("couriers", 0, "count", format!("must lie between 1 and {MOST_COURIERS}")));
         }
+        if !(0.05..=60.0).contains(&self.couriers.connect_s) {
+            return Err(("couriers", 0, "connect_s", "must lie between 0.05 and 60".to_owned()));
+        }
         if self.classes.is_empty() || self.classes.len() > 100 {
             return top("class", "there must be 1 to 100 of them");
         }
@@ -705,7 +721,7 @@
         return wrong("share", "must be 0 or more");
     }
     if !(1..=MOST_ENDPOINTS).contains(&partner.endpoints) {
-        return wrong("endpoints", "must lie between 1 and 16");
+        return wrong("endpoints", &format!("must lie between 1 and {MOST_ENDPOINTS}"));
     }
     if !(1.0..=60_000.0).contains(&partner.pace_ms) {
         return wrong("pace_ms", "must lie between 1 and 60000");
--- a/crates/gullcart-rehearsal/src/shipped.rs
+++ b/crates/gullcart-rehearsal/src/shipped.rs
@@ -24,6 +24,7 @@
     "upgrade",
     "suspend",
     "gauntlet",
+    "cut-off",
     "cold-return",
     "overlap",
     "mid-drain",
--- a/crates/gullcart-rehearsal/tests/scenarios.rs
+++ b/crates/gullcart-rehearsal/tests/scenarios.rs
@@ -58,6 +58,15 @@
         // ... and in the meaning.
         (HEAD.replace("seconds = 20", "seconds = -1"), 2, "seconds"),
         (HEAD.replace("endpoints = 3", "endpoints = 0"), 11, "partner[0].endpoints"),
+        (HEAD.replace("endpoints = 3", "endpoints = 1025"), 11, "partner[0].endpoints"),
+        (
+            HEAD.replace(
+                "[[partner]]\nname = \"bank\"",
+                "[couriers]\ncount = 1025\n\n[[partner]]\nname = \"bank\"",
+            ),
+            9,
+            "couriers.count",
+        ),
         (HEAD.replace("rate = 10", "count = 0"), 16, "partner[1].count"),
         (HEAD.replace("name = \"shop\"", "name = \"bank\""), 14, "partner[1].name"),
         (
--- a/crates/gullcart-standins/src/endpoint.rs
+++ b/crates/gullcart-standins/src/endpoint.rs
@@ -25,6 +25,8 @@
 const HANDSHAKE: Duration = Duration::from_millis(10);
 /// Connections that wait to be accepted.
 pub(crate) const BACKLOG: i32 = 256;
+/// Connections that fill a queue of none, with one to spare.
+const FILLERS: usize = 2;
 /// Between failures to accept.
 pub(crate) const PAUSE: Duration = Duration::from_millis(20);
 /// The longest lateness that is told apart, in microseconds.
@@ -123,7 +125,11 @@
     site: Site,
     courier: CourierId,
     endpoint: Rc<RefCell<Rc<Endpoint>>>,
+    /// None while connections are refused.
+    listener: RefCell<Option<Rc<TcpListener>>>,
     accepting: RefCell<Option<JoinHandle<()>>>,
+    /// Wait in front of it while it is cut off, so that nobody else's connection comes up.
+    fillers: RefCell<Vec<Socket>>,
 }
 
 pub(crate) fn bound(address: SocketAddr) -> io::Result<Socket> {
@@ -146,7 +152,9 @@
             site: site.clone(),
             courier,
             endpoint: Rc::new(RefCell::new(endpoint)),
+            listener: RefCell::default(),
             accepting: RefCell::default(),
+            fillers: RefCell::default(),
         };
         door.reopen()?;
         Ok(door)
@@ -162,9 +170,22 @@
         if self.accepting.borrow().is_some() {
             return Ok(());
         }
-        let socket = bound(self.address)?;
-        socket.listen(BACKLOG)?;
-        let listener = TcpListener::from_std(socket.into())?;
+        let before = self.listener.borrow().clone();
+        let listener = match before {
+            // It was cut off: who waited comes up, as the kernel tries again, and the fillers go.
+            Some(listener) => {
+                let socket = SockRef::from(&*listener);
+                socket.listen(BACKLOG)?;
+                self.fillers.take().iter().for_each(|_| drop(socket.accept()));
+                listener
+            }
+            None => {
+                let socket = bound(self.address)?;
+                socket.listen(BACKLOG)?;
+                Rc::new(TcpListener::from_std(socket.into())?)
+            }
+        };
+        *self.listener.borrow_mut() = Some(listener.clone());
         let (site, courier, endpoint) = (self.site.clone(), self.courier, self.endpoint.clone());
         *self.accepting.borrow_mut() = Some(spawn_local(async move {
             loop {
@@ -190,6 +211,25 @@
         if let Some(accepting) = self.accepting.borrow_mut().take() {
             accepting.abort();
         }
+        self.listener.take();
+        self.fillers.take();
+    }
+
+    /// Lets no connection come up until it is opened again: the queue in front of it is full, so that first words are
+    /// dropped. Those that there are stay.
+    pub fn cut(&self) -> io::Result<()> {
+        let Some(accepting) = self.accepting.take() else { return Ok(()) };
+        accepting.abort();
+        let Some(listener) = &*self.listener.borrow() else { return Ok(()) };
+        SockRef::from(&**listener).listen(0)?;
+        for _ in 0..FILLERS {
+            let filler = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+            filler.set_nonblocking(true)?;
+            // Comes up or waits, as the others.
+            let _ = filler.connect(&self.address.into());
+            self.fillers.borrow_mut().push(filler);
+        }
+        Ok(())
     }
 
     /// Another endpoint takes over the address.
--- a/crates/gullcart-standins/src/partner.rs
+++ b/crates/gullcart-standins/src/partner.rs
@@ -78,6 +78,8 @@
     Spoil(f64),
     /// Refuses connections, and breaks those that there are.
     Down,
+    /// Cut off: what is open says nothing, and new connections come up only when it is over.
+    Cut,
 }
 
 /// A trouble in force.
@@ -182,6 +184,11 @@
         self.active(endpoint).any(|active| active.what == Trouble::Down)
     }
 
+    /// Until when an endpoint is cut off; none if it is not.
+    pub fn cut_until(&self, endpoint: usize) -> Option<At> {
+        self.active(endpoint).filter(|active| active.what == Trouble::Cut).map(|active| active.until).max()
+    }
+
     /// A trouble begins; `until` is when it is meant to end.
     pub fn begin(&mut self, id: u32, what: Trouble, endpoint: Option<usize>, until: At) {
         self.troubles.push(Active { id, what, endpoint, until });
@@ -225,7 +232,7 @@
         self.fallen |= fallen_now;
         let troubles: Vec<Active> = self.active(endpoint).copied().collect();
         let is = |what| troubles.iter().any(|active| active.what == what);
-        if self.fallen || is(Trouble::Silent) {
+        if self.fallen || is(Trouble::Silent) || is(Trouble::Cut) {
             return Fate::Silent;
         }
         let mut slow = 1.0;
--- a/crates/gullcart-standins/src/world.rs
+++ b/crates/gullcart-standins/src/world.rs
@@ -479,6 +479,30 @@
         }
     }
 
+    /// So many more endpoints, all at the address of the first one, at destinations from 2 on.
+    fn many(&self, count: usize, state: &str) -> Vec<Value> {
+        let entry = |number: usize| {
+            let mut target = self.target(0, state);
+            target["uid"] = format!("many-{number}").into();
+            target["pod_group"] = (2 + number / 2).into();
+            target
+        };
+        (0..count).map(entry).collect()
+    }
+
+    /// Tells the watch of so many more endpoints in one change.
+    pub fn tell_many(&self, rev: u32, count: usize, state: &str) {
+        self.tell(rev, &self.many(count, state));
+    }
+
+    /// Another agent, with so many more endpoints in its whole list.
+    pub fn agent_with_many(&self, rev: u32, count: usize, state: &str) -> Agent {
+        let agent = Agent::start(&self.send);
+        let targets = [vec![self.target(0, "SERVING")], self.many(count, state)].concat();
+        *agent.state.list.lock().unwrap() = json!({"rev": rev, "all": true, "targets": targets}).to_string();
+        agent
+    }
+
     /// Discovery takes connections and says nothing.
     pub fn silence_discovery(&self, silent: bool) {
         self.discovery.state.silent.store(silent, Ordering::SeqCst);
--- a/crates/gullcart/src/calls/tests.rs
+++ b/crates/gullcart/src/calls/tests.rs
@@ -154,3 +154,19 @@
         assert_eq!(read_report(text), None, "{text}");
     }
 }
+
+/// What lies on a connection before a call is written is no answer to it, and would be taken for one.
+#[test]
+fn nothing_is_written_where_bytes_lie_that_belong_to_no_call() {
+    let door = TcpListener::bind("127.0.0.1:0").unwrap();
+    run(async {
+        let stream = TcpStream::connect(door.local_addr().unwrap()).await.unwrap();
+        let (mut inside, _) = door.accept().unwrap();
+        std::io::Write::write_all(&mut inside, b"HTTP/1.1 503 Busy\r\n").unwrap();
+        stream.readable().await.unwrap();
+        let wire = Rc::new(Wire::new(stream, Descriptor::new(&Rc::default(), &Rc::default())));
+        wire.begin(0, Rc::default(), None);
+        let written = tokio::io::AsyncWriteExt::write(&mut WireStream(wire.clone()), b"POST").await;
+        assert!(written.is_err() && wire.is_untouched(), "{written:?}");
+    });
+}
--- a/crates/gullcart/src/discovery.rs
+++ b/crates/gullcart/src/discovery.rs
@@ -44,7 +44,7 @@
     Status(StatusCode),
     #[error("a line cannot be read: {0}")]
     Line(#[from] serde_json::Error),
-    #[error("broken off or without end")]
+    #[error("broken off, or longer than {LONGEST_LIST} bytes")]
     Long,
 }
 
--- a/crates/gullcartctl/src/emulate.rs
+++ b/crates/gullcartctl/src/emulate.rs
@@ -3,7 +3,7 @@
 use crate::rehearse::{read, until, write};
 use clap::Args;
 use gullcart_emulator::{emulate as play, Emulated, Options};
-use gullcart_rehearsal::{page, Scenario, Until, Verdict};
+use gullcart_rehearsal::{page, Scenario, Until, Verdict, MOST_COURIERS};
 use indicatif::{ProgressBar, ProgressStyle};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
@@ -13,7 +13,6 @@
 use std::time::Instant;
 
 /// Couriers that a trace can tell apart.
-const MOST_COURIERS: usize = 256;
 
 #[derive(Args)]
 #[command(after_help = "Examples:
--- a/crates/gullcartctl/src/prove.rs
+++ b/crates/gullcartctl/src/prove.rs
@@ -24,6 +24,7 @@
     ("side-by-side", "twice", "gauntlet"),
     ("hands-back", "twice", "gauntlet"),
     ("past-window", "twice", "gauntlet"),
+    ("late-repeats", "twice", "cut-off"),
     ("deaf-to-drains", "drains", "gauntlet"),
     ("late-to-drains", "drains", "gauntlet"),
     ("rushes-cold", "returning", "cold-return"),
@@ -39,7 +40,7 @@
 ];
 
 /// What the honest build is rehearsed with.
-const SHORT: &[&str] = &["smoke", "gauntlet", "cold-return", "overlap", "mid-drain", "restarts"];
+const SHORT: &[&str] = &["smoke", "gauntlet", "cut-off", "cold-return", "overlap", "mid-drain", "restarts"];
 
 /// The name under which the honest build stands in the results.
 const HONEST: &str = "none";
