Let members without a vote come and go while a group serves

A removed member is listened to no more, on open connections too, and loses what it holds with its lease. A lost folder comes back under a new number; under the old one it is turned away as before.

--- a/crates/gullcart-group/src/door.rs
+++ b/crates/gullcart-group/src/door.rs
@@ -197,6 +197,16 @@
         Ok(changed)
     }
 
+    /// Who belongs to the group from now on. Births that are known stay known: a number is its courier's own for good.
+    pub fn belong(&mut self, members: &[MemberId]) {
+        self.members = members.iter().copied().collect();
+    }
+
+    /// Whether somebody belongs to the group.
+    pub fn is_member(&self, member: MemberId) -> bool {
+        self.members.contains(&member)
+    }
+
     /// Whether this process may vote.
     pub fn may_vote(&self) -> bool {
         self.passport.is_proven && !self.is_stranger && self.voters.contains(&self.me)
--- a/crates/gullcart-peers/src/bin/gullcart-duty.rs
+++ b/crates/gullcart-peers/src/bin/gullcart-duty.rs
@@ -60,6 +60,10 @@
     let mut count = 0u32;
     loop {
         match told.recv_timeout(GAP) {
+            Ok(line) if line == "follow" => {
+                let settings = Settings::read(&PathBuf::from(std::env::var("GULLCART_GROUP")?))?;
+                say(&format!("follows {}", group.follow(settings)));
+            }
             Ok(_) => {
                 let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build()?;
                 let heard = runtime.block_on(group.leave(Duration::from_secs(2)));
--- a/crates/gullcart-peers/src/group.rs
+++ b/crates/gullcart-peers/src/group.rs
@@ -3,6 +3,7 @@
 
 use crate::folder::{Keep, KeepError};
 use crate::net::{self, Event, Net};
+use crate::roster::{self, Change};
 use crate::settings::Settings;
 use crate::vocabulary::{now, DutyStatus, Given, GroupError, Look, Shared, Status, Wish};
 use gullcart_group::door::{Door, Left, Origin, Passport};
@@ -85,6 +86,8 @@
 
 struct Group {
     settings: Settings,
+    /// Members for which there is room.
+    room: usize,
     folder: PathBuf,
     /// None while it fails: then nothing may be promised.
     keep: Option<Keep>,
@@ -124,6 +127,7 @@
     let (events, mut heard) = mpsc::channel(EVENTS);
     let net = net::open(&settings, listener, door.clone(), events);
     let mut group = Group {
+        room: settings.room(),
         settings,
         folder,
         keep: Some(keep),
@@ -165,6 +169,7 @@
                 Some(Wish::GiveUp(duty)) => group.node.member.give_up(now(), &duty),
                 Some(Wish::PassOn(duty, rest)) => group.node.member.pass_on(now(), &duty, rest),
                 Some(Wish::Tell(duty, words)) => group.node.member.tell(now(), &duty, words),
+                Some(Wish::Follow(settings)) => group.follow(*settings),
                 Some(Wish::Leave(done)) => {
                     group.node.member.give_all_up(now());
                     leaving = Some(done);
@@ -189,6 +194,21 @@
 }
 
 impl Group {
+    /// All of what another file says, or nothing.
+    fn follow(&mut self, settings: Settings) {
+        match roster::change(&self.settings, &settings, self.room) {
+            Ok(change) if change == Change::default() => {}
+            Ok(change) => {
+                let (added, removed) = (change.added.len(), change.removed.len());
+                info!(added, removed, members = settings.members.len(), "the group has other members");
+                self.door.borrow_mut().belong(&settings.ids());
+                self.net.follow(&settings, &change);
+                self.settings = settings;
+            }
+            Err(error) => error!(%error, "the file of the group was read again; the group stays as it was"),
+        }
+    }
+
     fn heard(&mut self, event: Event) {
         match event {
             Event::Met(member) => {
--- a/crates/gullcart-peers/src/handle.rs
+++ b/crates/gullcart-peers/src/handle.rs
@@ -90,6 +90,12 @@
         self.wishes.try_send(Wish::Tell(duty, words)).is_ok()
     }
 
+    /// Follows another file, as far as that may change in service; what of it is refused is in the log. False where too much is
+    /// asked at once.
+    pub fn follow(&self, settings: Settings) -> bool {
+        self.wishes.try_send(Wish::Follow(Box::new(settings))).is_ok()
+    }
+
     /// How the group stood when it was last looked at or changed.
     pub fn status(&self) -> Status {
         let Ok(mut shared) = self.shared.lock() else { return Status::default() };
--- a/crates/gullcart-peers/src/net.rs
+++ b/crates/gullcart-peers/src/net.rs
@@ -2,10 +2,11 @@
 //! that the others opened. What cannot be said is lost, which the group is made for.
 
 use crate::frames::{bad, greet, read_frame, write_frame, write_greeting};
+use crate::roster::Change;
 use crate::sealed::{Greeting, Opening, SealError, Sealed, CODE, MOST_FRAME, MOST_GREETING, VERSION};
 use crate::settings::Settings;
 use crate::vocabulary::{Status, OPERATOR};
-use gullcart_group::door::Door;
+use gullcart_group::door::{Door, Turned};
 use gullcart_group::say::Say;
 use gullcart_group::vocabulary::MemberId;
 use std::cell::RefCell;
@@ -52,6 +53,7 @@
 /// The connections.
 pub struct Net {
     out: BTreeMap<MemberId, mpsc::Sender<Say>>,
+    site: Rc<Site>,
     reached: Rc<RefCell<BTreeSet<MemberId>>>,
     /// The door has learnt something that is to be kept.
     pub is_changed: Rc<RefCell<bool>>,
@@ -66,6 +68,23 @@
         }
     }
 
+    /// Talks to others from now on, and no more to some.
+    pub fn follow(&mut self, settings: &Settings, change: &Change) {
+        for gone in &change.removed {
+            // Its connection ends with what there is to say.
+            self.out.remove(gone);
+        }
+        for member in settings.talks_to().filter(|member| change.added.contains(member)) {
+            self.talk_to(MemberId(member.number), member.address);
+        }
+    }
+
+    fn talk_to(&mut self, to: MemberId, address: SocketAddr) {
+        let (say, said) = mpsc::channel(WAITING);
+        self.out.insert(to, say);
+        spawn_local(call(self.site.clone(), to, address, said));
+    }
+
     /// Members that can be talked to.
     pub fn reached(&self) -> Vec<MemberId> {
         self.reached.borrow().iter().copied().collect()
@@ -102,17 +121,14 @@
         reached: Rc::clone(&reached),
         is_changed: Rc::clone(&is_changed),
         callers: RefCell::default(),
-        most_callers: settings.talks_to().count() + MORE_CALLERS,
+        most_callers: settings.room() + MORE_CALLERS,
     });
     spawn_local(accept(listener, site.clone()));
-    let mut out = BTreeMap::new();
+    let mut net = Net { out: BTreeMap::new(), site, reached, is_changed };
     for member in settings.talks_to() {
-        let id = MemberId(member.number);
-        let (say, said) = mpsc::channel(WAITING);
-        out.insert(id, say);
-        spawn_local(call(site.clone(), id, member.address, said));
+        net.talk_to(MemberId(member.number), member.address);
     }
-    Net { out, reached, is_changed }
+    net
 }
 
 impl Site {
@@ -272,6 +288,9 @@
         let mut bytes = vec![0; length];
         timeout(SILENT, stream.read_exact(&mut bytes)).await??;
         let say: Say = sealed.read(&bytes).map_err(bad)?;
+        if !site.door.borrow().is_member(from) {
+            return Err(io::Error::new(io::ErrorKind::PermissionDenied, Turned::Stranger(from)));
+        }
         if site.events.send(Event::Said(from, Box::new(say))).await.is_err() {
             return Ok(());
         }
--- a/crates/gullcart-peers/src/settings.rs
+++ b/crates/gullcart-peers/src/settings.rs
@@ -11,6 +11,8 @@
 
 /// Voters at least and at most.
 const VOTERS: std::ops::RangeInclusive<usize> = 3..=7;
+/// Members that may come while the courier serves, beyond those of its start.
+const SPARE: usize = 8;
 /// Bytes of a key at least.
 const LEAST_KEY: usize = 16;
 
@@ -181,7 +183,12 @@
     /// Descriptors at most: one to and one from each member that this one talks to, and some for its listener, its files, its
     /// timers and operators.
     pub fn sockets(&self) -> usize {
-        2 * self.talks_to().count() + 16
+        2 * (self.talks_to().count() + SPARE) + 16
+    }
+
+    /// Members for which there is room without a start.
+    pub fn room(&self) -> usize {
+        (self.members.len() + SPARE).min(MOST_MEMBERS)
     }
 
     /// The others with which this one has anything to say: those that do not vote have nothing to say to each other.
--- a/crates/gullcart-peers/src/vocabulary.rs
+++ b/crates/gullcart-peers/src/vocabulary.rs
@@ -1,6 +1,7 @@
 //! What the loop, the courier and operators say to each other of the group.
 
 use crate::folder::KeepError;
+use crate::settings::Settings;
 use gullcart_group::door::Left;
 use gullcart_group::member::Packed;
 use gullcart_group::vocabulary::{Duty, Epoch, MemberId, Moment, Words};
@@ -105,6 +106,8 @@
     GiveUp(Duty),
     PassOn(Duty, Duration),
     Tell(Duty, Words),
+    /// Its file was read again.
+    Follow(Box<Settings>),
     Leave(oneshot::Sender<()>),
     Pack(oneshot::Sender<Box<Given>>),
 }
--- a/crates/gullcart-peers/tests/common/mod.rs
+++ b/crates/gullcart-peers/tests/common/mod.rs
@@ -45,7 +45,10 @@
     pub processes: Vec<Option<Process>>,
     pub partner: Partner,
     voters: usize,
-    duties: String,
+    /// Who stands in the files that processes are started with.
+    pub listed: Vec<usize>,
+    /// What the next processes want, by commas.
+    pub duties: String,
     /// Processes that were stopped so far: each may have been stopped right before an act.
     pub stops: usize,
 }
@@ -129,14 +132,20 @@
 impl Group {
     /// So many processes, of which the first so many vote, all reaching each other.
     pub async fn start(members: usize, voters: usize, duties: &[&str]) -> Self {
+        Group::start_some(members, voters, members, duties).await
+    }
+
+    /// The same, of which some may come later: they stand in no file yet.
+    pub async fn start_some(members: usize, voters: usize, more: usize, duties: &[&str]) -> Self {
         let random = fastrand::u64(..);
         let folder = std::env::temp_dir().join(format!("gullcart-group-{}-{random:x}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
-        let mesh = Mesh::open(members, random).unwrap();
+        let mesh = Mesh::open(more, random).unwrap();
         let partner = Partner::open().await;
-        let processes = (0..members).map(|_| None).collect();
+        let processes = (0..more).map(|_| None).collect();
+        let listed = (0..members).collect();
         let duties = duties.join(",");
-        let mut group = Group { folder, mesh, processes, partner, voters, duties, stops: 0 };
+        let mut group = Group { folder, mesh, processes, partner, voters, listed, duties, stops: 0 };
         for place in 0..members {
             group.run(place).await;
         }
@@ -147,17 +156,27 @@
         self.folder.join(format!("state-{place}"))
     }
 
-    /// Starts a process, on the folder that there is.
-    pub async fn run(&mut self, place: usize) {
+    /// Other members stand in the files from now on, and processes that run are told to read theirs again.
+    pub async fn list(&mut self, listed: Vec<usize>) {
+        self.listed = listed;
+        for place in 0..self.processes.len() {
+            if self.processes[place].is_some() {
+                self.write_file(place);
+                let process = self.processes[place].as_mut().unwrap();
+                process.child.stdin.as_mut().unwrap().write_all(b"follow\n").await.unwrap();
+            }
+        }
+    }
+
+    fn write_file(&self, place: usize) -> PathBuf {
         let own = self.folder.join(format!("conf-{place}"));
         std::fs::create_dir_all(&own).unwrap();
-        std::fs::create_dir_all(self.state(place)).unwrap();
         let key = own.join("key");
         std::fs::write(&key, "a key that is for tests alone").unwrap();
         std::fs::set_permissions(&key, std::fs::Permissions::from_mode(0o600)).unwrap();
         let mut text =
             format!("name = \"m{place}\"\nlisten = \"127.0.0.1:0\"\nkey_file = \"key\"\nlease_ms = 1000\n");
-        for other in 0..self.mesh.size() {
+        for &other in &self.listed {
             let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
             let address = self.mesh.link(place, other).map_or(nowhere, |link| link.address());
             let (number, votes) = (number(other), other < self.voters);
@@ -167,6 +186,13 @@
         }
         let file = own.join("group.toml");
         std::fs::write(&file, text).unwrap();
+        file
+    }
+
+    /// Starts a process, on the folder that there is.
+    pub async fn run(&mut self, place: usize) {
+        std::fs::create_dir_all(self.state(place)).unwrap();
+        let file = self.write_file(place);
         let mut child = Command::new(env!("CARGO_BIN_EXE_gullcart-duty"))
             .env("GULLCART_GROUP", &file)
             .env("BALANCER_STATE", self.state(place))
--- a/crates/gullcart-peers/tests/processes.rs
+++ b/crates/gullcart-peers/tests/processes.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use gullcart_standins::folder::{lose, Copy};
+use serde_json::Value;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -178,3 +179,37 @@
         group.judge();
     });
 }
+
+/// Members without a vote come, go and are replaced while the group serves: a file that is read again is all it takes.
+#[test]
+fn members_without_a_vote_are_added_removed_and_replaced_in_service() {
+    play(async {
+        let is_unheard = |s: &Value| s["heard_ms"].as_u64().unwrap() > 1500;
+        let mut group = Group::start_some(3, 3, 5, &["one"]).await;
+        group.holder("one").await;
+        // One that is in nobody's file but its own is turned away, and acts on nothing.
+        group.duties = "own".to_owned();
+        group.listed = vec![0, 1, 2, 3];
+        group.run(3).await;
+        group.status_until(3, "nobody hears it", is_unheard).await;
+        assert!(group.partner.holder("own").is_none());
+        // Added, it gets what it wants.
+        group.list(vec![0, 1, 2, 3]).await;
+        assert_eq!(group.holder("own").await, 3);
+        // Removed, it loses that with its lease, and another one, added at the same time, gets it.
+        group.list(vec![0, 1, 2, 4]).await;
+        group.run(4).await;
+        assert_eq!(group.handed_on("own", 3).await.0, 4);
+        // Its number with another folder is not the courier that is known, also where the file has it again.
+        group.kill(3).await;
+        std::fs::remove_dir_all(group.state(3)).unwrap();
+        group.list(vec![0, 1, 2, 3, 4]).await;
+        group.run(3).await;
+        group.status_until(3, "nobody hears it", is_unheard).await;
+        group.kill(4).await;
+        group.run(4).await;
+        assert_eq!(group.holder("own").await, 4);
+        assert_eq!(group.partner.acts("one").iter().filter(|act| act.member > 3).count(), 0);
+        group.judge();
+    });
+}
--- a/crates/gullcart/src/group.rs
+++ b/crates/gullcart/src/group.rs
@@ -5,6 +5,7 @@
 use gullcart_engine::{DutyView, Holder, Told, TrialWish};
 use gullcart_group::vocabulary::{Duty, Words};
 use gullcart_peers::handle::{start, Handle};
+use gullcart_peers::roster;
 use gullcart_peers::settings::Settings;
 use gullcart_peers::vocabulary::{now as boot_now, Given, Look};
 use std::cell::RefCell;
@@ -14,7 +15,7 @@
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
-use tracing::{info, warn};
+use tracing::{error, info, warn};
 
 /// What duties of trials are called, before the destination.
 const TRIALS: &str = "trials/";
@@ -28,7 +29,9 @@
 /// The place.
 #[derive(Clone)]
 pub struct Place {
-    settings: Settings,
+    settings: Rc<RefCell<Settings>>,
+    /// Members for which descriptors were dealt out.
+    room: usize,
     folder: PathBuf,
     handle: Rc<RefCell<Option<Handle>>>,
     keeper: Rc<RefCell<Option<AbortHandle>>>,
@@ -40,7 +43,8 @@
     /// A place that is not taken yet.
     pub fn new(settings: Settings, state: &Path) -> Self {
         Place {
-            settings,
+            room: settings.room(),
+            settings: Rc::new(RefCell::new(settings)),
             folder: state.join("group"),
             handle: Rc::default(),
             keeper: Rc::default(),
@@ -76,7 +80,8 @@
     }
 
     fn begin(&self, given: Option<Given>) {
-        match start(self.settings.clone(), &self.folder, given) {
+        let settings = self.settings.borrow().clone();
+        match start(settings, &self.folder, given) {
             Ok(handle) => {
                 self.handle.replace(Some(handle));
             }
@@ -84,6 +89,21 @@
         }
     }
 
+    /// Follows another file of the group, as far as that may change in service.
+    pub fn follow(&self, settings: Settings) {
+        match roster::change(&self.settings.borrow(), &settings, self.room) {
+            Err(error) => {
+                return error!(%error, "the file of the group was read again; the group stays as it was")
+            }
+            Ok(change) if change == roster::Change::default() => return,
+            Ok(_) => {}
+        }
+        if let Some(handle) = self.handle.borrow().as_ref() {
+            handle.follow(settings.clone());
+        }
+        self.settings.replace(settings);
+    }
+
     /// Duties that were asked for.
     pub fn asked(&self) -> Vec<DestinationId> {
         let handle = self.handle.borrow();
--- a/crates/gullcart/src/lib.rs
+++ b/crates/gullcart/src/lib.rs
@@ -45,9 +45,14 @@
 /// How long a process whose courier has moved waits for its SIGTERM.
 const PAST: Duration = Duration::from_secs(60);
 
-/// Reads the configuration again on each SIGHUP. Only where discovery is may change in service; a file that
-/// cannot be read changes nothing.
-async fn follow(mut hang_up: Signal, path: PathBuf, agent: watch::Sender<String>) {
+/// Reads the configuration again on each SIGHUP, and the file of the group where there is one. Only where discovery is, and who
+/// belongs to the group without a vote, may change in service; a file that cannot be read changes nothing.
+async fn follow(
+    mut hang_up: Signal,
+    path: PathBuf,
+    agent: watch::Sender<String>,
+    group: Option<(PathBuf, Place)>,
+) {
     while hang_up.recv().await.is_some() {
         match read_config(&path) {
             Ok(config) => {
@@ -60,6 +65,12 @@
             }
             Err(error) => error!(%error, "the configuration stays as it was"),
         }
+        if let Some((path, place)) = &group {
+            match Settings::read(path) {
+                Ok(settings) => place.follow(settings),
+                Err(error) => error!(%error, "the group stays as it was"),
+            }
+        }
     }
 }
 
@@ -116,13 +127,14 @@
     let (serves, serving) = watch::channel(false);
     let (found, agent) = watch::channel(config.discovery.clone());
     let (end, terminated) = watch::channel(false);
-    tokio::task::spawn_local(follow(hang_up, path, found));
     tokio::task::spawn_local(async move {
         while terminate.recv().await.is_some() {
             end.send_replace(true);
         }
     });
     let place = group.map(|settings| Place::new(settings, &state));
+    let file = std::env::var_os(GROUP_FILE).map(PathBuf::from);
+    tokio::task::spawn_local(follow(hang_up, path, found, file.zip(place.clone())));
     let service = Service {
         config,
         group_costs: costs,
