--- a/crates/gullcart-engine/src/engine.rs
+++ b/crates/gullcart-engine/src/engine.rs
@@ -149,7 +149,7 @@
     /// where it cannot be written. Whatever is handled after this is lost with this engine.
     pub fn freeze(&mut self, now: Time) -> Result<(Vec<Doing>, Option<Vec<u8>>), JournalError> {
         for (message, endpoint) in std::mem::take(&mut self.not_made) {
-            self.ended(now, message, endpoint, NOT_MADE);
+            self.ended(now, message, endpoint, NOT_MADE, false);
         }
         self.note_outages(now);
         self.journal.commit()?;
@@ -256,7 +256,7 @@
     /// before has left until its effects are taken. An error is final: nobody can know what of the journal will last.
     pub fn turn(&mut self, now: Time) -> Result<Vec<Doing>, JournalError> {
         for (message, endpoint) in std::mem::take(&mut self.not_made) {
-            self.ended(now, message, endpoint, NOT_MADE);
+            self.ended(now, message, endpoint, NOT_MADE, false);
         }
         if let Some((_, token)) = self.wake.filter(|(at, _)| *at <= now) {
             self.wake = None;
@@ -413,7 +413,7 @@
             #[cfg(feature = "broken")]
             Input::HeardAtLast(update) => self.listed(now, update),
             Input::Listed(update) => self.listed(now, update),
-            Input::Ended(message, endpoint, ended) => self.ended(now, message, endpoint, ended),
+            Input::Ended(message, endpoint, ended) => self.ended(now, message, endpoint, ended, true),
             Input::Heard(messages) => {
                 for message in messages {
                     self.over(now, message);
@@ -571,7 +571,8 @@
         }
     }
 
-    fn ended(&mut self, now: Time, message: MessageId, endpoint: EndpointId, ended: Ended) {
+    /// An attempt is over, of which the journal has the beginning, or not.
+    fn ended(&mut self, now: Time, message: MessageId, endpoint: EndpointId, ended: Ended, is_written: bool) {
         #[cfg(feature = "broken")]
         let ended = self.broken.ended(ended);
         let Some(out) = self.out.remove(&message) else { return };
@@ -600,7 +601,9 @@
                 }
             }
             self.over(now, message);
-        } else {
+        } else if is_written {
+            // One that is not written has no outcome there either: it would be taken for that of the attempt before, which may
+            // have run, where its own could not be written.
             let written = self.journal.outcome(message.0, !never);
             self.note(now, written);
         }
--- a/crates/gullcart-engine/tests/once.rs
+++ b/crates/gullcart-engine/tests/once.rs
@@ -115,7 +115,9 @@
     out: BTreeMap<MessageId, Out>,
     got: BTreeMap<String, Got>,
     told: BTreeSet<MessageId>,
+    /// The list as discovery has it: zones and states.
     zones: Vec<u8>,
+    states: Vec<&'static str>,
     next: u64,
     rev: u64,
     /// What happened to each message, for the case that something is wrong.
@@ -136,6 +138,7 @@
             got: BTreeMap::new(),
             told: BTreeSet::new(),
             zones: (0..ENDPOINTS).map(zone_at_first).collect(),
+            states: vec!["SERVING"; usize::from(ENDPOINTS)],
             next: 0,
             rev: 1,
             story: Vec::new(),
@@ -250,6 +253,7 @@
                 *zone = if self.rng.u8(..4) == 0 { self.rng.u8(..3) } else { *zone };
                 let state = ["SERVING", "SERVING", "DRAINING", "DELETED"][self.rng.usize(..4)];
                 let targets = vec![Target { state: state.to_owned(), ..target(number, *zone) }];
+                self.states[usize::from(number)] = state;
                 self.rev += 1;
                 self.engine.handle(self.now, Input::Listed(Update { rev: self.rev, all: false, targets }));
             }
@@ -315,6 +319,18 @@
         let passed = (self.now - EPOCH).as_millis() as u64;
         let epoch_ms = wall - passed - put_back;
         self.engine = Engine::new(begin(self.now, epoch_ms), journal(&self.disk, Crash::Process));
+        self.hears_the_list();
+    }
+
+    /// A new process asks discovery for what it may have missed, or could not write down.
+    fn hears_the_list(&mut self) {
+        let listed = (0..ENDPOINTS).filter(|number| self.states[usize::from(*number)] != "DELETED");
+        let entry = |number: u16| {
+            let state = self.states[usize::from(number)].to_owned();
+            Target { state, ..target(number, self.zones[usize::from(number)]) }
+        };
+        let targets = listed.map(entry).collect();
+        self.engine.handle(self.now, Input::Listed(Update { rev: self.rev, all: true, targets }));
     }
 
     /// The courier goes on in another process, as the daemon's loop hands it over.
@@ -346,6 +362,7 @@
         }
         self.told.clear();
         self.engine = engine;
+        self.hears_the_list();
     }
 
     fn carry_out(&mut self, effects: Vec<Effect>) {
