--- a/crates/gullcart-engine/tests/promises.rs
+++ b/crates/gullcart-engine/tests/promises.rs
@@ -342,3 +342,47 @@
     let verdicts = after_a_crash(&disk, Crash::Process);
     assert!(verdicts.held.values().all(|held| held.verdict != Some(Verdict::Returned { after_ms: 0 })));
 }
+
+/// Its outcome could not be written, nor could the next attempt, which was not made: whatever is written of that, the first one
+/// may have run, at every moment at which the process may die.
+#[test]
+fn an_attempt_that_is_not_made_leaves_the_one_before_as_it_was() {
+    let disk = Disk::new(DISK, Crash::Process, 1);
+    let mut engine = engine(&disk, Crash::Process, EPOCH);
+    engine.handle(EPOCH, Input::Enqueue(Ticket(1), enqueue(1, "notice", 1)));
+    let begun = |effects: &[Effect]| {
+        effects.iter().find_map(|effect| match effect {
+            Effect::Begin(call) => Some((call.message, call.endpoint)),
+            _ => None,
+        })
+    };
+    let (message, endpoint) = begun(&engine.turn(EPOCH).unwrap()).unwrap();
+    for operation in 1..2000 {
+        disk.fail(disk.operations() + operation, Fault::Error);
+    }
+    let latency = Duration::from_millis(40);
+    let reset = Ended { outcome: Outcome::Reset, latency, complete: false, allowance: None };
+    engine.handle(EPOCH, Input::Ended(message, endpoint, reset));
+    // The courier goes on in another process, whose journal has no outcome. Its repeat is due, and cannot be written.
+    let block = engine.freeze(EPOCH).unwrap().1.unwrap();
+    disk.mend();
+    let (mut engine, resumed) = Engine::resume(start(EPOCH), journal(&disk, Crash::Process), &block);
+    assert_eq!(resumed, Ok(()));
+    for operation in 1..2000 {
+        disk.fail(disk.operations() + operation, Fault::Error);
+    }
+    let mut now = EPOCH;
+    while engine.next_wake() != Some(Time::ZERO) {
+        now = now + Duration::from_millis(5);
+        assert!(begun(&engine.turn(now).unwrap()).is_none() && now < EPOCH + Duration::from_secs(5));
+    }
+    disk.mend();
+    disk.capture(1);
+    engine.turn(now).unwrap();
+    let captured = disk.captured();
+    assert!(!captured.is_empty());
+    for disk in captured {
+        let held = journal(&disk, Crash::Process).image().held[&message.0].clone();
+        assert!(held.maybe_ran.or(held.out).is_some(), "{held:?}");
+    }
+}
