Ask for the list again in time for 6 s in a fleet of any size

Need: a change counts as told 6 s after discovery had it and could be reached, whatever failed before. Waits grew to 24 s with 100 couriers (CallsForLists: five calls a second over the fleet, one each in 16 s), and a silence found after 3 s was followed by a wait of up to 7.5 s, 22 s with 300. Each step of a call had 500 ms of its own, so that one call could hang for 1.5 s.

Change: waits after the first, second and later failures are bounded by 0.8, 1.3 and 1.9 s, a third to all of it by chance; a call has 700 ms in all; silence is 2.6 s without a whole line. Before, any byte of the watch counted as a sign of life, so that a line without an end kept a dead watch for ever, and each part of it was looked through from its start again. The stream of changes is cut by braces now, each byte looked at once: an indented change, over several lines, broke the watch before. An older list behind a newer one is left. Notices are told again after 100 ms, on a new connection (a kept one that fell silent held them for 500 ms, and one is lost 300 ms after its time).

The world of the tests told an older version after a newer one, which no discovery does; its versions do not go back now.

--- a/crates/gullcart-engine/src/calls_for_lists.rs
+++ b/crates/gullcart-engine/src/calls_for_lists.rs
@@ -2,27 +2,42 @@
 //!
 //! One courier that asks ten times a second harms nobody. A hundred that lost their watch at one moment, and that ask
 //! ten times a second each, keep discovery turning all of them away for good: nobody ever hears of the list again, and
-//! calls go on to endpoints that are gone. So the calls of all couriers together are bounded, whatever their number,
-//! they are spread by chance, and their number falls by half with each that fails.
+//! calls go on to endpoints that are gone. So the calls of all couriers together are bounded as far as that can be, they
+//! are spread by chance, and their number falls with each that fails.
+//!
+//! What bounds the bound: a change counts as told [`TOLD`] after discovery had it and could be reached, whatever failed
+//! before, and a watch that fell silent is found by the courier's own clock. So no wait is longer than one that leaves time
+//! for one more call that is lost, in a fleet of any size.
 
 use fastrand::Rng;
 use std::time::Duration;
 
+/// What discovery has counts as told to a courier after this time, whether or not it asked.
+pub const TOLD: Duration = Duration::from_secs(6);
+/// All of a call, from its connection to the head of its answer, or to the whole list: the agent is on this machine, and what
+/// it does not answer in this time it does not answer now.
+pub const CALL: Duration = Duration::from_millis(700);
+/// The watch has an empty line every 2 s: one that brings no whole line for this long has fallen silent.
+pub const SILENCE: Duration = Duration::from_millis(2600);
+
 /// What each courier of a fleet adds to the time between two calls of one of them: together they make 20 calls a second
 /// at first, as two alone do.
 const EACH: Duration = Duration::from_millis(50);
 /// Shortest mean time between two calls.
 const LEAST: Duration = Duration::from_millis(100);
-/// The mean time doubles with each failure so many times: five calls a second over the fleet are left then ...
+/// The mean time doubles with each failure so many times.
 const DOUBLINGS: u32 = 2;
-/// ... or one from each courier in this time, as discovery takes them at any size of the fleet.
-const LONGEST: Duration = Duration::from_secs(16);
+/// Longest waits after the first failure, the second one, and all others. A watch that fell silent right behind an empty line
+/// takes [`SILENCE`], the first two of these, a lost call and one that is answered; a return of discovery takes a call that hangs
+/// across it, the last of these twice, a lost call and one that is answered. Both end before [`TOLD`].
+const LONGEST: [Duration; 3] =
+    [Duration::from_millis(800), Duration::from_millis(1300), Duration::from_millis(1900)];
 /// Longest wait before the first call of a process. What the agent on its machine has counts as told to it from then on,
 /// asked or not, and calls to an endpoint that drains break a rule 2 s later: the rest is for the answer and for what is
 /// on its way.
 const LONGEST_FIRST: Duration = Duration::from_millis(1500);
-/// Chance may shorten and lengthen a wait by this part of its mean.
-const CHANCE: f64 = 0.5;
+/// Shortest wait, as a part of the longest one: the rest is chance.
+const LEAST_PART: f64 = 1.0 / 3.0;
 
 /// The calls of one courier among others like it.
 #[derive(Debug)]
@@ -35,7 +50,7 @@
 impl CallsForLists {
     /// For a courier of so many; none counts as one. `seed` must not be that of another courier.
     pub fn new(couriers: u32, seed: u64) -> Self {
-        let mean = EACH.saturating_mul(couriers.max(1)).clamp(LEAST, LONGEST);
+        let mean = EACH.saturating_mul(couriers.max(1)).clamp(LEAST, TOLD);
         CallsForLists { mean, failures: 0, rng: Rng::with_seed(seed) }
     }
 
@@ -51,12 +66,15 @@
 
     /// How long to wait after a call that failed or a watch that broke.
     pub fn after_failure(&mut self) -> Duration {
-        let mean = (self.mean * (1 << self.failures.min(DOUBLINGS))).min(LONGEST);
+        let mean = self.mean * (1 << self.failures.min(DOUBLINGS));
+        let bound = LONGEST[(self.failures as usize).min(LONGEST.len() - 1)];
+        // Chance takes as much below the mean as above it.
+        let longest = mean.mul_f64(2.0 / (1.0 + LEAST_PART)).min(bound);
         self.failures = self.failures.saturating_add(1);
-        mean.mul_f64(1.0 - CHANCE + 2.0 * CHANCE * self.rng.f64())
+        longest.mul_f64(LEAST_PART + (1.0 - LEAST_PART) * self.rng.f64())
     }
 
-    /// The watch has told something, if only that it lasts.
+    /// The watch has told something whole, if only that it lasts.
     pub fn is_heard(&mut self) {
         self.failures = 0;
     }
--- a/crates/gullcart-engine/src/lib.rs
+++ b/crates/gullcart-engine/src/lib.rs
@@ -23,7 +23,7 @@
 mod trials;
 mod vocabulary;
 
-pub use calls_for_lists::CallsForLists;
+pub use calls_for_lists::{CallsForLists, CALL, SILENCE, TOLD};
 pub use carried::{CarriedError, CarriedOut};
 pub use clock::{Clock, EPOCH};
 pub use engine::{Engine, Start};
--- a/crates/gullcart-standins/src/world.rs
+++ b/crates/gullcart-standins/src/world.rs
@@ -154,6 +154,8 @@
 struct Watches {
     open: Vec<TcpStream>,
     told: String,
+    /// Version of the last change; none is older than the one before.
+    rev: u32,
 }
 
 fn serve_discovery(discovery: &Discovery, stream: TcpStream, seen: &Sender<Seen>) {
@@ -469,10 +471,11 @@
     }
 
     fn tell(&self, rev: u32, targets: &[Value]) {
-        let update = json!({"rev": rev, "all": false, "targets": targets});
+        let mut watches = self.discovery.state.watches.lock().unwrap();
+        watches.rev = watches.rev.max(rev);
+        let update = json!({"rev": watches.rev, "all": false, "targets": targets});
         let line = format!("{update}\n");
         let chunk = format!("{:x}\r\n{line}\r\n", line.len());
-        let mut watches = self.discovery.state.watches.lock().unwrap();
         watches.told.push_str(&chunk);
         for watch in &mut watches.open {
             let _ = watch.write_all(chunk.as_bytes());
--- a/crates/gullcart/src/discovery.rs
+++ b/crates/gullcart/src/discovery.rs
@@ -1,7 +1,7 @@
 //! The watch on the list of endpoints, and the notices that end messages.
 
 use bytes::Bytes;
-use gullcart_engine::{CallsForLists, Input, Notice};
+use gullcart_engine::{CallsForLists, Input, Notice, CALL, SILENCE};
 use gullcart_message::{Update, Verdict};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -13,22 +13,21 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Receiver;
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at, Instant};
 use tracing::{error, info, warn};
 
+use crate::update_stream::{Piece, StreamError, UpdateStream, LONGEST_LIST};
 use crate::vocabulary::Inputs;
 
-/// The agent is on this machine: what it does not answer in this time it does not answer now.
-const ANSWER: Duration = Duration::from_millis(500);
-/// The watch has an empty line every 2 s; silence for this long is an outage of discovery. What was missed counts
-/// as told after 6 s, so that there is no time for a longer wait.
-const SILENCE: Duration = Duration::from_secs(3);
-/// Between tries to tell the agent of notices.
+/// How long the agent may take to answer a batch of notices before it is told on a new connection: it answers at once, a notice
+/// that comes twice does no harm, and one is lost that comes 300 ms too late. Doubled with each batch that is not answered, ...
+const PATIENCE: Duration = Duration::from_millis(100);
+/// ... up to this.
+const LONGEST_PATIENCE: Duration = Duration::from_millis(500);
+/// Mean wait between tries to tell the agent of notices.
 const BACK_OFF: Duration = Duration::from_millis(100);
 /// Notices that go in one request at most.
 const NOTICES: usize = 200;
-/// A list, or a line of the watch, that is longer is damage.
-const LONGEST_LIST: usize = 4 << 20;
 
 #[derive(Debug, Error)]
 enum AgentError {
@@ -40,10 +39,14 @@
     Request(#[from] hyper::http::Error),
     #[error("silent")]
     Silent(#[from] tokio::time::error::Elapsed),
+    #[error("no line of it came to its end in time")]
+    Endless,
     #[error("answered {0}")]
     Status(StatusCode),
-    #[error("a line cannot be read: {0}")]
-    Line(#[from] serde_json::Error),
+    #[error("the list cannot be read: {0}")]
+    List(#[from] serde_json::Error),
+    #[error("{0}")]
+    Stream(#[from] StreamError),
     #[error("broken off, or longer than {LONGEST_LIST} bytes")]
     Long,
 }
@@ -51,7 +54,7 @@
 type Connection = SendRequest<Full<Bytes>>;
 
 async fn connect(agent: &str) -> Result<Connection, AgentError> {
-    let stream = timeout(ANSWER, TcpStream::connect(agent)).await??;
+    let stream = TcpStream::connect(agent).await?;
     stream.set_nodelay(true)?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     tokio::task::spawn_local(connection);
@@ -96,45 +99,60 @@
     down: &mut bool,
     calls: &mut CallsForLists,
 ) -> Result<(), AgentError> {
-    let mut connection = connect(agent).await?;
+    let by = Instant::now() + CALL;
+    let mut connection = timeout_at(by, connect(agent)).await??;
     if *whole {
         let request = Request::get("/v1/endpoints").header("Host", agent).body(Full::default())?;
-        let list = timeout(ANSWER, fetch(&mut connection, request)).await??;
+        let list = timeout_at(by, fetch(&mut connection, request)).await??;
         // An agent that has heard less than the one before must not take back a drain.
         if list.rev >= *rev {
-            *rev = list.rev;
+            let told = list.rev;
             driver.tell(Input::Listed(Update { all: true, ..list })).await;
+            *rev = told;
         }
         *whole = false;
-        timeout(ANSWER, connection.ready()).await??;
     }
     let request = Request::get(format!("/v1/endpoints?watch=1&after={rev}"))
         .header("Host", agent)
         .body(Full::default())?;
-    let response = timeout(ANSWER, connection.send_request(request)).await??;
+    let response = timeout_at(by, async {
+        connection.ready().await?;
+        connection.send_request(request).await
+    });
+    let response = response.await??;
     if response.status() != StatusCode::OK {
         return Err(AgentError::Status(response.status()));
     }
     let mut body = response.into_body();
-    let mut buffer = Vec::new();
-    while let Some(part) = timeout(SILENCE, body.frame()).await? {
-        calls.is_heard();
-        if *down {
-            info!(rev, "the list is being watched again");
-            *down = false;
-        }
+    let mut stream = UpdateStream::default();
+    // Whole lines alone say that the watch lasts: bytes without an end may come for ever.
+    let mut heard = Instant::now();
+    while let Some(part) = timeout_at(heard + SILENCE, body.frame()).await? {
         let Ok(data) = part?.into_data() else { continue };
-        buffer.extend_from_slice(&data);
-        while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
-            let line: Vec<u8> = buffer.drain(..=end).collect();
-            if !line.trim_ascii().is_empty() {
-                let update: Update = serde_json::from_slice(&line)?;
-                *rev = update.rev;
-                driver.tell(Input::Listed(update)).await;
+        stream.feed(&data);
+        while let Some(piece) = stream.next()? {
+            calls.is_heard();
+            if *down {
+                info!(rev, "the list is being watched again");
+                *down = false;
+            }
+            match piece {
+                Piece::KeepAlive => {}
+                // It was on its way when a newer one came by another call: it must not take back what that one told.
+                Piece::Change(update) if update.rev < *rev => {
+                    warn!(rev, older = update.rev, "an older list is left");
+                }
+                Piece::Change(update) => {
+                    let told = update.rev;
+                    driver.tell(Input::Listed(update)).await;
+                    *rev = told;
+                }
             }
+            heard = Instant::now();
         }
-        if buffer.len() > LONGEST_LIST {
-            return Err(AgentError::Long);
+        // What is there already is read before the clock is looked at.
+        if heard.elapsed() > SILENCE {
+            return Err(AgentError::Endless);
         }
     }
     Ok(())
@@ -164,32 +182,42 @@
 
 /// Sends notices until each is answered, at a new address those that the old one has not answered. A notice that
 /// comes twice does no harm, one that never comes does.
-pub async fn notices(mut agent: Agent, mut queue: Receiver<Notice>, driver: Inputs) {
+pub async fn notices(
+    mut agent: Agent,
+    mut queue: Receiver<Notice>,
+    driver: Inputs,
+    mut chance: fastrand::Rng,
+) {
     let mut connection = None;
     let mut batch = Vec::new();
-    let mut down = false;
+    let mut failures = 0_u32;
     while queue.recv_many(&mut batch, NOTICES).await > 0 {
         while !batch.is_empty() {
             if agent.has_changed().unwrap_or_default() {
                 connection = None;
             }
             let address = agent.borrow_and_update().clone();
+            let is_kept = connection.is_some();
+            let patience = (PATIENCE * (1 << failures.min(8))).min(LONGEST_PATIENCE);
             let told = tokio::select! {
-                told = tell(&address, &mut connection, &mut batch, &driver) => told,
+                told = tell(&address, &mut connection, &mut batch, &driver, patience) => told,
                 Ok(()) = agent.changed() => {
                     connection = None;
                     continue;
                 }
             };
             match told {
-                Ok(()) => down = false,
+                Ok(()) => failures = 0,
                 Err(reason) => {
                     connection = None;
-                    if !down {
+                    if failures == 0 {
                         warn!(%reason, waiting = batch.len(), "notices are not answered");
-                        down = true;
                     }
-                    let _ = timeout(BACK_OFF, agent.changed()).await;
+                    failures = failures.saturating_add(1);
+                    // A kept connection may have fallen silent by itself; a new one is tried at once.
+                    if !is_kept {
+                        let _ = timeout(BACK_OFF.mul_f64(0.5 + chance.f64()), agent.changed()).await;
+                    }
                 }
             }
         }
@@ -202,8 +230,9 @@
     connection: &mut Option<Connection>,
     batch: &mut Vec<Notice>,
     driver: &Inputs,
+    patience: Duration,
 ) -> Result<(), AgentError> {
-    match post(agent, connection, batch.iter().map(line).collect()).await {
+    match post(agent, connection, batch.iter().map(line).collect(), patience).await {
         // One bad line must not hold up the others: they go one by one, and it is let go.
         Err(AgentError::Status(StatusCode::BAD_REQUEST)) => {}
         result => {
@@ -214,7 +243,7 @@
         }
     }
     while let Some(notice) = batch.last() {
-        match post(agent, connection, line(notice)).await {
+        match post(agent, connection, line(notice), patience).await {
             Err(refused @ AgentError::Status(StatusCode::BAD_REQUEST)) => {
                 error!(id = notice.id, %refused, "a notice is not understood");
             }
@@ -226,10 +255,16 @@
     Ok(())
 }
 
-async fn post(agent: &str, kept: &mut Option<Connection>, lines: String) -> Result<(), AgentError> {
+async fn post(
+    agent: &str,
+    kept: &mut Option<Connection>,
+    lines: String,
+    patience: Duration,
+) -> Result<(), AgentError> {
+    let by = Instant::now() + patience;
     let mut connection = match kept.take().filter(|connection| !connection.is_closed()) {
         Some(connection) => connection,
-        None => connect(agent).await?,
+        None => timeout_at(by, connect(agent)).await??,
     };
     let request = Request::post("/v1/notices").header("Host", agent).body(Full::new(Bytes::from(lines)))?;
     let exchange = async {
@@ -239,7 +274,7 @@
         response.into_body().collect().await?;
         Ok::<_, hyper::Error>(status)
     };
-    let status = timeout(ANSWER, exchange).await??;
+    let status = timeout_at(by, exchange).await??;
     *kept = Some(connection);
     if status == StatusCode::NO_CONTENT {
         Ok(())
--- a/crates/gullcart/src/lib.rs
+++ b/crates/gullcart/src/lib.rs
@@ -1,6 +1,6 @@
 //! gullcart: a courier that takes messages from clients and delivers them to partners' endpoints.
 //!
-//! The courier itself is `gullcart-engine`. Here are its sockets: `vocabulary` below all; `wire`, `calls`, `discovery` and
+//! The courier itself is `gullcart-engine`. Here are its sockets: `vocabulary` below all; `update_stream`, `wire`, `calls`, `discovery` and
 //! `clients` above it, none of which knows the loop; then `driver`, the loop round the engine; `upgrade`, by which all of it moves
 //! to another process; `service`, which puts the parts together; then this file.
 #![forbid(unsafe_code)]
@@ -14,6 +14,7 @@
 mod group;
 mod places;
 mod service;
+mod update_stream;
 mod upgrade;
 mod vocabulary;
 mod wire;
--- a/crates/gullcart/src/service.rs
+++ b/crates/gullcart/src/service.rs
@@ -35,6 +35,7 @@
 const IDLE_SEED: u64 = 0x6964_6c65;
 const LIST_SEED: u64 = 0x6c69_7374;
 const DUTY_SEED: u64 = 0x6475_7479;
+const NOTICE_SEED: u64 = 0x6e6f_7465;
 /// Connections that wait to be accepted.
 const QUEUE: u32 = 1024;
 /// How long a process waits for the folder that another one holds, where it may: SIGTERM reaches that one 6 s after this one
@@ -222,7 +223,13 @@
             calls,
             inputs.clone(),
         )));
-        tasks.push(tokio::task::spawn_local(discovery::notices(self.agent.clone(), owed, inputs.clone())));
+        let chance = fastrand::Rng::with_seed(seed ^ NOTICE_SEED);
+        tasks.push(tokio::task::spawn_local(discovery::notices(
+            self.agent.clone(),
+            owed,
+            inputs.clone(),
+            chance,
+        )));
         let mut terminated = self.terminated.clone();
         tasks.push(tokio::task::spawn_local(async move {
             if terminated.wait_for(|is_told| *is_told).await.is_ok() {
--- /dev/null
+++ b/crates/gullcart/src/update_stream/tests.rs
@@ -0,0 +1,77 @@
+use super::*;
+use proptest::prelude::*;
+
+const CHANGE: &str = r#"{"rev":7,"all":false,"targets":[{"uid":"s-{\"1}","endpoint":"127.0.0.1:1","az":"a\\","model":"m","pod_group":1,"state":"SERVING","capacity_hint":1.0,"boot_ms":0}]}"#;
+
+fn indented() -> String {
+    let value: serde_json::Value = serde_json::from_str(CHANGE).unwrap();
+    serde_json::to_string_pretty(&value).unwrap()
+}
+
+/// All pieces of a stream that comes in parts of some size, and the error that ends it.
+fn pieces(bytes: &[u8], size: usize) -> (Vec<Piece>, Option<String>) {
+    let mut stream = UpdateStream::default();
+    let mut pieces = Vec::new();
+    for part in bytes.chunks(size.max(1)) {
+        stream.feed(part);
+        loop {
+            match stream.next() {
+                Ok(Some(piece)) => pieces.push(piece),
+                Ok(None) => break,
+                Err(error) => return (pieces, Some(error.to_string())),
+            }
+        }
+    }
+    (pieces, None)
+}
+
+#[test]
+fn a_change_is_one_however_it_is_written_and_in_whatever_parts_it_comes() {
+    let text = format!("\n{CHANGE}\n{}\r\n \n{CHANGE}{CHANGE}\n", indented());
+    for size in 1..text.len() {
+        let (pieces, error) = pieces(text.as_bytes(), size);
+        assert_eq!(error, None);
+        let changes = pieces.iter().filter(
+            |piece| matches!(piece, Piece::Change(update) if update.rev == 7 && update.targets.len() == 1),
+        );
+        assert_eq!(changes.count(), 4, "parts of {size}");
+        assert_eq!(pieces.iter().filter(|piece| **piece == Piece::KeepAlive).count(), 5, "parts of {size}");
+    }
+}
+
+#[test]
+fn what_is_no_change_is_an_error_and_not_waited_for() {
+    for bad in ["x", "}", "[", "\"", "{}", "{\"rev\":\"x\"}", "{\"rev\":1,,}", "5\n"] {
+        let (pieces, error) = pieces(bad.as_bytes(), 1);
+        assert!(error.is_some() && pieces.is_empty(), "{bad}: {pieces:?}");
+    }
+}
+
+/// One without an end is bounded, and is not looked through again with each part that comes.
+#[test]
+fn a_change_without_end_is_given_up_at_its_bound() {
+    let mut stream = UpdateStream::default();
+    stream.feed(b"{\"rev\":7,\"targets\":[\"");
+    let mut fed = 0;
+    let error = loop {
+        assert!(fed <= LONGEST_LIST + 64, "it is without bound");
+        stream.feed(b"xxxxxxxx");
+        fed += 8;
+        match stream.next() {
+            Ok(None) => {}
+            other => break other,
+        }
+    };
+    assert!(matches!(error, Err(StreamError::Long)), "{error:?}");
+}
+
+proptest! {
+    /// Neither a panic nor another verdict for bytes that come in another rhythm.
+    #[test]
+    fn bad_input_is_told_however_it_comes(
+        bytes in prop::collection::vec(prop::sample::select(b"{}[]\"\\,:1x\n ".to_vec()), 0..80),
+        size in 1..80_usize,
+    ) {
+        prop_assert_eq!(pieces(&bytes, size), pieces(&bytes, bytes.len()));
+    }
+}
