Shut clients' connections before closing them, and read on to their ends

Cause, by reading: a connection whose time was up, that gave way or that met the courier's end was closed outright, right after one look for bytes. What arrives between the look and the close lies unread, and a close over it resets the connection: what the client was answered, and has not got yet, goes with it. At the process's end all connections that were open went that way, and requests could be taken on in its last turns that then had a call out at the exit.

Change: one way to close (part): the sending side is shut, what still comes is read and thrown away until the client closes too, for 4 s and 80 MB at most; under pressure it keeps its place for 100 ms, and a thirty-second of the places is kept free meanwhile. At the end nothing more is read and no call begun; what was read is answered, and clients have 250 ms to close. read and read_last are one loop. Who stops within a request under pressure hears an error line.

--- a/crates/gullcart-engine/src/engine.rs
+++ b/crates/gullcart-engine/src/engine.rs
@@ -291,6 +291,11 @@
         now >= last || (now >= least && held == 0 && out == 0)
     }
 
+    /// The process is about to end: what is taken on from now on is called by the next one.
+    pub fn call_no_more(&mut self, now: Time) {
+        self.courier.handle(now, Event::Closing(now));
+    }
+
     fn restore(&mut self, now: Time, known: Update) {
         let written = self.journal.destinations(known.targets.iter().map(|target| target.pod_group));
         self.note(now, written);
--- a/crates/gullcart/src/clients.rs
+++ b/crates/gullcart/src/clients.rs
@@ -36,8 +36,8 @@
 const IDLE: Duration = Duration::from_secs(2);
 /// A client that does not read its answer for this long is not waiting for it.
 const WRITE: Duration = Duration::from_secs(1);
-/// What a refused client still sends is read for so long and up to this size: closing with something unread
-/// would destroy the answer on its way.
+/// What a client still sends after its connection was shut is read for so long and up to this size: closing with something
+/// unread resets the connection, which would destroy the answer on its way.
 const DRAIN: Duration = Duration::from_secs(4);
 const DRAINED: usize = 80 << 20;
 const DRAIN_READ: usize = 64 << 10;
@@ -76,6 +76,8 @@
     Serving,
     /// It ends: connections are closed between two requests.
     Closing,
+    /// Nothing more is read: what was read is answered, and connections are closed.
+    Over,
     /// It moves to another process: connections are given up as they stand, to [`Clients::given_up`].
     Moving,
 }
@@ -104,7 +106,12 @@
         Clients { places: Rc::new(Places::new(limits)), driver, phase, moved: Rc::default() }
     }
 
-    /// Connections that are open.
+    /// Connections that may still bring or owe something.
+    pub fn in_use(&self) -> usize {
+        self.places.in_use()
+    }
+
+    /// All connections, with those that are shut and wait for the client's own end.
     pub fn open(&self) -> usize {
         self.places.open()
     }
@@ -236,7 +243,7 @@
                     due = (Instant::now() + HALF).min(begun + WHOLE);
                     self.place.goes_on();
                 }
-                Come::End => return Ok(()),
+                Come::End => return self.part().await,
                 Come::Late => return self.refuse("the request did not come to its end").await,
                 Come::Move => return self.give_up(fresh).await,
             }
@@ -247,30 +254,34 @@
     /// with a part of one read, and a fresh one only once its first request had time to come.
     async fn read(&mut self, fresh: bool, due: Instant) -> io::Result<Come> {
         let between = self.buffer.is_empty();
-        if between && *self.phase.borrow() == Phase::Closing {
-            return self.read_last(fresh).await;
-        }
         let give_way = self.place.give_way.clone();
+        let mut last_request = None;
         loop {
+            let phase = *self.phase.borrow_and_update();
+            let until = match phase {
+                Phase::Moving => return Ok(Come::Move),
+                Phase::Over => return Ok(Come::End),
+                Phase::Closing if between && !fresh => return self.read_now(),
+                Phase::Closing if between => {
+                    due.min(*last_request.get_or_insert_with(|| Instant::now() + LAST_REQUEST))
+                }
+                Phase::Closing | Phase::Serving => due,
+            };
             tokio::select! {
                 biased;
-                // Room is made only when there is something to read: idle connections hold none.
+                // Room is made only when there is something to read: idle connections hold none. May say so of a new
+                // connection with nothing on it yet, until a read has failed.
                 ready = self.stream.readable() => ready?,
                 () = give_way.notified() => {
-                    return if between { self.read_now() } else { Ok(Come::End) };
-                }
-                () = tokio::time::sleep_until(due) => {
                     return if between { self.read_now() } else { Ok(Come::Late) };
                 }
-                changed = self.phase.changed() => {
-                    let phase = *self.phase.borrow();
-                    match phase {
-                        _ if changed.is_err() => return Ok(Come::End),
-                        Phase::Moving => return Ok(Come::Move),
-                        Phase::Closing if between => return self.read_last(fresh).await,
-                        Phase::Closing | Phase::Serving => continue,
-                    }
+                () = tokio::time::sleep_until(until) => {
+                    return if between { self.read_now() } else { Ok(Come::Late) };
                 }
+                changed = self.phase.changed() => match changed {
+                    Ok(()) => continue,
+                    Err(_) => return Ok(Come::End),
+                },
             }
             self.buffer.reserve(READ);
             match self.stream.try_read_buf(&mut self.buffer) {
@@ -291,27 +302,6 @@
         Ok(())
     }
 
-    async fn read_last(&mut self, fresh: bool) -> io::Result<Come> {
-        if !fresh {
-            return self.read_now();
-        }
-        let until = Instant::now() + LAST_REQUEST;
-        loop {
-            // May say so of a new connection with nothing on it yet, until a read has failed.
-            match timeout_at(until, self.stream.readable()).await {
-                Ok(ready) => ready?,
-                Err(_) => return Ok(Come::End),
-            }
-            self.buffer.reserve(READ);
-            match self.stream.try_read_buf(&mut self.buffer) {
-                Ok(0) => return Ok(Come::End),
-                Ok(_) => return Ok(Come::More),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Err(error),
-            }
-        }
-    }
-
     /// What has come already, without waiting; the end if there is nothing. Asks the system itself: what the
     /// runtime has not yet been told of would be closed over.
     fn read_now(&mut self) -> io::Result<Come> {
@@ -389,12 +379,18 @@
         Ok(())
     }
 
-    /// Tells the client its error and closes: ends the sending side, and reads what is still being sent until
-    /// the client closes too, so that the error arrives.
+    /// Tells the client its error and closes.
     async fn refuse(mut self, error: &str) -> io::Result<()> {
-        self.place.set(Doing::Refused);
-        self.buffer = BytesMut::new();
         self.out.extend_from_slice(format!("-ERR {error}\r\n").as_bytes());
+        self.part().await
+    }
+
+    /// Closes: ends the sending side, and reads what is still being sent until the client closes too. A request that
+    /// crosses the end is thrown away, and its client hands it in anew; a close over it would reset the connection, and
+    /// what the client was answered before might go with it.
+    async fn part(mut self) -> io::Result<()> {
+        self.place.set(Doing::Parting);
+        self.buffer = BytesMut::new();
         self.flush().await?;
         self.stream.shutdown().await?;
         let (stream, give_way) = (&self.stream, self.place.give_way.clone());
@@ -527,60 +523,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use proptest::prelude::*;
-
-    fn encode(words: &[Vec<u8>]) -> Vec<u8> {
-        let mut bytes = format!("*{}\r\n", words.len()).into_bytes();
-        for word in words {
-            bytes.extend(format!("${}\r\n", word.len()).as_bytes());
-            bytes.extend(word);
-            bytes.extend(b"\r\n");
-        }
-        bytes
-    }
-
-    /// Decodes what comes in two parts, as far as it can be.
-    fn decode_parts(parts: [&[u8]; 2]) -> Result<Vec<Vec<Bytes>>, RespError> {
-        let mut buffer = BytesMut::new();
-        let mut requests = Vec::new();
-        for part in parts {
-            buffer.extend_from_slice(part);
-            while let Some(words) = decode(&mut buffer)? {
-                requests.push(words);
-            }
-        }
-        Ok(requests)
-    }
-
-    proptest! {
-        #[test]
-        fn requests_come_out_as_they_went_in(
-            requests in prop::collection::vec(prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 1..8), 1..4),
-            cut in any::<prop::sample::Index>(),
-        ) {
-            let bytes: Vec<u8> = requests.iter().flat_map(|words| encode(words)).collect();
-            let (first, second) = bytes.split_at(cut.index(bytes.len() + 1));
-            prop_assert_eq!(decode_parts([first, second]), Ok(requests.iter().map(|words| words.iter().map(|word| Bytes::copy_from_slice(word)).collect()).collect()));
-        }
-
-        /// Neither a panic nor another verdict for bytes that come in another rhythm.
-        #[test]
-        fn bad_input_is_told_however_it_comes(
-            bytes in prop::collection::vec(prop::sample::select(b"*$-019\r\nPX".to_vec()), 0..60),
-            cut in any::<prop::sample::Index>(),
-        ) {
-            let (first, second) = bytes.split_at(cut.index(bytes.len() + 1));
-            prop_assert_eq!(decode_parts([first, second]), decode_parts([&bytes, b""]));
-        }
-    }
-
-    #[test]
-    fn a_request_is_bounded_as_a_whole() {
-        let body = vec![b'x'; LONGEST_BODY];
-        let words = |other: usize| encode(&[b"ENQUEUE".to_vec(), vec![b'y'; other], body.clone()]);
-        assert!(decode_parts([&words(100), b""]).is_ok());
-        assert_eq!(decode_parts([&words(LONGEST_REST), b""]), Err(RespError::Long));
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/gullcart/src/clients/tests.rs
@@ -0,0 +1,55 @@
+use super::*;
+use proptest::prelude::*;
+
+fn encode(words: &[Vec<u8>]) -> Vec<u8> {
+    let mut bytes = format!("*{}\r\n", words.len()).into_bytes();
+    for word in words {
+        bytes.extend(format!("${}\r\n", word.len()).as_bytes());
+        bytes.extend(word);
+        bytes.extend(b"\r\n");
+    }
+    bytes
+}
+
+/// Decodes what comes in two parts, as far as it can be.
+fn decode_parts(parts: [&[u8]; 2]) -> Result<Vec<Vec<Bytes>>, RespError> {
+    let mut buffer = BytesMut::new();
+    let mut requests = Vec::new();
+    for part in parts {
+        buffer.extend_from_slice(part);
+        while let Some(words) = decode(&mut buffer)? {
+            requests.push(words);
+        }
+    }
+    Ok(requests)
+}
+
+proptest! {
+    #[test]
+    fn requests_come_out_as_they_went_in(
+        requests in prop::collection::vec(prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 1..8), 1..4),
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let bytes: Vec<u8> = requests.iter().flat_map(|words| encode(words)).collect();
+        let (first, second) = bytes.split_at(cut.index(bytes.len() + 1));
+        prop_assert_eq!(decode_parts([first, second]), Ok(requests.iter().map(|words| words.iter().map(|word| Bytes::copy_from_slice(word)).collect()).collect()));
+    }
+
+    /// Neither a panic nor another verdict for bytes that come in another rhythm.
+    #[test]
+    fn bad_input_is_told_however_it_comes(
+        bytes in prop::collection::vec(prop::sample::select(b"*$-019\r\nPX".to_vec()), 0..60),
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let (first, second) = bytes.split_at(cut.index(bytes.len() + 1));
+        prop_assert_eq!(decode_parts([first, second]), decode_parts([&bytes, b""]));
+    }
+}
+
+#[test]
+fn a_request_is_bounded_as_a_whole() {
+    let body = vec![b'x'; LONGEST_BODY];
+    let words = |other: usize| encode(&[b"ENQUEUE".to_vec(), vec![b'y'; other], body.clone()]);
+    assert!(decode_parts([&words(100), b""]).is_ok());
+    assert_eq!(decode_parts([&words(LONGEST_REST), b""]), Err(RespError::Long));
+}
--- a/crates/gullcart/src/driver.rs
+++ b/crates/gullcart/src/driver.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc::{Receiver, Sender};
 use tokio::sync::{oneshot, watch};
 use tokio::task::{yield_now, AbortHandle};
-use tokio::time::{interval, sleep_until, Instant};
+use tokio::time::{interval, sleep_until, timeout_at, Instant};
 use tracing::{info, warn};
 
 use crate::calls::{self, Pool};
@@ -37,8 +37,10 @@
 /// Idle connections that are kept, for each call slot: most endpoints have few calls out at a time, so that a
 /// courier needs far more connections than slots to keep one ready at each.
 pub const IDLE_OF_SLOTS: usize = 4;
-/// Rounds in which requests that were read before the end are still answered.
-const LAST_ROUNDS: usize = 8;
+/// From its last call on, a courier that ends waits so long at most for its clients to hear their answers and to close: SIGKILL
+/// comes half a second after it. It looks for their ends at this pace.
+const LAST_WORDS: Duration = Duration::from_millis(250);
+const LAST_LOOK: Duration = Duration::from_millis(5);
 /// How long a courier that moves waits for its clients' connections to be given up: none of them has anything to wait for but
 /// a client that does not read.
 const STOPPING: Duration = Duration::from_millis(60);
@@ -189,6 +191,7 @@
         &mut self,
         events: &mut Receiver<Told>,
         questions: &mut Receiver<Question>,
+        clients: &Clients,
     ) -> Result<End, JournalError> {
         let mut sweep = interval(SWEEP);
         let mut sweeps = 0;
@@ -227,13 +230,11 @@
             self.turn()?;
             self.lateness(begun.elapsed(), "a step took long");
             if self.engine.may_end(self.clock.now()) {
-                return self.finish(events).await.map(|()| End::Over);
+                return self.finish(events, clients).await.map(|()| End::Over);
             }
         }
     }
 
-    /// Answers the requests that have been read but not answered: ending a connection before would lose their
-    /// messages. The next process finds them in the journal.
     /// Goes on with calls that the process before had out.
     pub fn go_on(&mut self, calls: Vec<(Call, calls::CarriedCall)>) {
         for (call, carried) in calls {
@@ -256,7 +257,7 @@
             }
             self.turn()?;
             yield_now().await;
-            if (clients.open() == 0 && events.is_empty()) || Instant::now() >= until {
+            if (clients.in_use() == 0 && events.is_empty()) || Instant::now() >= until {
                 break;
             }
         }
@@ -307,14 +308,28 @@
         Ok(Stopped { engine: self.engine, baggage, calls, reading })
     }
 
-    async fn finish(&mut self, events: &mut Receiver<Told>) -> Result<(), JournalError> {
-        for _ in 0..LAST_ROUNDS {
+    /// Answers the requests that have been read, and reads no more: ending a connection before would lose their messages.
+    /// The next process finds them in the journal. Then the connections are shut, and their clients have some time to hear
+    /// that and to close: an end over what they still send would reset what they were answered.
+    async fn finish(&mut self, events: &mut Receiver<Told>, clients: &Clients) -> Result<(), JournalError> {
+        let until = Instant::now() + LAST_WORDS;
+        self.engine.call_no_more(self.clock.now());
+        self.ends.phase.send_replace(Phase::Over);
+        loop {
             while let Ok(told) = events.try_recv() {
                 self.take_in(told);
             }
             self.turn()?;
             // The tasks of the connections write what they were given.
-            tokio::task::yield_now().await;
+            yield_now().await;
+            if (clients.open() == 0 && events.is_empty()) || Instant::now() >= until {
+                break;
+            }
+            let mut batch = Vec::new();
+            if let Ok(1..) = timeout_at(Instant::now() + LAST_LOOK, events.recv_many(&mut batch, BATCH)).await
+            {
+                batch.into_iter().for_each(|told| self.take_in(told));
+            }
         }
         let (held, out) = self.engine.load();
         info!(held, out, "the courier ends");
--- a/crates/gullcart/src/places.rs
+++ b/crates/gullcart/src/places.rs
@@ -15,6 +15,10 @@
 const SILENT_PRESSED: Duration = Duration::from_millis(250);
 /// ... and one whose request comes slowly goes last, once it has come for so long.
 const SLOW_PRESSED: Duration = Duration::from_millis(2500);
+/// A connection that is shut keeps its place for so long at least: its client closes as soon as it hears of it.
+const PARTING_PRESSED: Duration = Duration::from_millis(100);
+/// Places kept free, as a part of all of them, so that who comes next waits for no client that parts; one at least.
+const SPARE_PART: usize = 32;
 
 /// What a connection is doing, which decides who gives way when places are short.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,8 +31,8 @@
     Half,
     /// Has a request open.
     Busy,
-    /// Has been told its error; what it still sends is thrown away.
-    Refused,
+    /// Its sending side is shut; what its client still sends is thrown away until that one closes too.
+    Parting,
     /// Has been told to give way.
     Leaving,
 }
@@ -58,17 +62,17 @@
 }
 
 /// Who gives way first has the least; none where it may not be closed. `lasted` is how long it has done so, `still` how long
-/// nothing of its request has come. Nobody waits for one that has its error; a silent one that should have asked by now goes
+/// nothing of its request has come. Nobody waits for one that is shut; a silent one that should have asked by now goes
 /// before those that ask now and then; one whose request still comes goes last, and not while its client may be waiting.
 fn rank(doing: Doing, lasted: Duration, still: Duration) -> Option<u8> {
     match doing {
-        Doing::Refused => Some(0),
+        Doing::Parting if lasted >= PARTING_PRESSED => Some(0),
         Doing::Silent if lasted >= SILENT_PRESSED => Some(1),
         Doing::Half if still >= HALF_PRESSED => Some(2),
         Doing::Idle => Some(3),
         Doing::Silent => Some(4),
         Doing::Half if lasted >= SLOW_PRESSED => Some(5),
-        Doing::Half | Doing::Busy | Doing::Leaving => None,
+        Doing::Half | Doing::Busy | Doing::Leaving | Doing::Parting => None,
     }
 }
 
@@ -99,6 +103,11 @@
         self.occupants.borrow().open.len()
     }
 
+    /// Those that are not shut yet.
+    pub fn in_use(&self) -> usize {
+        self.occupants.borrow().open.values().filter(|occupant| occupant.doing != Doing::Parting).count()
+    }
+
     /// Places for long requests.
     pub fn long(&self) -> &Semaphore {
         &self.long
@@ -119,15 +128,23 @@
         Place { number, give_way, places: self }
     }
 
-    /// Waits until a place is free, closing for it the connection that can best be spared.
+    /// Waits until a place is free. Some are kept free beyond it, by closing those connections that can best be spared.
     pub async fn make_room(&self) {
-        while self.occupants.borrow().open.len() >= self.most {
+        let spare = (self.most / SPARE_PART).max(1);
+        while self.staying() + spare > self.most && self.shed_one() {}
+        while self.open() >= self.most {
             self.shed_one();
             // Those that may not be closed now may be so later.
-            let _ = timeout(SILENT_PRESSED, self.changed.notified()).await;
+            let _ = timeout(PARTING_PRESSED, self.changed.notified()).await;
         }
     }
 
+    /// Those that nobody has told to go.
+    fn staying(&self) -> usize {
+        let goes = |doing: Doing| matches!(doing, Doing::Parting | Doing::Leaving);
+        self.occupants.borrow().open.values().filter(|occupant| !goes(occupant.doing)).count()
+    }
+
     /// The longest idle one gives way where there are too many.
     fn bound_idle(&self) {
         let mut occupants = self.occupants.borrow_mut();
@@ -139,16 +156,13 @@
         }
     }
 
-    fn shed_one(&self) {
+    /// Whether somebody was told to go.
+    fn shed_one(&self) -> bool {
         let now = Instant::now();
         let mut occupants = self.occupants.borrow_mut();
-        if occupants.open.values().any(|occupant| occupant.doing == Doing::Leaving) {
-            return;
-        }
         let ranked = occupants.open.values_mut().filter_map(|o| Some((o.rank(now)?, o)));
-        if let Some((_, occupant)) = ranked.min_by_key(|(rank, _)| *rank) {
-            occupant.leave();
-        }
+        let first = ranked.min_by_key(|(rank, _)| *rank);
+        first.map(|(_, occupant)| occupant.leave()).is_some()
     }
 }
 
@@ -190,29 +204,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn who_makes_progress_gives_way_last() {
-        let ms = Duration::from_millis;
-        let order = [
-            (Doing::Refused, ms(1), ms(1)),
-            (Doing::Silent, ms(300), ms(300)),
-            (Doing::Half, ms(600), ms(500)),
-            (Doing::Idle, ms(10), ms(10)),
-            (Doing::Silent, ms(10), ms(10)),
-            (Doing::Half, ms(3000), ms(50)),
-        ];
-        let ranks = order.map(|(doing, lasted, still)| rank(doing, lasted, still));
-        assert!(ranks.windows(2).all(|pair| pair[0] < pair[1]), "{ranks:?}");
-        for (doing, lasted, still) in [
-            // Written in two seconds, and still coming.
-            (Doing::Half, ms(2000), ms(300)),
-            (Doing::Busy, ms(9000), ms(9000)),
-            (Doing::Leaving, ms(9000), ms(9000)),
-        ] {
-            assert_eq!(rank(doing, lasted, still), None);
-        }
-    }
-}
+mod tests;
--- a/crates/gullcart/src/service.rs
+++ b/crates/gullcart/src/service.rs
@@ -332,6 +332,6 @@
 impl Running {
     /// Works until the process is to end, or another one asks for the courier.
     pub async fn run(&mut self, questions: &mut mpsc::Receiver<Question>) -> Result<End, JournalError> {
-        self.driver.run(&mut self.events, questions).await
+        self.driver.run(&mut self.events, questions, &self.clients).await
     }
 }
