Wait 2 s for a discovery that is short of work, and call again within 2.8 s

Ruled out: the sum alone, as the calls of a fleet that are turned away at once cost little.

Change: a call may take 2 s, and the time from the beginning of one that failed to that of the next is bounded (2.4, then 2.8 s), instead of the wait between them.

--- a/crates/gullcart-engine/src/calls_for_lists.rs
+++ b/crates/gullcart-engine/src/calls_for_lists.rs
@@ -3,7 +3,7 @@
 //! One courier that asks ten times a second harms nobody. A hundred that lost their watch at one moment, and that ask
 //! ten times a second each, keep discovery turning all of them away for good: nobody ever hears of the list again, and
 //! calls go on to endpoints that are gone. So the calls of all couriers together are bounded as far as that can be, they
-//! are spread by chance, and their number falls with each that fails.
+//! are spread by chance, and their number falls with those that fail.
 //!
 //! What bounds the bound: a change counts as told [`TOLD`] after discovery had it and could be reached, whatever failed
 //! before, and a watch that fell silent is found by the courier's own clock. So no wait is longer than one that leaves time
@@ -14,9 +14,9 @@
 
 /// What discovery has counts as told to a courier after this time, whether or not it asked.
 pub const TOLD: Duration = Duration::from_secs(6);
-/// All of a call, from its connection to the head of its answer, or to the whole list: the agent is on this machine, and what
-/// it does not answer in this time it does not answer now.
-pub const CALL: Duration = Duration::from_millis(700);
+/// All of a call, from its connection to the head of its answer, or to the whole list. A discovery that is short of work
+/// answers late, up to 2 s, and one that is given up costs it as much as one that is answered.
+pub const CALL: Duration = Duration::from_secs(2);
 /// The watch has an empty line every 2 s: one that brings no whole line for this long has fallen silent.
 pub const SILENCE: Duration = Duration::from_millis(2600);
 
@@ -27,17 +27,21 @@
 const LEAST: Duration = Duration::from_millis(100);
 /// The mean time doubles with each failure so many times.
 const DOUBLINGS: u32 = 2;
-/// Longest waits after the first failure, the second one, and all others. A watch that fell silent right behind an empty line
-/// takes [`SILENCE`], the first two of these, a lost call and one that is answered; a return of discovery takes a call that hangs
-/// across it, the last of these twice, a lost call and one that is answered. Both end before [`TOLD`].
-const LONGEST: [Duration; 3] =
-    [Duration::from_millis(800), Duration::from_millis(1300), Duration::from_millis(1900)];
+/// Longest wait after a watch broke, ...
+const LONGEST_BROKEN: Duration = Duration::from_millis(600);
+/// ... and longest time from the beginning of a call that failed to that of the next one: after a broken watch, and later. A watch
+/// that fell silent right behind an empty line takes [`SILENCE`], the wait behind it, the first of these for a call that is lost,
+/// and an answer; a return of discovery takes the second of these twice, for a call that hangs across it and one that is lost,
+/// and an answer. Both end before [`TOLD`].
+const LONGEST: [Duration; 2] = [Duration::from_millis(2400), Duration::from_millis(2800)];
+/// Longest wait behind a call that took all its time.
+const SHORT: Duration = Duration::from_millis(300);
 /// Longest wait before the first call of a process. What the agent on its machine has counts as told to it from then on,
 /// asked or not, and calls to an endpoint that drains break a rule 2 s later: the rest is for the answer and for what is
 /// on its way.
 const LONGEST_FIRST: Duration = Duration::from_millis(1500);
-/// Shortest wait, as a part of the longest one: the rest is chance.
-const LEAST_PART: f64 = 1.0 / 3.0;
+/// Shortest time, as a part of the longest one: the rest is chance.
+const LEAST_PART: f64 = 0.5;
 
 /// The calls of one courier among others like it.
 #[derive(Debug)]
@@ -64,18 +68,21 @@
         (self.mean * 2).min(LONGEST_FIRST).mul_f64(self.rng.f64())
     }
 
-    /// How long to wait after a call that failed or a watch that broke.
-    pub fn after_failure(&mut self) -> Duration {
+    /// How long to wait after a watch that broke.
+    pub fn after_break(&mut self) -> Duration {
+        self.failures = 0;
+        (self.mean * 2).min(LONGEST_BROKEN).mul_f64(self.rng.f64())
+    }
+
+    /// How long to wait after a call that failed, which took so long.
+    pub fn after_failure(&mut self, took: Duration) -> Duration {
         let mean = self.mean * (1 << self.failures.min(DOUBLINGS));
         let bound = LONGEST[(self.failures as usize).min(LONGEST.len() - 1)];
         // Chance takes as much below the mean as above it.
         let longest = mean.mul_f64(2.0 / (1.0 + LEAST_PART)).min(bound);
         self.failures = self.failures.saturating_add(1);
-        longest.mul_f64(LEAST_PART + (1.0 - LEAST_PART) * self.rng.f64())
-    }
-
-    /// The watch has told something whole, if only that it lasts.
-    pub fn is_heard(&mut self) {
-        self.failures = 0;
+        let gap = longest.mul_f64(LEAST_PART + (1.0 - LEAST_PART) * self.rng.f64());
+        let short = longest.min(SHORT).mul_f64(self.rng.f64());
+        gap.saturating_sub(took).max(short)
     }
 }
--- a/crates/gullcart/src/discovery.rs
+++ b/crates/gullcart/src/discovery.rs
@@ -71,7 +71,8 @@
     let mut whole = timeout(calls.first(), agent.changed()).await.is_ok();
     loop {
         let address = agent.borrow_and_update().clone();
-        let watching = watch_once(&address, &mut whole, &mut rev, &driver, &mut down, &mut calls);
+        let (begun, mut lasts) = (Instant::now(), false);
+        let watching = watch_once(&address, &mut whole, &mut rev, &driver, &mut down, &mut lasts);
         let result = tokio::select! {
             result = watching => result,
             changed = agent.changed() => {
@@ -87,7 +88,12 @@
             warn!(reason, rev, "the watch on the list broke");
             down = true;
         }
-        whole |= timeout(calls.after_failure(), agent.changed()).await.is_ok();
+        // One that breaks as soon as it is heard is a call that failed.
+        let wait = match begun.elapsed() {
+            took if lasts && took > CALL => calls.after_break(),
+            took => calls.after_failure(took),
+        };
+        whole |= timeout(wait, agent.changed()).await.is_ok();
     }
 }
 
@@ -97,7 +103,7 @@
     rev: &mut u64,
     driver: &Inputs,
     down: &mut bool,
-    calls: &mut CallsForLists,
+    lasts: &mut bool,
 ) -> Result<(), AgentError> {
     let by = Instant::now() + CALL;
     let mut connection = timeout_at(by, connect(agent)).await??;
@@ -131,7 +137,7 @@
         let Ok(data) = part?.into_data() else { continue };
         stream.feed(&data);
         while let Some(piece) = stream.next()? {
-            calls.is_heard();
+            *lasts = true;
             if *down {
                 info!(rev, "the list is being watched again");
                 *down = false;
