Turn messages away at the door, and leave room for a repeat in short windows

Need: what a restart finds taken on and untried is still tried; shedding happens before taking on. The window for repeats may be 1 s.

Windows: with 1 s and an aim of 3 s a call that hung got all the time of its message (the usual time-out would end behind the window), a gap could end behind it, and a message of a dead courier that could not be sent any more waited for its deadline. A time-out is half of the window where a usual answer takes less, a gap half of what is left of it at most, and such a message ends at once.

--- a/crates/cloverstile/src/books.rs
+++ b/crates/cloverstile/src/books.rs
@@ -176,3 +176,20 @@
     pub idle: Duration,
     pub next_check: Time,
 }
+
+/// Shortest aim of a class, in seconds.
+pub fn shortest_aim(settings: &Settings) -> f64 {
+    let aim = settings.classes.iter().map(|c| c.aim).min();
+    aim.unwrap_or(Duration::from_secs(1)).as_secs_f64().max(0.001)
+}
+
+/// Shortest deadline of a class, in seconds.
+pub fn shortest_deadline(settings: &Settings) -> f64 {
+    let deadline = settings.classes.iter().map(|c| c.deadline).min();
+    deadline.unwrap_or(Duration::from_secs(1)).as_secs_f64().max(1.0)
+}
+
+/// How long a cold return lasts, in seconds.
+pub fn cold_s(settings: &Settings) -> f64 {
+    settings.rules.cold.as_secs_f64().max(1.0)
+}
--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -94,7 +94,7 @@
 const WAITING_LOSS: f64 = 2.0;
 /// Calls out to a destination in a spell, as a part of the free slots; one at least.
 const TRIAL_SLOTS: f64 = 0.25;
-/// Share of the messages that may be held above which the least worth are shed.
+/// Share of the messages that may be held above which the least worth are shed, or not taken on.
 const SHED_ABOVE: f64 = 0.93;
 /// Weight of the newest loss or answer on an idle connection in the risk that such are dropped unseen.
 const REAPED_GAIN: f64 = 0.15;
@@ -319,6 +319,7 @@
 
     fn on_accept(&mut self, now: Time, taken: Accepted) {
         let Some(class) = self.settings.classes.get(usize::from(taken.class.0)) else { return };
+        let id = taken.id;
         let born = taken.deadline - class.deadline;
         // A keyed message of a courier that died may have run there at any time since it was handed in. Where
         // that seems to lie ahead the clock was put back since, and when it was cannot be told.
@@ -345,7 +346,10 @@
             unheard: false,
             taken,
         };
-        self.messages.insert(message.taken.id, message);
+        let end = self.last_send(&message);
+        self.messages.insert(id, message);
+        // What ran too long ago, in a courier that died, is answered at once.
+        self.deadlines.extend(end.map(|end| (end.max(now), id)));
     }
 
     /// Takes a message up again after a restart. Calls that were out then broke with the old process at the
@@ -369,8 +373,8 @@
         let (settings, chance) = (&self.settings, self.rng.f64());
         let Some(route) = self.routes.get_mut(&RouteId(outage.destination, outage.endpoint)) else { return };
         (route.last_answer, route.evidence) = (outage.since, outage.evidence);
-        // Of which kind that was is not written down; it ends with the first success. Who is started again
-        // beside others must not come back with them: a token saved by each is many at once.
+        // Of which kind that was is not written down. Who is started again beside others must not come back
+        // with them: a token saved by each is many at once.
         route.doubtful = outage.evidence > 0;
         (route.returned, route.share) = (outage.returned, outage.share);
         route.tokens = if route.doubtful { 0.5 - chance * LIGHT_SPREAD } else { 0.0 };
@@ -438,8 +442,10 @@
         if !never_ran && message.maybe_ran.is_none() {
             message.maybe_ran = Some((call.sent, call.zone.known()));
         }
+        // Half of what is left of a short window at the most, or the repeat would not fit.
+        let window = window_left(now, class, message.maybe_ran.map(|(first, _)| first));
         let gap = growing_gap(class.aim, BACKOFF_BASE_OF_AIM, message.attempts)
-            .min(class.aim.mul_f64(BACKOFF_CAP_OF_AIM));
+            .min(class.aim.mul_f64(BACKOFF_CAP_OF_AIM).min(window / 2));
         message.not_before = now + gap.mul_f64(self.rng.f64());
         // A call that may still be running lets its key rest before the next message of the key.
         let unsettled = !never_ran && !matches!(finished.outcome, Outcome::Ok | Outcome::Error);
@@ -591,9 +597,8 @@
                 route.last_answer = now;
                 return;
             }
-            // Shut, and told until when: all whom the door refused come back at one moment (issue of later
-            // mandeville: 480 of 490 calls at the fall). So the slow start begins there, by chance inside a
-            // call of its pace, and nothing is saved up behind the door.
+            // Shut, and told until when: all whom the door refused come back at one moment. So the slow start
+            // begins there, by chance, and nothing is saved up behind the door.
             Outcome::Full(Some(wait)) if wait > blip => {
                 route.shut(now, settings, chance);
                 return;
@@ -981,11 +986,15 @@
         let Some(route) = self.routes.get(&id) else { return left };
         let usual = route.latency.times(TIMEOUT_LATENCIES);
         let aim = class.aim.as_secs_f64();
-        let span = Duration::from_secs_f64(usual.clamp(aim * TIMEOUT_AIMS.0, aim * TIMEOUT_AIMS.1));
+        let mut span = Duration::from_secs_f64(usual.clamp(aim * TIMEOUT_AIMS.0, aim * TIMEOUT_AIMS.1));
         let first = m.maybe_ran.map_or(now, |(first, _)| first);
-        let last = m.attempts + 1 >= self.settings.send_cap
-            || class.effect == Effect::Unsafe
-            || (class.effect == Effect::Keyed && now + span > window_end(class, first));
+        // A window too short for that leaves room for a repeat, if a usual answer comes in half of it.
+        let window = window_left(now, class, Some(first));
+        if m.maybe_ran.is_none() && Duration::from_secs_f64(usual) < window / 2 {
+            span = span.min(window / 2);
+        }
+        let last =
+            m.attempts + 1 >= self.settings.send_cap || class.effect == Effect::Unsafe || span > window;
         let span = if last { left } else { span };
         span.min(left)
     }
@@ -1052,9 +1061,20 @@
         }
     }
 
-    /// Nearly full: the least worth go, before new messages are turned away unseen.
+    /// Whether a message of a class may be taken on: nearly full, the rest is for those of most worth.
+    pub fn admits(&self, class: ClassId) -> bool {
+        let most = self.settings.classes.iter().map(|c| c.worth).fold(0.0, f64::max);
+        let worth = self.settings.classes.get(usize::from(class.0)).map_or(0.0, |c| c.worth);
+        self.open < if worth < most { self.nearly_full() } else { self.settings.most_held }
+    }
+
+    fn nearly_full(&self) -> usize {
+        (self.settings.most_held as f64 * SHED_ABOVE) as usize
+    }
+
+    /// Where no door asks first, the least worth go before new messages are turned away unseen.
     fn shed(&mut self, now: Time) {
-        let most = (self.settings.most_held as f64 * SHED_ABOVE) as usize;
+        let most = if self.settings.answers_take_time { usize::MAX } else { self.nearly_full() };
         while self.open > most {
             let least = self
                 .messages
@@ -1155,8 +1175,8 @@
 
     /// This courier's part of what all may send together, a second, so that a destination survives a return;
     /// `warmth` runs from 0 to 1 over a cold one. It goes by what was served here before, which adds up to
-    /// what the destination can do however many want it (own demand does not: hunted day h1c8921, thirty
-    /// times the limit), or by the even part. Trials, slow starts and last cuts share this one budget.
+    /// what it can do (own demand does not), or by the even part. Trials, slow starts and last cuts
+    /// share this one budget.
     fn fall_part(&mut self, now: Time, settings: &Settings, warmth: f64) -> f64 {
         let demand = self.demand.rate(now, cold_s(settings), 0.0);
         let light = LIGHT_FLOOR / shortest_deadline(settings);
@@ -1199,9 +1219,8 @@
     }
 
     /// Sets when the next trial call of a spell may go: at growing, jittered gaps, and by this courier's part
-    /// of the fall budget; trials that are refused can also use up a small limit by themselves (i2aa64d).
-    /// Where calls are answered at once, if with errors, the budget alone paces what may be repeated: no slot
-    /// is pinned, some get through, and what waits behind growing gaps is late (fast_errors, crash).
+    /// of the fall budget. Where calls are answered at once, if with errors, the budget alone paces what may
+    /// be repeated: no slot is pinned, some get through, and what waits behind growing gaps is late.
     fn plan_trial(&mut self, now: Time, settings: &Settings, chance: f64) {
         let own = Duration::from_secs_f64(self.fall_part(now, settings, 0.0).max(0.001).recip());
         let for_all = self.tries_for_all(now);
@@ -1229,6 +1248,14 @@
     first + class.repeat_window.mul_f64(1.0 - WINDOW_MARGIN)
 }
 
+/// How long a message may be repeated that may first have run then.
+fn window_left(now: Time, class: &Class, first: Option<Time>) -> Duration {
+    match (class.effect, first) {
+        (Effect::Keyed, Some(first)) => window_end(class, first) - now,
+        _ => Duration::MAX,
+    }
+}
+
 fn earliest(next: &mut Option<Time>, at: Option<Time>) {
     *next = [*next, at].into_iter().flatten().min();
 }
@@ -1237,20 +1264,3 @@
 fn growing_gap(unit: Duration, first: f64, tries: u32) -> Duration {
     unit.mul_f64(first * f64::from(tries.min(16)).exp2())
 }
-
-/// Shortest aim of a class, in seconds.
-fn shortest_aim(settings: &Settings) -> f64 {
-    let aim = settings.classes.iter().map(|c| c.aim).min();
-    aim.unwrap_or(Duration::from_secs(1)).as_secs_f64().max(0.001)
-}
-
-/// Shortest deadline of a class, in seconds.
-fn shortest_deadline(settings: &Settings) -> f64 {
-    let deadline = settings.classes.iter().map(|c| c.deadline).min();
-    deadline.unwrap_or(Duration::from_secs(1)).as_secs_f64().max(1.0)
-}
-
-/// How long a cold return lasts, in seconds.
-fn cold_s(settings: &Settings) -> f64 {
-    settings.rules.cold.as_secs_f64().max(1.0)
-}
--- a/crates/gullcart-engine/src/engine.rs
+++ b/crates/gullcart-engine/src/engine.rs
@@ -455,12 +455,13 @@
         if !self.journal.image().destinations.contains(&enqueue.destination) {
             return Answer::Error("unknown destination");
         }
+        let admitted = self.courier.admits(class);
         let class = &self.classes[usize::from(class.0)];
         if class.effect == Effect::Keyed && enqueue.idempotency_key.is_none() {
             return Answer::Error("k is missing");
         }
         let most = class.deadline;
-        if self.journal.image().held.len() >= self.most_held {
+        if !admitted || self.journal.image().held.len() >= self.most_held {
             return Answer::Busy(Some(self.courier.come_back(now, destination)));
         }
         let taken = Taken {
