Let a restart spread its first calls, and keep doubt for lost calls alone

Cause: a single refusal counted as a lost call after a restart, and few messages' pace in doubt is one in two deadlines. The saved call is what brought all back at once: spread by chance over three calls, without the doubt, it is enough.

--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -47,6 +47,8 @@
 const LIGHT_FLOOR: f64 = 0.5;
 /// After a refusal its next call comes by chance within so many calls of its pace more, for they are many.
 const LIGHT_SPREAD: f64 = 4.0;
+/// After a restart into what may be an outage its first call comes by chance within so many.
+const RESTART_SPREAD: f64 = 3.0;
 /// Shortest part of a gap that chance may leave: who failed together must not come back together.
 const TRIAL_JITTER_FROM: f64 = 0.25;
 /// A spell without success shorter than this part of the fall window needs no slow start.
@@ -373,11 +375,11 @@
         let (settings, chance) = (&self.settings, self.rng.f64());
         let Some(route) = self.routes.get_mut(&RouteId(outage.destination, outage.endpoint)) else { return };
         (route.last_answer, route.evidence) = (outage.since, outage.evidence);
-        // Of which kind that was is not written down. Who is started again beside others must not come back
-        // with them: a token saved by each is many at once.
-        route.doubtful = outage.evidence > 0;
+        // Of which kind that was is not written down; it ends with the first success.
+        route.doubtful = outage.evidence >= EVIDENCE_LOST;
         (route.returned, route.share) = (outage.returned, outage.share);
-        route.tokens = if route.doubtful { 0.5 - chance * LIGHT_SPREAD } else { 0.0 };
+        // Who is started again beside others must not come back with them, each with a call saved up.
+        route.tokens = if outage.evidence > 0 { 0.5 - chance * RESTART_SPREAD } else { 0.0 };
         if let Some(lost) = outage.lost {
             route.spell = Some(Spell { began: outage.since, failed: true, lost, ..Spell::default() });
             route.plan_trial(now, settings, chance);
