Force the crossings at ends on sockets, and mend what they and reading showed

Mended with them: a configuration that reads but whose settings do not was taken at SIGHUP, for the address in it; a discovery that is no address was taken at a start. An answer that crosses the end of a call that was given up is an answer: its first line was thrown away, and a message that was delivered told as failed (unit test in wire/tests.rs, for four cuts).

--- a/crates/gullcart-standins/src/world.rs
+++ b/crates/gullcart-standins/src/world.rs
@@ -367,6 +367,25 @@
         Courier::start(self)
     }
 
+    pub fn start_at(&self, agent: &Agent) -> Courier<'_> {
+        self.configure(agent);
+        Courier::start(self)
+    }
+
+    /// An agent whose every byte the test decides: it is given each connection, with its number from zero on.
+    pub fn raw_agent(&self, each: impl Fn(usize, TcpStream) + Clone + Send + 'static) -> Agent {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let count = Arc::new(AtomicU32::new(0));
+        serve(listener, move |stream| each(count.fetch_add(1, Ordering::SeqCst) as usize, stream));
+        Agent { state: Arc::default(), address }
+    }
+
+    /// A change of the list that tells the state of one endpoint.
+    pub fn change(&self, rev: u32, endpoint: usize, state: &str) -> Value {
+        json!({"rev": rev, "all": false, "targets": [self.target(endpoint, state)]})
+    }
+
     /// Another agent, which knows that an endpoint drains.
     pub fn agent_with_drain(&self, endpoint: usize) -> Agent {
         let agent = Agent::start(&self.send);
@@ -538,6 +557,12 @@
         &self.folder
     }
 
+    /// What a courier says that does not start with the configuration as it lies there, and its exit status.
+    pub fn start_as_configured(&self) -> (String, ExitStatus) {
+        let output = self.command().output().unwrap();
+        (String::from_utf8_lossy(&output.stderr).into_owned(), output.status)
+    }
+
     /// Starts a courier that ends at once; what it says of that.
     pub fn start_fails(&self) -> String {
         self.configure(&self.discovery);
@@ -618,6 +643,18 @@
         }
     }
 
+    /// Waits for a line of the log that holds both words, and returns it.
+    pub fn log_until_both(&self, words: &str, more: &str) -> String {
+        let mut times = 1;
+        loop {
+            let line = self.log_times(words, times);
+            if line.contains(more) {
+                return line;
+            }
+            times += 1;
+        }
+    }
+
     /// Where its console listens.
     pub fn console(&self) -> SocketAddr {
         let line = self.log_until("the console is open");
@@ -683,7 +720,8 @@
         self.signal("HUP");
     }
 
-    fn signal(&self, name: &str) {
+    /// Sends a signal to the process.
+    pub fn signal(&self, name: &str) {
         let signal = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("/bin/sh").args(["-c", &signal]).status().unwrap().success());
     }
@@ -776,6 +814,13 @@
         self.command(&[b"ENQUEUE", key.as_bytes(), id.as_bytes(), fields.as_bytes(), body]);
     }
 
+    /// Waits until the courier has ended its sending: the bytes that came before that.
+    pub fn until_end(&mut self) -> std::io::Result<String> {
+        let mut rest = String::new();
+        self.stream.read_to_string(&mut rest)?;
+        Ok(rest)
+    }
+
     /// Whether the courier closes the connection without a word.
     pub fn is_closed(&mut self) -> bool {
         match self.stream.read(&mut [0]) {
--- a/crates/gullcart/src/config.rs
+++ b/crates/gullcart/src/config.rs
@@ -63,6 +63,8 @@
     Parse(#[from] serde_json::Error),
     #[error(transparent)]
     Setting(#[from] SettingError),
+    #[error("the configuration: discovery is '{0}', and not an address with a port")]
+    Discovery(String),
     #[error(transparent)]
     Journal(#[from] JournalError),
     #[error(transparent)]
@@ -98,6 +100,13 @@
     std::env::var_os(name).ok_or(StartError::Variable(name))
 }
 
+/// Reads the configuration, and all of its settings: one of which a part cannot be read is none.
 pub fn read_config(path: &Path) -> Result<Config, StartError> {
-    Ok(serde_json::from_slice(&std::fs::read(path)?)?)
+    let config: Config = serde_json::from_slice(&std::fs::read(path)?)?;
+    cloverstile::parse_settings_json(&config.settings)?;
+    let port = config.discovery.rsplit_once(':').filter(|(host, _)| !host.is_empty()).map(|(_, port)| port);
+    if port.and_then(|port| port.parse::<u16>().ok()).is_none() {
+        return Err(StartError::Discovery(config.discovery));
+    }
+    Ok(config)
 }
--- a/crates/gullcart/src/lib.rs
+++ b/crates/gullcart/src/lib.rs
@@ -108,9 +108,8 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let state = PathBuf::from(variable("BALANCER_STATE")?);
     let path = PathBuf::from(variable("BALANCER_CONFIG")?);
+    // All of it, first: a bad configuration must not take a running courier over.
     let config = read_config(&path)?;
-    // A bad configuration must not take a running courier over.
-    cloverstile::parse_settings_json(&config.settings)?;
     let options = match std::env::var_os(JOURNAL_FILE) {
         Some(path) => Options::read(Path::new(&path))?,
         None => Options::default(),
--- a/crates/gullcart/src/wire.rs
+++ b/crates/gullcart/src/wire.rs
@@ -300,7 +300,8 @@
         }
     }
 
-    /// Ends the sending side and waits until the other side has closed too.
+    /// Ends the sending side and waits until the other side has closed too. An answer that crosses that is one: what its first
+    /// line says can be asked for afterwards.
     async fn close(&self) -> io::Result<()> {
         SockRef::from(&self.stream).shutdown(Shutdown::Write)?;
         let mut rest = [0; 1024];
@@ -308,7 +309,7 @@
             self.stream.readable().await?;
             match self.stream.try_read(&mut rest) {
                 Ok(0) => return Ok(()),
-                Ok(_) => {}
+                Ok(count) => self.first_line.borrow_mut().feed(&rest[..count])?,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Err(error),
             }
@@ -468,27 +469,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// A call counts as written with its last byte, in whatever pieces it goes, and not before.
-    #[test]
-    fn a_request_is_written_with_its_last_byte() {
-        let head = "POST /hook HTTP/1.1\r\nX-Call-Id: a\rb\r\n\r\n";
-        for body in ["", "\r\n\r\nx"] {
-            let bytes = format!("{head}{body}").into_bytes();
-            for size in 1..bytes.len() {
-                let progress = Rc::new(Progress::default());
-                progress.stage.set(Stage::Begun);
-                let mut outgoing = Outgoing { progress: progress.clone(), head_end: 0, body: body.len() };
-                let mut gone = 0;
-                for piece in bytes.chunks(size) {
-                    assert!(!progress.is_untold(), "{size}: whole after {gone} bytes");
-                    outgoing.feed(piece);
-                    gone += piece.len();
-                }
-                assert!(progress.is_untold(), "{size}: never whole");
-            }
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/gullcart/src/wire/tests.rs
@@ -0,0 +1,52 @@
+use super::*;
+
+/// A call counts as written with its last byte, in whatever pieces it goes, and not before.
+#[test]
+fn a_request_is_written_with_its_last_byte() {
+    let head = "POST /hook HTTP/1.1\r\nX-Call-Id: a\rb\r\n\r\n";
+    for body in ["", "\r\n\r\nx"] {
+        let bytes = format!("{head}{body}").into_bytes();
+        for size in 1..bytes.len() {
+            let progress = Rc::new(Progress::default());
+            progress.stage.set(Stage::Begun);
+            let mut outgoing = Outgoing { progress: progress.clone(), head_end: 0, body: body.len() };
+            let mut gone = 0;
+            for piece in bytes.chunks(size) {
+                assert!(!progress.is_untold(), "{size}: whole after {gone} bytes");
+                outgoing.feed(piece);
+                gone += piece.len();
+            }
+            assert!(progress.is_untold(), "{size}: never whole");
+        }
+    }
+}
+
+/// An answer that crosses the end of a call that was given up is an answer, in whatever pieces it comes.
+#[tokio::test]
+async fn an_answer_that_crosses_the_end_of_its_call_is_seen() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    for (before, after, status) in [
+        ("", "HTTP/1.1 200 OK\r\n\r\n", Some(200)),
+        ("HTTP/1.1 2", "00 OK\r\n\r\n", Some(200)),
+        ("HTTP/1.1 2", "", None),
+        ("", "HTTP/1.1 503 Busy\r\n\r\n", Some(503)),
+    ] {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        let (mut endpoint, _) = listener.accept().await.unwrap();
+        let wire = Rc::new(Wire::new(stream, Descriptor::new(&Rc::default(), &Rc::default())));
+        let mut reader = WireStream(wire.clone());
+        endpoint.write_all(before.as_bytes()).await.unwrap();
+        let mut read = vec![0; before.len()];
+        reader.read_exact(&mut read).await.unwrap();
+        let answers = async {
+            // The end of the call is the event: the answer comes behind it.
+            assert_eq!(endpoint.read(&mut [0]).await.unwrap(), 0);
+            endpoint.write_all(after.as_bytes()).await.unwrap();
+            drop(endpoint);
+        };
+        let (closed, ()) = tokio::join!(reader.close(), answers);
+        closed.unwrap();
+        assert_eq!(wire.status(), status, "{before:?} and {after:?}");
+    }
+}
