--- a/crates/gullcart-emulator/src/world.rs
+++ b/crates/gullcart-emulator/src/world.rs
@@ -419,15 +419,21 @@
         let failed = |error| EmulationError::Start { courier, error };
         let journal =
             Journal::replay(place.disk.clone(), disk, Options::default(), seed | 1).map_err(failed)?;
+        #[cfg(feature = "broken")]
+        let broken = gullcart_engine::broken::Broken::chosen(self.broken).unwrap_or_default();
+        let parsed = self.parsed.clone();
+        // As the daemon does.
+        #[cfg(feature = "broken")]
+        let parsed = broken.settings(parsed);
         let start = Start {
-            parsed: self.parsed.clone(),
+            parsed,
             seed,
             known: place.agent.list(),
             now: EPOCH,
             epoch_ms: BEGIN_MS + now.0 / 1000,
             fingerprint: 0,
             #[cfg(feature = "broken")]
-            broken: gullcart_engine::broken::Broken::chosen(self.broken).unwrap_or_default(),
+            broken,
         };
         let engine = Engine::new(start, journal);
         let rev = engine.rev();
