Ask for the first list within half of the grace that the settings allow drains

Ruled out: the ramp and the ends (a broken call came 0.5 s after a start, no watch broke there).

Rules.StopSendingWithin is read, and a first call comes within half of it, 1.5 s at most. The test over graces of 0.1 to 60 s fails with the constant of before.

--- a/crates/cloverstile/src/interface.rs
+++ b/crates/cloverstile/src/interface.rs
@@ -182,6 +182,8 @@
     pub fall: Duration,
     /// A key rests this long after an attempt that may still be running.
     pub order_settle: Duration,
+    /// Nothing new goes to an endpoint this long after it was told to drain or to be gone.
+    pub drain_grace: Duration,
 }
 
 /// What a courier is handed at its start.
@@ -249,6 +251,7 @@
                 tip_multiple: 2.0,
                 fall: Duration::from_secs(2),
                 order_settle: Duration::ZERO,
+                drain_grace: Duration::from_secs(2),
             },
         }
     }
--- a/crates/cloverstile/src/settings.rs
+++ b/crates/cloverstile/src/settings.rs
@@ -181,6 +181,7 @@
             tip_multiple: lines.or("Rules.TipMultiple", rules.tip_multiple)?,
             fall: lines.span("Rules.Fall", rules.fall)?,
             order_settle: lines.span("Rules.OrderSettle", rules.order_settle)?,
+            drain_grace: lines.span("Rules.StopSendingWithin", rules.drain_grace)?,
         },
     };
     let names = |path: &str| lines.words(path).into_iter().map(str::to_owned).collect();
--- a/crates/gullcart-engine/src/calls_for_lists.rs
+++ b/crates/gullcart-engine/src/calls_for_lists.rs
@@ -36,10 +36,12 @@
 const LONGEST: [Duration; 2] = [Duration::from_millis(2400), Duration::from_millis(2800)];
 /// Longest wait behind a call that took all its time.
 const SHORT: Duration = Duration::from_millis(300);
-/// Longest wait before the first call of a process. What the agent on its machine has counts as told to it from then on,
-/// asked or not, and calls to an endpoint that drains break a rule 2 s later: the rest is for the answer and for what is
-/// on its way.
+/// Longest wait before the first call of a process, ...
 const LONGEST_FIRST: Duration = Duration::from_millis(1500);
+/// ... and as a part of the grace for drains. What the agent on its machine has counts as told to it from its first moment on,
+/// asked or not, and a call to an endpoint that drains breaks a rule that grace later: the rest is for the start itself, for
+/// the answer and for what is on its way.
+const FIRST_OF_GRACE: f64 = 0.5;
 /// Shortest time, as a part of the longest one: the rest is chance.
 const LEAST_PART: f64 = 0.5;
 
@@ -47,15 +49,18 @@
 #[derive(Debug)]
 pub struct CallsForLists {
     mean: Duration,
+    longest_first: Duration,
     failures: u32,
     rng: Rng,
 }
 
 impl CallsForLists {
-    /// For a courier of so many; none counts as one. `seed` must not be that of another courier.
-    pub fn new(couriers: u32, seed: u64) -> Self {
+    /// For a courier of so many; none counts as one. `drain_grace` is how long after a drain was told new work may go to its
+    /// endpoint; `seed` must not be that of another courier.
+    pub fn new(couriers: u32, drain_grace: Duration, seed: u64) -> Self {
         let mean = EACH.saturating_mul(couriers.max(1)).clamp(LEAST, TOLD);
-        CallsForLists { mean, failures: 0, rng: Rng::with_seed(seed) }
+        let longest_first = LONGEST_FIRST.min(drain_grace.mul_f64(FIRST_OF_GRACE));
+        CallsForLists { mean, longest_first, failures: 0, rng: Rng::with_seed(seed) }
     }
 
     /// How long to wait before the first call of a process: couriers are often started together. One that has others beside
@@ -65,7 +70,7 @@
         if self.mean == LEAST {
             return Duration::ZERO;
         }
-        (self.mean * 2).min(LONGEST_FIRST).mul_f64(self.rng.f64())
+        (self.mean * 2).min(self.longest_first).mul_f64(self.rng.f64())
     }
 
     /// How long to wait after a watch that broke.
--- a/crates/gullcart-engine/tests/calls_for_lists.rs
+++ b/crates/gullcart-engine/tests/calls_for_lists.rs
@@ -10,6 +10,7 @@
 const ALL_CALL: f64 = 8.0;
 const PATIENCE: f64 = 2.0;
 const TURNED_AWAY: f64 = 0.1;
+const GRACE: Duration = Duration::from_secs(2);
 const SIZES: [usize; 5] = [1, 3, 100, 350, 1024];
 
 /// What became of a stampede.
@@ -47,7 +48,7 @@
 }
 
 fn fleet(couriers: usize) -> Vec<CallsForLists> {
-    (0..couriers).map(|seed| CallsForLists::new(couriers as u32, seed as u64)).collect()
+    (0..couriers).map(|seed| CallsForLists::new(couriers as u32, GRACE, seed as u64)).collect()
 }
 
 #[test]
@@ -69,16 +70,22 @@
     assert!(seen.all.is_none(), "the model does not know the failure that it is for");
 }
 
-/// What the agent of a courier has counts as told to it, asked or not, and 2 s later a call to an endpoint that drains breaks
-/// a rule. A fleet of 300 used to wait for up to 30 s.
+/// What the agent of a courier has counts as told to it, asked or not, and a call to an endpoint that drains breaks a rule when
+/// the grace that the settings allow is over. A fleet of 300 used to wait for up to 30 s, and then for 1.5 s whatever the grace.
 #[test]
 fn first_calls_of_a_common_start_are_spread_and_come_before_a_drain_must_be_kept() {
-    for couriers in [3, 30, 100, 300] {
-        let first: Vec<Duration> = fleet(couriers).iter_mut().map(CallsForLists::first).collect();
-        let last = first.iter().max().unwrap();
-        assert!(*last <= Duration::from_millis(1500), "{couriers}: {last:?}");
-        let early = first.iter().filter(|time| **time < *last / 2).count();
-        assert!(couriers < 30 || (couriers / 3..couriers * 2 / 3).contains(&early), "{couriers}: {first:?}");
+    for grace in [100, 250, 1000, 2000, 60_000].map(Duration::from_millis) {
+        for couriers in [3, 30, 100, 300] {
+            let of = |seed| CallsForLists::new(couriers, grace, u64::from(seed)).first();
+            let first: Vec<Duration> = (0..couriers).map(of).collect();
+            let last = first.iter().max().unwrap();
+            assert!(*last <= (grace / 2).min(Duration::from_millis(1500)), "{couriers}, {grace:?}: {last:?}");
+            let early = first.iter().filter(|time| **time < *last / 2).count() as u32;
+            assert!(
+                couriers < 30 || (couriers / 3..couriers * 2 / 3).contains(&early),
+                "{couriers}: {first:?}"
+            );
+        }
     }
 }
 
@@ -97,18 +104,18 @@
 
 #[test]
 fn few_couriers_call_at_once_and_a_count_of_none_is_one() {
-    assert_eq!(CallsForLists::new(1, 1).first(), Duration::ZERO);
-    assert_eq!(CallsForLists::new(0, 1).first(), Duration::ZERO);
-    let mut alone = CallsForLists::new(0, 1);
+    assert_eq!(CallsForLists::new(1, GRACE, 1).first(), Duration::ZERO);
+    assert_eq!(CallsForLists::new(0, GRACE, 1).first(), Duration::ZERO);
+    let mut alone = CallsForLists::new(0, GRACE, 1);
     assert!((0..100).all(|_| alone.after_failure(Duration::ZERO) <= Duration::from_millis(600)));
-    let mut many = CallsForLists::new(u32::MAX, 1);
+    let mut many = CallsForLists::new(u32::MAX, GRACE, 1);
     assert!((0..100).all(|_| many.after_failure(Duration::ZERO) <= Duration::from_millis(2800)));
     assert!((0..100).all(|_| many.after_failure(CALL) <= Duration::from_millis(800)));
 }
 
 #[test]
 fn what_was_heard_ends_the_longer_waits() {
-    let mut calls = CallsForLists::new(20, 7);
+    let mut calls = CallsForLists::new(20, GRACE, 7);
     let waits: Vec<Duration> = (0..40).map(|_| calls.after_failure(Duration::ZERO)).collect();
     assert!(waits.iter().max().unwrap() > &Duration::from_millis(2400), "{waits:?}");
     assert!(calls.after_break() <= Duration::from_millis(600));
@@ -212,7 +219,7 @@
             for lasts in spans {
                 for seed in 0..5 {
                     let mut calls: Vec<_> = (0..couriers)
-                        .map(|n| CallsForLists::new(couriers as u32, seed * 10_000 + n as u64))
+                        .map(|n| CallsForLists::new(couriers as u32, GRACE, seed * 10_000 + n as u64))
                         .collect();
                     let seen = outage(couriers, *lasts, failing, &mut |courier, took| {
                         let wait = match took {
--- a/crates/gullcart/src/service.rs
+++ b/crates/gullcart/src/service.rs
@@ -140,6 +140,7 @@
         #[cfg(feature = "broken")]
         let parsed = self.broken.settings(parsed);
         let (slots, couriers, seed) = (parsed.settings.call_slots, parsed.settings.couriers, config.seed());
+        let grace = parsed.settings.rules.drain_grace;
         let duties = TrialDuties::new(parsed.settings.rules.fall, seed ^ DUTY_SEED);
         let sockets = Sockets::deal(config.limits.sockets, slots, self.has_console, self.group_costs.1);
         let pool = driver::pool(&parsed.settings, sockets.endpoints, seed ^ IDLE_SEED);
@@ -216,7 +217,7 @@
         let copy = std::os::fd::AsFd::as_fd(&listener).try_clone_to_owned().ok().filter(|_| self.has_console);
         info!(name = config.name, %address, "listening");
         let mut tasks = vec![tokio::task::spawn_local(clients::serve(listener, clients.clone()))];
-        let calls = CallsForLists::new(couriers, seed ^ LIST_SEED);
+        let calls = CallsForLists::new(couriers, grace, seed ^ LIST_SEED);
         tasks.push(tokio::task::spawn_local(discovery::watch(
             self.agent.clone(),
             rev,
