Believe no answer that crosses the end of a call that was given up

The endpoint's side has dropped the call by then. The lines are as before, the test holds the contrary now, and fails with the lines that are taken out.

--- a/crates/gullcart/src/calls.rs
+++ b/crates/gullcart/src/calls.rs
@@ -253,10 +253,6 @@
                 reason = &mut stop => End::Stopped(reason.ok()),
             };
             let latency = start.elapsed();
-            if !matches!(end_of_call, End::Broken) {
-                // First: its answer may cross that.
-                connection.give_up().await;
-            }
             let outcome = match end_of_call {
                 // Not a byte of it was written: it has never run. That it was too late for it says nothing of the endpoint.
                 End::Broken | End::TimedOut if wire.is_untouched() && wire.is_too_late() => Outcome::Moot,
@@ -275,6 +271,9 @@
                 End::TimedOut => Outcome::Timeout,
                 End::Stopped(_) => Outcome::Cancelled,
             };
+            if !matches!(end_of_call, End::Broken) {
+                connection.give_up().await;
+            }
             return Ended { latency, complete: outcome == Outcome::Ok, ..ended(outcome) };
         }
     }
--- a/crates/gullcart/src/wire.rs
+++ b/crates/gullcart/src/wire.rs
@@ -300,8 +300,8 @@
         }
     }
 
-    /// Ends the sending side and waits until the other side has closed too. An answer that crosses that is one: what its first
-    /// line says can be asked for afterwards.
+    /// Ends the sending side and waits until the other side has closed too. The call is over for both sides with that: an
+    /// answer that crosses it counts for nothing there, and must not here, or the message would get no end at all.
     async fn close(&self) -> io::Result<()> {
         SockRef::from(&self.stream).shutdown(Shutdown::Write)?;
         let mut rest = [0; 1024];
@@ -309,7 +309,7 @@
             self.stream.readable().await?;
             match self.stream.try_read(&mut rest) {
                 Ok(0) => return Ok(()),
-                Ok(count) => self.first_line.borrow_mut().feed(&rest[..count])?,
+                Ok(_) => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Err(error),
             }
--- a/crates/gullcart/src/wire/tests.rs
+++ b/crates/gullcart/src/wire/tests.rs
@@ -21,15 +21,15 @@
     }
 }
 
-/// An answer that crosses the end of a call that was given up is an answer, in whatever pieces it comes.
+/// An answer that crosses the end of a call that was given up is none, in whatever pieces it comes: the endpoint's side has
+/// dropped it, and a message that was held to be delivered by it would get no end (seen as lost, one play in six of a day).
 #[tokio::test]
-async fn an_answer_that_crosses_the_end_of_its_call_is_seen() {
+async fn an_answer_that_crosses_the_end_of_its_call_is_none() {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     for (before, after, status) in [
-        ("", "HTTP/1.1 200 OK\r\n\r\n", Some(200)),
-        ("HTTP/1.1 2", "00 OK\r\n\r\n", Some(200)),
-        ("HTTP/1.1 2", "", None),
-        ("", "HTTP/1.1 503 Busy\r\n\r\n", Some(503)),
+        ("", "HTTP/1.1 200 OK\r\n\r\n", None),
+        ("HTTP/1.1 2", "00 OK\r\n\r\n", None),
+        ("HTTP/1.1 200 O", "K\r\n\r\n", Some(200)),
     ] {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
         let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
