Serve what has come when the time is up, and shed no more than needs to go

Seen with the process stopped across its end (new test): connections that waited to be accepted, with requests on them, were reset, as the last turn ended before it looked for them; and with 300 idle clients at 96 descriptors a client that asked was closed on now and then (one run in three beside a busy machine): while one connection was being given up, room was made again at each step, until who had just come was told to go.

Room is made for so many as are needed, those on their way counted; an eighth of the places is kept free; a shut connection keeps its place for 20 ms under pressure, and one that was never answered for none.

--- a/crates/gullcart/src/clients.rs
+++ b/crates/gullcart/src/clients.rs
@@ -76,7 +76,7 @@
     Serving,
     /// It ends: connections are closed between two requests.
     Closing,
-    /// Nothing more is read: what was read is answered, and connections are closed.
+    /// What has come is answered, nothing more is waited for, and connections are closed.
     Over,
     /// It moves to another process: connections are given up as they stand, to [`Clients::given_up`].
     Moving,
@@ -177,6 +177,8 @@
     More,
     /// The client has gone, or its connection may be closed.
     End,
+    /// It has to give way between two requests.
+    GiveWay,
     /// The request did not become whole in its time.
     Late,
     /// The courier moves to another process, and the connection with it.
@@ -243,7 +245,9 @@
                     due = (Instant::now() + HALF).min(begun + WHOLE);
                     self.place.goes_on();
                 }
-                Come::End => return self.part().await,
+                // Nothing was answered on it yet that could be lost, and somebody waits for its place.
+                Come::GiveWay if fresh => return Ok(()),
+                Come::End | Come::GiveWay => return self.part().await,
                 Come::Late => return self.refuse("the request did not come to its end").await,
                 Come::Move => return self.give_up(fresh).await,
             }
@@ -260,7 +264,9 @@
             let phase = *self.phase.borrow_and_update();
             let until = match phase {
                 Phase::Moving => return Ok(Come::Move),
-                Phase::Over => return Ok(Come::End),
+                Phase::Over if !between => return Ok(Come::End),
+                // A request that has come already is served yet, whoever brought it.
+                Phase::Over => return self.read_now(),
                 Phase::Closing if between && !fresh => return self.read_now(),
                 Phase::Closing if between => {
                     due.min(*last_request.get_or_insert_with(|| Instant::now() + LAST_REQUEST))
@@ -273,7 +279,10 @@
                 // connection with nothing on it yet, until a read has failed.
                 ready = self.stream.readable() => ready?,
                 () = give_way.notified() => {
-                    return if between { self.read_now() } else { Ok(Come::Late) };
+                    return match between {
+                        true => self.read_now().map(|come| if let Come::End = come { Come::GiveWay } else { come }),
+                        false => Ok(Come::Late),
+                    };
                 }
                 () = tokio::time::sleep_until(until) => {
                     return if between { self.read_now() } else { Ok(Come::Late) };
--- a/crates/gullcart/src/driver.rs
+++ b/crates/gullcart/src/driver.rs
@@ -312,7 +312,7 @@
     /// The next process finds them in the journal. Then the connections are shut, and their clients have some time to hear
     /// that and to close: an end over what they still send would reset what they were answered.
     async fn finish(&mut self, events: &mut Receiver<Told>, clients: &Clients) -> Result<(), JournalError> {
-        let until = Instant::now() + LAST_WORDS;
+        let begun = Instant::now();
         self.engine.call_no_more(self.clock.now());
         self.ends.phase.send_replace(Phase::Over);
         loop {
@@ -322,7 +322,9 @@
             self.turn()?;
             // The tasks of the connections write what they were given.
             yield_now().await;
-            if (clients.open() == 0 && events.is_empty()) || Instant::now() >= until {
+            // Connections that wait to be accepted are seen in one look, and their requests in the next.
+            let is_quiet = begun.elapsed() > 3 * LAST_LOOK && clients.open() == 0 && events.is_empty();
+            if is_quiet || begun.elapsed() >= LAST_WORDS {
                 break;
             }
             let mut batch = Vec::new();
--- a/crates/gullcart/src/places.rs
+++ b/crates/gullcart/src/places.rs
@@ -16,9 +16,9 @@
 /// ... and one whose request comes slowly goes last, once it has come for so long.
 const SLOW_PRESSED: Duration = Duration::from_millis(2500);
 /// A connection that is shut keeps its place for so long at least: its client closes as soon as it hears of it.
-const PARTING_PRESSED: Duration = Duration::from_millis(100);
+const PARTING_PRESSED: Duration = Duration::from_millis(20);
 /// Places kept free, as a part of all of them, so that who comes next waits for no client that parts; one at least.
-const SPARE_PART: usize = 32;
+const SPARE_PART: usize = 8;
 
 /// What a connection is doing, which decides who gives way when places are short.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -128,12 +128,16 @@
         Place { number, give_way, places: self }
     }
 
-    /// Waits until a place is free. Some are kept free beyond it, by closing those connections that can best be spared.
+    /// Waits until a place is free. Some are kept free beyond it, by closing those connections that can best be spared; no
+    /// more than that, whatever the others take to go.
     pub async fn make_room(&self) {
         let spare = (self.most / SPARE_PART).max(1);
-        while self.staying() + spare > self.most && self.shed_one() {}
-        while self.open() >= self.most {
-            self.shed_one();
+        loop {
+            while self.staying() + spare > self.most && self.shed_one() {}
+            if self.open() < self.most {
+                return;
+            }
+            self.close_parting();
             // Those that may not be closed now may be so later.
             let _ = timeout(PARTING_PRESSED, self.changed.notified()).await;
         }
@@ -156,14 +160,23 @@
         }
     }
 
-    /// Whether somebody was told to go.
+    /// Tells the one that can best be spared to go; whether there is one.
     fn shed_one(&self) -> bool {
         let now = Instant::now();
         let mut occupants = self.occupants.borrow_mut();
-        let ranked = occupants.open.values_mut().filter_map(|o| Some((o.rank(now)?, o)));
+        let stay = occupants.open.values_mut().filter(|o| o.doing != Doing::Parting);
+        let ranked = stay.filter_map(|o| Some((o.rank(now)?, o)));
         let first = ranked.min_by_key(|(rank, _)| *rank);
         first.map(|(_, occupant)| occupant.leave()).is_some()
     }
+
+    /// Closes those that are shut and had the time to close themselves.
+    fn close_parting(&self) {
+        let now = Instant::now();
+        let mut occupants = self.occupants.borrow_mut();
+        let shut = occupants.open.values_mut().filter(|o| o.doing == Doing::Parting);
+        shut.filter(|o| o.rank(now).is_some()).for_each(Occupant::leave);
+    }
 }
 
 /// The place of one connection, free again when dropped.
--- a/crates/gullcart/src/places/tests.rs
+++ b/crates/gullcart/src/places/tests.rs
@@ -19,7 +19,7 @@
         (Doing::Busy, ms(9000), ms(9000)),
         (Doing::Leaving, ms(9000), ms(9000)),
         // Its client has not had the time to hear of it.
-        (Doing::Parting, ms(50), ms(50)),
+        (Doing::Parting, ms(10), ms(10)),
     ] {
         assert_eq!(rank(doing, lasted, still), None);
     }
--- a/crates/gullcart/tests/endings.rs
+++ b/crates/gullcart/tests/endings.rs
@@ -112,6 +112,46 @@
     world.nothing();
 }
 
+/// The process stands still until its time is up, and finds new connections with requests on them when it goes on: they are
+/// taken on in its last turn, and called by the next process.
+#[test]
+fn requests_that_came_when_the_time_was_up_are_taken_on_for_the_next_process() {
+    let world = World::new(PROGRAM, 1, 3.0);
+    let mut courier = world.start();
+    assert_eq!(courier.client().enqueue("hung", "0", "salary", 1, b"x"), "+OK");
+    let _hung = world.call();
+    courier.terminate();
+    courier.log_until("told to end");
+    let mut clients = Vec::new();
+    courier.while_stopped(|| {
+        for number in 0..10 {
+            let mut client = courier.client();
+            client.begin_enqueue(&format!("l{number}"), "0", "salary", 1, b"x");
+            clients.push(client);
+        }
+        // Not for something to happen: for the end to be due. Nothing runs meanwhile.
+        std::thread::sleep(Duration::from_millis(3300));
+    });
+    for client in &mut clients {
+        assert_eq!(client.until_end().unwrap(), "+OK\r\n");
+        client.end();
+    }
+    assert!(courier.wait(LONGEST_END).success());
+    world.nothing();
+    let _next = courier.kill_and_restart();
+    let (mut called, mut told) = (BTreeSet::new(), BTreeSet::new());
+    while called.len() < clients.len() || told.is_empty() {
+        match world.call_or_notice() {
+            Seen::Call(call) => {
+                called.insert(call.id.clone());
+                call.answer("200 OK", "");
+            }
+            Seen::Notice(line) => drop(told.insert(line)),
+        }
+    }
+    assert_eq!(told, BTreeSet::from([r#"{"id":"hung","state":"failed"}"#.to_owned()]));
+}
+
 /// A second SIGTERM changes nothing, and SIGHUP moves discovery while the courier ends: what is owed is told there.
 #[test]
 fn signals_during_the_end_change_nothing_that_is_owed() {
