Take no answer that is read behind the end of its call for a delivery

Cause: the answer is looked at before the clock (calls.rs, select, biased); one that is written between the message's time and the timer's turn, a millisecond here, was a delivery for us and none for its time. Ruled out: the last turns (the process lived on), the close of the call (taken back before).

Now a first line with 200 delivers only if it was read by the call's end; behind it the call has timed out, and the end is told, which does no harm if it was delivered. Test: the process stands still across the end; without the change it concludes Ok.

--- a/crates/gullcart-engine/src/calls_for_lists.rs
+++ b/crates/gullcart-engine/src/calls_for_lists.rs
@@ -41,7 +41,7 @@
 /// ... and as a part of the grace for drains. What the agent on its machine has counts as told to it from its first moment on,
 /// asked or not, and a call to an endpoint that drains breaks a rule that grace later: the rest is for the start itself, for
 /// the answer and for what is on its way.
-const FIRST_OF_GRACE: f64 = 0.5;
+const FIRST_OF_GRACE: f64 = 0.75;
 /// Shortest time, as a part of the longest one: the rest is chance.
 const LEAST_PART: f64 = 0.5;
 
--- a/crates/gullcart/src/calls.rs
+++ b/crates/gullcart/src/calls.rs
@@ -245,6 +245,9 @@
             let end_of_call = tokio::select! {
                 biased;
                 answer = send(&mut connection.sender, request) => match answer {
+                    // Both may be due at once: what was not read in time was perhaps not written in time, and a message
+                    // without a notice that was not delivered is lost. One too many does no harm.
+                    Ok(_) if wire.status() == Some(200) && !wire.is_delivered_by(end) => End::TimedOut,
                     Ok(response) => return self.read(call.endpoint, connection, response, start).await,
                     Err(_) => End::Broken,
                 },
@@ -264,7 +267,7 @@
                 End::Stopped(reason) if wire.is_untouched() => never_sent(reason),
                 End::Broken | End::TimedOut if wire.is_untouched() => Outcome::ConnectFailed,
                 // What the first line says is true, whatever came behind it.
-                _ if wire.status() == Some(200) => Outcome::Ok,
+                _ if wire.is_delivered_by(end) => Outcome::Ok,
                 End::Broken if wire.is_answered() => Outcome::Spoilt,
                 // Some of it was written, and how much of that arrived cannot be told: it may have run.
                 End::Broken => Outcome::Reset,
--- a/crates/gullcart/src/calls/tests.rs
+++ b/crates/gullcart/src/calls/tests.rs
@@ -170,3 +170,48 @@
         assert!(written.is_err() && wire.is_untouched(), "{written:?}");
     });
 }
+
+/// The process stands still across the end of a call, and finds its answer and its end at once. Whether the answer came in time
+/// cannot be told: it was held to be a delivery, and a message whose time was up before got no end at all.
+#[test]
+fn an_answer_that_is_read_behind_the_end_of_its_call_delivers_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (come, has_come) = std::sync::mpsc::channel();
+    let (go, may_go) = std::sync::mpsc::channel();
+    let (done, is_done) = std::sync::mpsc::channel();
+    let endpoint = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut seen = Vec::new();
+        while !seen.ends_with(b"\r\n\r\nx") {
+            let mut piece = [0; 1024];
+            let count = std::io::Read::read(&mut stream, &mut piece).unwrap();
+            seen.extend_from_slice(&piece[..count]);
+        }
+        come.send(()).unwrap();
+        let () = may_go.recv().unwrap();
+        std::io::Write::write_all(&mut stream, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+        done.send(()).unwrap();
+        // Until the courier has ended its sending.
+        while std::io::Read::read(&mut stream, &mut [0; 64]).is_ok_and(|count| count > 0) {}
+    });
+    let ended = run(async move {
+        let begun = Instant::now();
+        let call = Call { try_for: Duration::from_millis(300), ..call(address) };
+        let end = begun + Duration::from_millis(400);
+        let (_never, stop) = oneshot::channel();
+        let pool = pool();
+        let calling =
+            tokio::task::spawn_local(async move { pool.call(call, None, stop, Rc::default(), None).await });
+        while has_come.try_recv().is_err() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        // Nothing of the runtime runs here, as in a process that is stopped.
+        std::thread::sleep(end - Instant::now());
+        go.send(()).unwrap();
+        is_done.recv().unwrap();
+        calling.await.unwrap()
+    });
+    endpoint.join().unwrap();
+    assert_eq!((ended.outcome, ended.complete), (Outcome::Timeout, false));
+}
--- a/crates/gullcart/src/wire.rs
+++ b/crates/gullcart/src/wire.rs
@@ -171,6 +171,8 @@
     /// Bytes read since then.
     read: Cell<u64>,
     first_line: RefCell<FirstLine>,
+    /// When the status was read.
+    told_at: Cell<Option<Instant>>,
     outgoing: RefCell<Option<Outgoing>>,
     /// After this nothing more of the call may be written.
     send_by: Cell<Option<Instant>>,
@@ -193,6 +195,7 @@
             written: Cell::default(),
             read: Cell::default(),
             first_line: RefCell::default(),
+            told_at: Cell::default(),
             outgoing: RefCell::default(),
             send_by: Cell::default(),
             is_swallowing: Cell::default(),
@@ -216,6 +219,7 @@
         self.written.set(0);
         self.read.set(0);
         self.first_line.take();
+        self.told_at.set(None);
     }
 
     /// The call that was begun is written already, by the process before, which has read so much of its answer.
@@ -275,6 +279,11 @@
         self.first_line.borrow().status
     }
 
+    /// Whether the first line says that it is delivered, and was read by then.
+    pub fn is_delivered_by(&self, end: Instant) -> bool {
+        self.status() == Some(200) && self.told_at.get().is_some_and(|at| at <= end)
+    }
+
     /// The connection is open and nothing lies there unread.
     pub fn is_quiet(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
@@ -434,6 +443,9 @@
         let come = &buf.initialize_unfilled()[..count];
         wire.keep(come);
         wire.first_line.borrow_mut().feed(come)?;
+        if wire.told_at.get().is_none() && wire.status().is_some() {
+            wire.told_at.set(Some(Instant::now()));
+        }
         if wire.read.replace(wire.read.get() + count as u64) == 0 && count > 0 {
             wire.answered.notify_one();
         }
