--- a/crates/gullcart/src/calls.rs
+++ b/crates/gullcart/src/calls.rs
@@ -246,7 +246,7 @@
                 biased;
                 answer = send(&mut connection.sender, request) => match answer {
                     // Both may be due at once: what was not read in time was perhaps not written in time, and a message
-                    // without a notice that was not delivered is lost. One too many does no harm.
+                    // that was not delivered and has no notice is lost. A notice too many does no harm.
                     Ok(_) if wire.status() == Some(200) && !wire.is_delivered_by(end) => End::TimedOut,
                     Ok(response) => return self.read(call.endpoint, connection, response, start).await,
                     Err(_) => End::Broken,
--- a/crates/gullcart/src/driver.rs
+++ b/crates/gullcart/src/driver.rs
@@ -308,7 +308,7 @@
         Ok(Stopped { engine: self.engine, baggage, calls, reading })
     }
 
-    /// Answers the requests that have been read, and reads no more: ending a connection before would lose their messages.
+    /// Answers the requests that have come, and waits for no more: ending a connection before would lose their messages.
     /// The next process finds them in the journal. Then the connections are shut, and their clients have some time to hear
     /// that and to close: an end over what they still send would reset what they were answered.
     async fn finish(&mut self, events: &mut Receiver<Told>, clients: &Clients) -> Result<(), JournalError> {
