Cut a told list into records that hold no more room than their entries

Memory grew with the square of the endpoints told: 50,000 took 2.6 GB. `split_off` left each part of 64 entries the room of all that followed, and all parts of a list stand side by side until they are written. The image itself was ruled out: it takes the decoded or cloned entries, which are as small as they are.

Parts are now taken from the list entry by entry (`parts`). The records are the same, byte for byte.

--- a/crates/gullcart-journal/src/journal.rs
+++ b/crates/gullcart-journal/src/journal.rs
@@ -5,6 +5,7 @@
 use crate::image::{Held, Image, OutageNote, OutagePlace, Record, Sent, MOST_SUSPENDED};
 use crate::ledger::{Ledger, Next};
 use crate::log::{name, Active, Log, Sealed, Start};
+use crate::parts::parts;
 use crate::plan::{cost, on_disk, Plan, Purpose, Room};
 use crate::replay::{read, End, Form, Window};
 use crate::store::{Folder, Store};
@@ -312,23 +313,18 @@
 
     /// The list of endpoints was told, or what changed in it.
     pub fn targets(&mut self, update: &Update) -> Result<(), JournalError> {
-        let (mut set, gone, destinations) = self.image.changes(update);
+        let (set, gone, destinations) = self.image.changes(update);
         let mut records = Vec::new();
-        if !destinations.is_empty() {
-            records.extend(destinations.chunks(DESTINATIONS).map(|part| Record::Destinations(part.to_vec())));
-        }
+        records.extend(parts(destinations, DESTINATIONS).map(Record::Destinations));
+        let removed = |gone| Record::List { rev: None, set: Vec::new(), gone };
+        records.extend(parts(gone, ENTRIES).map(removed));
+        let listed = |set| Record::List { rev: None, set, gone: Vec::new() };
+        records.extend(parts(set, ENTRIES).map(listed));
         // The version comes last: a start before that asks for all of it once more.
-        records.extend(gone.chunks(ENTRIES).map(|part| Record::List {
-            rev: None,
-            set: Vec::new(),
-            gone: part.to_vec(),
-        }));
-        while set.len() > ENTRIES {
-            let rest = set.split_off(ENTRIES);
-            records.push(Record::List { rev: None, set, gone: Vec::new() });
-            set = rest;
-        }
-        records.push(Record::List { rev: Some(update.rev), set, gone: Vec::new() });
+        match records.last_mut() {
+            Some(Record::List { rev, set, .. }) if !set.is_empty() => *rev = Some(update.rev),
+            _ => records.push(Record::List { rev: Some(update.rev), set: Vec::new(), gone: Vec::new() }),
+        }
         self.state_records(records)
     }
 
--- a/crates/gullcart-journal/src/lib.rs
+++ b/crates/gullcart-journal/src/lib.rs
@@ -18,6 +18,7 @@
 mod log;
 pub mod notes;
 mod options;
+mod parts;
 mod plan;
 mod repair;
 mod replay;
--- a/crates/gullcart/tests/sizes.rs
+++ b/crates/gullcart/tests/sizes.rs
@@ -4,6 +4,8 @@
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_gullcart");
 const MANY: usize = 1024;
+/// KiB that an endpoint more may take.
+const MOST_FOR_ONE: u64 = 3;
 /// A destination among the many.
 const ONE: u16 = 4;
 
@@ -72,3 +74,24 @@
         assert!(threads <= 2, "{size}: {threads} threads");
     }
 }
+
+/// Memory grows with the endpoints told, not with their square. The figures are printed.
+#[test]
+fn memory_grows_evenly_with_the_endpoints() {
+    let memory = |count: usize| {
+        let world = World::new(PROGRAM, 1, 3.0);
+        let (courier, mut ids) = (world.start(), 0);
+        world.tell_many(2, count, "SERVING");
+        until_served(&world, &courier, &mut ids);
+        let memory = courier.memory();
+        println!("{count} endpoints: {memory} KiB");
+        memory
+    };
+    let counts = [4_000, 12_000, 20_000];
+    let memories = counts.map(memory);
+    for step in 1..counts.len() {
+        let grown = memories[step].saturating_sub(memories[step - 1]);
+        let more = (counts[step] - counts[step - 1]) as u64;
+        assert!(grown < more * MOST_FOR_ONE, "{more} more endpoints take {grown} KiB more");
+    }
+}
