--- a/crates/gullcart-journal/src/options.rs
+++ b/crates/gullcart-journal/src/options.rs
@@ -74,19 +74,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_file_is_strict() {
-        assert_eq!(Options::parse(""), Ok(Options::default()));
-        let both = Options::parse("durability = \"machine\"\nsegment_kib = 256");
-        assert_eq!(both, Ok(Options { durability: Durability::Machine, segment: Some(256 << 10) }));
-        for (bad, word) in
-            [("durability = \"disk\"", "disk"), ("segments = 3", "segments"), ("segment_kib = 1", "between")]
-        {
-            let error = Options::parse(bad).unwrap_err();
-            assert!(error.contains(word), "{error}");
-        }
-    }
-}
+mod tests;
