--- a/crates/gullcart-emulator/src/calls.rs
+++ b/crates/gullcart-emulator/src/calls.rs
@@ -1,7 +1,8 @@
 //! Calls on their way: connections, what endpoints make of them, and what couriers hear.
 
+use crate::address::Address;
 use crate::courier::OutCall;
-use crate::world::{Address, Arriving, CallThere, Due, World};
+use crate::world::{Arriving, CallThere, Due, World};
 use cloverstile::{Allowance, MessageId, Outcome};
 use gullcart_engine::{Call, Ended, Input, Stop};
 use gullcart_judge::trace::{Answer, At, By, CallId, CourierId, Event, State};
--- a/crates/gullcart-emulator/src/courier.rs
+++ b/crates/gullcart-emulator/src/courier.rs
@@ -1,6 +1,6 @@
 //! A courier's place: its folder, its process while it runs, its connections, and what its register's agent knows.
 
-use crate::world::Address;
+use crate::address::Address;
 use cloverstile::{EndpointId, MessageId, Time};
 use gullcart_engine::{Engine, IdleShare, EPOCH};
 use gullcart_journal::simulated::{Crash, Disk};
--- a/crates/gullcart-emulator/src/faults.rs
+++ b/crates/gullcart-emulator/src/faults.rs
@@ -1,7 +1,8 @@
 //! What goes wrong, at its time.
 
+use crate::address::Address;
 use crate::courier::Process;
-use crate::world::{Address, Due, Sending, Standing, World, LEAD};
+use crate::world::{Due, Sending, Standing, World, LEAD};
 use gullcart_engine::Input;
 use gullcart_judge::trace::{By, CallId, CourierId, EndpointId, Event, Process as What, State};
 use gullcart_message::Target;
--- a/crates/gullcart-emulator/src/lib.rs
+++ b/crates/gullcart-emulator/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod address;
 mod calls;
 mod clients;
 mod courier;
--- a/crates/gullcart-emulator/src/world.rs
+++ b/crates/gullcart-emulator/src/world.rs
@@ -1,5 +1,6 @@
 //! The world in virtual time: what happens next, and to whom.
 
+use crate::address::Address;
 use crate::courier::{Place, Process};
 use crate::queue::Queue;
 use cloverstile::{parse_settings_json, EndpointId, MessageId, Outcome, Parsed};
@@ -18,7 +19,6 @@
 use gullcart_standins::ids;
 use gullcart_standins::partner::{Fate, Partner};
 use std::collections::{BTreeMap, VecDeque};
-use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 /// One way over the network, and what may come on top of it.
@@ -31,23 +31,6 @@
 /// Times before a day begins: couriers start before it.
 pub(crate) const LEAD: Duration = Duration::from_millis(200);
 
-/// Where an endpoint is found.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Address(pub u32);
-
-impl Address {
-    pub fn text(self) -> String {
-        SocketAddr::from((Ipv4Addr::from(0x7f00_0000 | self.0), 1)).to_string()
-    }
-
-    pub fn of(socket: SocketAddr) -> Option<Self> {
-        match socket {
-            SocketAddr::V4(v4) => Some(Address(u32::from(*v4.ip()) & 0x00ff_ffff)),
-            SocketAddr::V6(_) => None,
-        }
-    }
-}
-
 /// An endpoint of a partner.
 pub(crate) struct Standing {
     pub id: gullcart_judge::trace::EndpointId,
--- a/crates/gullcart/src/clients.rs
+++ b/crates/gullcart/src/clients.rs
@@ -14,7 +14,7 @@
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 use tracing::warn;
 
-use crate::places::{Doing, Place, Places};
+use crate::places::{ClientLimits, Doing, Place, Places};
 use crate::vocabulary::Inputs;
 use gullcart_engine::{Answer, Enqueue, Input, Seldom, EPOCH};
 
@@ -58,17 +58,6 @@
     }
 }
 
-/// What clients may hold.
-#[derive(Clone, Copy, Debug)]
-pub struct ClientLimits {
-    pub connections: usize,
-    /// Connections between two requests. Clients hold only so many themselves: those that ask once and stay would
-    /// leave them none to ask on.
-    pub idle: usize,
-    /// Requests longer than a few KiB that are read at a time.
-    pub long_requests: usize,
-}
-
 /// What the courier is about to do, as its clients' connections have to know.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Phase {
--- a/crates/gullcart/src/places.rs
+++ b/crates/gullcart/src/places.rs
@@ -7,8 +7,6 @@
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::{timeout, Instant};
 
-use crate::clients::ClientLimits;
-
 /// While places are short, a part of a request is given up once nothing of it came for as long as its client would wait for
 /// an answer, a silent connection goes before the idle ones once its first request is not to be expected any more, ...
 const HALF_PRESSED: Duration = Duration::from_millis(400);
@@ -20,6 +18,18 @@
 /// Places kept free, as a part of all of them, so that who comes next waits for no client that parts; one at least.
 const SPARE_PART: usize = 8;
 
+/// What clients may hold.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientLimits {
+    /// Connections that are open.
+    pub connections: usize,
+    /// Connections between two requests. Clients hold only so many themselves: those that ask once and stay would
+    /// leave them none to ask on.
+    pub idle: usize,
+    /// Requests longer than a few KiB that are read at a time.
+    pub long_requests: usize,
+}
+
 /// What a connection is doing, which decides who gives way when places are short.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Doing {
--- a/crates/gullcart/src/service.rs
+++ b/crates/gullcart/src/service.rs
@@ -16,12 +16,13 @@
 use tracing::{error, info, warn};
 
 use crate::calls::CarriedCall;
-use crate::clients::{self, ClientLimits, Clients, Moved};
+use crate::clients::{self, Clients, Moved};
 use crate::config::{Config, Sockets, StartError};
 use crate::console::Question;
 use crate::discovery;
 use crate::driver::{self, Clock, Driver, End, Ends, Stopped};
 use crate::group::Place;
+use crate::places::ClientLimits;
 use crate::upgrade::{self, Arrived, Asked};
 use crate::vocabulary::{Inputs, Told};
 
