--- a/crates/gullcart-judge/src/message.rs
+++ b/crates/gullcart-judge/src/message.rs
@@ -24,6 +24,7 @@
     pub answered: Option<At>,
 }
 
+/// A message, from its hand-in until it is forgotten.
 #[derive(Clone, Debug)]
 pub struct Message {
     pub courier: CourierId,
@@ -41,8 +42,8 @@
     pub out: Vec<CallId>,
     /// Since when nothing can be done for it any more.
     pub hopeless: Option<At>,
-    /// It was already said to be lost, or kept back.
-    pub accused: bool,
+    /// It was already reported as lost, or as kept back.
+    pub is_reported: bool,
     pub proof: Vec<Entry>,
 }
 
@@ -54,6 +55,11 @@
         self.proof.push(entry);
     }
 
+    /// Whether some call for it may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.maybe_ran.is_some() || !self.out.is_empty()
+    }
+
     /// Whether the next one with its key may go.
     pub fn is_over(&self) -> bool {
         self.standing == Standing::Void
