Find the best waiting message of a destination in an index, not by a walk

Closing a message was linear in its queue as well.

The decisions stay as they are; only how the best message is found changes. Messages that may be sent are grouped by class, share, fitness for a trial and by whether their value now, and one aim later, is falling or steady. Inside such a group the order by worth is the order by age (or by arrival, where all are worth the same) until the next kink of one of the values, and each message is filed anew at that time. `pick` compares the best of each group with the same `worth` as before. Messages that become due later are ordered by that time. Queues and key turns are ordered sets, so closing and forgetting a message are logarithmic too.

A heap by worth was ruled out: worth changes with time. The index is not carried to a next process but rebuilt from the messages, which now have a number of arrival; FORMAT is raised to 4.

A property test compares index and plain walk (message, bits of the worth, and the time of the next look) over random events, classes and exact kinks.

--- /dev/null
+++ b/crates/cloverstile/examples/turn_cost.rs
@@ -0,0 +1,137 @@
+//! Prints what one turn of decisions costs: by messages held for a few silent destinations, and by destinations in an
+//! outage that wait.
+//!
+//! `cargo run --release -p cloverstile --example turn_cost`
+
+use cloverstile::*;
+use std::time::{Duration, Instant};
+
+const STEP: Duration = Duration::from_millis(1);
+/// Each figure is a mean over so many turns, or over as many as fit into `LONGEST`.
+const TURNS: u32 = 2000;
+const KEYS: u32 = 16;
+const LONGEST: Duration = Duration::from_secs(3);
+
+struct Bench {
+    courier: Courier,
+    class: Class,
+    now: Time,
+    destinations: u16,
+    accepted: u32,
+    /// Outcome of each call in the turn after it; none where calls are not answered.
+    outcome: Option<Outcome>,
+    begun: Vec<(MessageId, EndpointId)>,
+}
+
+impl Bench {
+    fn new(destinations: u16, messages: u32, in_order: bool, outcome: Option<Outcome>) -> Self {
+        let class = Class { deadline: Duration::from_secs(3600), in_order, ..Class::default() };
+        let settings = Settings {
+            classes: vec![class.clone()],
+            call_slots: 64,
+            most_held: 2_000_000,
+            send_cap: 1000,
+            answers_take_time: true,
+            ..Settings::default()
+        };
+        let now = Time::ZERO + Duration::from_secs(10_000);
+        let mut courier = Courier::new(settings, 7);
+        let endpoint = |destination: u16| Endpoint {
+            id: EndpointId(u32::from(destination)),
+            zone: ZoneId(0),
+            kind: KindId(0),
+            destination: DestinationId(destination),
+            mode: Mode::Ready,
+            weight: 50.0,
+        };
+        courier.handle(now, Event::Listed(Listing::Whole((0..destinations).map(endpoint).collect())));
+        let mut bench = Bench { courier, class, now, destinations, accepted: 0, outcome, begun: Vec::new() };
+        for _ in 0..messages {
+            bench.now = bench.now + Duration::from_nanos(1000);
+            bench.accept();
+        }
+        bench
+    }
+
+    fn accept(&mut self) {
+        let accepted = Accepted {
+            id: MessageId(self.accepted),
+            class: ClassId(0),
+            destination: DestinationId((self.accepted % u32::from(self.destinations)) as u16),
+            key: Some(OrderKey(u64::from(self.accepted % KEYS))),
+            deadline: self.now + self.class.deadline,
+            from_dead_courier: false,
+            tenant: TenantId(0),
+        };
+        self.accepted += 1;
+        self.courier.handle(self.now, Event::Accept(accepted));
+    }
+
+    fn out_of_service(&mut self) {
+        for destination in 0..self.destinations {
+            let outage = Outage {
+                destination: DestinationId(destination),
+                endpoint: None,
+                since: self.now - Duration::from_secs(5),
+                evidence: 6,
+                lost: Some(true),
+                returned: None,
+                share: 1.0,
+            };
+            self.courier.handle(self.now, Event::Recalled(outage));
+        }
+    }
+
+    /// One message comes, one is withdrawn, and calls that went out in the turn before end.
+    fn turn(&mut self) {
+        self.now = self.now + STEP;
+        self.accept();
+        self.courier.handle(self.now, Event::ClientGone(MessageId(self.accepted / 2)));
+        for (message, endpoint) in self.begun.drain(..) {
+            if let Some(outcome) = self.outcome {
+                let (attempt, latency, complete, allowance) = (0, STEP, false, None);
+                let finished = Finished { message, endpoint, attempt, outcome, latency, complete, allowance };
+                self.courier.handle(self.now, Event::Finished(finished));
+            }
+        }
+        let mut actions = Vec::new();
+        self.courier.decide(self.now, &mut actions);
+        for action in actions {
+            if let Action::Route { message, endpoint, .. } = action {
+                self.begun.push((message, endpoint));
+            }
+        }
+    }
+
+    fn nanoseconds_a_turn(&mut self) -> u128 {
+        // Calls go out, and are seen to be silent.
+        for _ in 0..20 {
+            self.now = self.now + Duration::from_millis(200);
+            self.turn();
+        }
+        let begin = Instant::now();
+        let mut turns = 0;
+        while turns < TURNS && begin.elapsed() < LONGEST {
+            self.turn();
+            turns += 1;
+        }
+        begin.elapsed().as_nanos() / u128::from(turns)
+    }
+}
+
+fn main() {
+    for (in_order, order) in [(true, "in order under 16 keys"), (false, "in any order")] {
+        println!("messages held for 8 silent destinations, {order}: ns a turn");
+        for messages in [1_000, 10_000, 100_000, 1_000_000] {
+            let mut bench = Bench::new(8, messages, in_order, None);
+            println!("{messages:>10} {:>12}", bench.nanoseconds_a_turn());
+        }
+    }
+    println!("destinations in an outage that wait, with 4 messages each: ns a turn");
+    for destinations in [10, 100, 1_000, 10_000] {
+        let messages = 4 * u32::from(destinations);
+        let mut bench = Bench::new(destinations, messages, false, Some(Outcome::ConnectFailed));
+        bench.out_of_service();
+        println!("{destinations:>10} {:>12}", bench.nanoseconds_a_turn());
+    }
+}
--- a/crates/cloverstile/src/books.rs
+++ b/crates/cloverstile/src/books.rs
@@ -9,6 +9,8 @@
 #[derive(Serialize, Deserialize)]
 pub struct Message {
     pub taken: Accepted,
+    /// The how-manieth message that came.
+    pub arrival: u64,
     pub born: Time,
     pub attempts: u32,
     /// The call that carries it now.
@@ -23,6 +25,24 @@
     pub over_share: bool,
 }
 
+impl Message {
+    /// A message that came as the `arrival`th, is beyond its tenant's share or not, and may be sent from now on.
+    pub fn new(now: Time, taken: Accepted, arrival: u64, born: Time, over_share: bool) -> Self {
+        Message {
+            taken,
+            arrival,
+            born,
+            attempts: 0,
+            out: None,
+            maybe_ran: None,
+            not_before: now,
+            closed: false,
+            unheard: false,
+            over_share,
+        }
+    }
+}
+
 /// A call out: one slot, one fate, however many messages it carries.
 #[derive(Serialize, Deserialize)]
 pub struct Call {
@@ -165,6 +185,13 @@
     pub out: BTreeSet<u64>,
 }
 
+impl Route {
+    /// Whether this courier tries it for all others now.
+    pub fn tries_for_all(&self, now: Time) -> bool {
+        matches!(self.trials, Trials::Held(until) if now < until)
+    }
+}
+
 /// Whether idle connections are being dropped unseen, so that the next call on one is lost. Courier-wide, as
 /// one courier meets each partner too seldom to learn it there.
 #[derive(Default, Serialize, Deserialize)]
@@ -193,3 +220,23 @@
 pub fn cold_s(settings: &Settings) -> f64 {
     settings.rules.cold.as_secs_f64().max(1.0)
 }
+
+/// Couriers that share the destinations: an even part is one over this.
+pub fn couriers(settings: &Settings) -> f64 {
+    f64::from(settings.couriers.max(1))
+}
+
+/// The routes of a destination.
+pub fn routes_of(to: DestinationId) -> std::ops::RangeInclusive<RouteId> {
+    RouteId(to, None)..=RouteId(to, Some(EndpointId(u32::MAX)))
+}
+
+/// Moves `next` up to an earlier time.
+pub fn earliest(next: &mut Option<Time>, at: Option<Time>) {
+    *next = [*next, at].into_iter().flatten().min();
+}
+
+/// A gap that doubles from try to try.
+pub fn growing_gap(unit: Duration, first: f64, tries: u32) -> Duration {
+    unit.mul_f64(first * f64::from(tries.min(16)).exp2())
+}
--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -7,12 +7,17 @@
 
 use crate::books::*;
 use crate::interface::*;
+use crate::ready::Queues;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 mod carried;
+mod placing;
 mod standing;
+#[cfg(test)]
+mod tests;
 pub use standing::{Hold, Standing};
 
 // ---- Tuned values ----
@@ -123,14 +128,18 @@
     rng: fastrand::Rng,
     addresses: BTreeMap<EndpointId, Address>,
     routes: BTreeMap<RouteId, Route>,
-    /// Messages not answered, by destination; no empty ones.
-    queues: BTreeMap<DestinationId, Vec<MessageId>>,
+    /// Messages not answered, by destination. Rebuilt from `messages` in a hand-over.
+    #[serde(skip)]
+    queues: Queues,
     messages: BTreeMap<MessageId, Message>,
+    /// Messages taken so far.
+    arrivals: u64,
     /// What is left of each tenant's share, and since when.
     shares: BTreeMap<TenantId, (f64, Time)>,
     open: usize,
     deadlines: BTreeSet<(Time, MessageId)>,
-    keys: BTreeMap<OrderKey, VecDeque<MessageId>>,
+    /// Messages in their turn, with their arrivals.
+    keys: BTreeMap<OrderKey, BTreeSet<(u64, MessageId)>>,
     rests: BTreeMap<OrderKey, Time>,
     calls: BTreeMap<u64, Call>,
     last_call: u64,
@@ -173,7 +182,7 @@
                 if let Some(message) = self.messages.get_mut(&id) {
                     message.unheard = false;
                 }
-                self.forget_if_over(id);
+                self.forget_if_over(now, id);
             }
             Event::Trials(to, trials) => {
                 if let Some(route) = self.routes.get_mut(&RouteId(to, None)) {
@@ -183,7 +192,7 @@
             Event::Learnt(to, news) => self.on_learnt(now, to, news),
             Event::Closing(at) => self.closing = Some(at),
             Event::Finished(finished) => self.on_finished(now, finished),
-            Event::ClientGone(id) => self.close(id),
+            Event::ClientGone(id) => self.close(now, id),
             Event::TickDue(token) => self.wake = self.wake.filter(|(_, set)| *set != token),
             Event::FirstByte(_) | Event::Probed { .. } | Event::Note { .. } => {}
         }
@@ -207,7 +216,7 @@
     /// out first, and a told wait to pass.
     pub fn come_back(&mut self, now: Time, to: DestinationId) -> Duration {
         let aim = Duration::from_secs_f64(shortest_aim(&self.settings));
-        let waiting = self.queues.get(&to).map_or(0, Vec::len) as f64;
+        let waiting = self.queues.held(to) as f64;
         let routes: Vec<RouteId> = self.routes.range(routes_of(to)).map(|(id, _)| *id).collect();
         let pace: f64 = routes.iter().map(|id| self.pace(now, *id)).sum();
         let wait = routes.iter().map(|id| self.routes[id].told_wait - now).min().unwrap_or_default();
@@ -328,28 +337,21 @@
         let may_have_run = taken.from_dead_courier && class.effect == Effect::Keyed;
         let ran = Some(born).filter(|born| *born <= now).unwrap_or(Time::ZERO);
         if let (true, Some(key)) = (class.in_order, taken.key) {
-            self.keys.entry(key).or_default().push_back(taken.id);
+            self.keys.entry(key).or_default().insert((self.arrivals, id));
         }
-        self.deadlines.insert((taken.deadline, taken.id));
-        self.queues.entry(taken.destination).or_default().push(taken.id);
+        self.deadlines.insert((taken.deadline, id));
+        self.queues.join(taken.destination);
         self.open += 1;
         for (_, route) in self.routes.range_mut(routes_of(taken.destination)) {
             route.demand.rate(now, cold_s(&self.settings), 1.0);
         }
         let over_share = self.is_over_share(now, taken.tenant);
-        let message = Message {
-            born,
-            over_share,
-            attempts: 0,
-            out: None,
-            maybe_ran: may_have_run.then_some((ran, None)),
-            not_before: now,
-            closed: false,
-            unheard: false,
-            taken,
-        };
+        let mut message = Message::new(now, taken, self.arrivals, born, over_share);
+        message.maybe_ran = may_have_run.then_some((ran, None));
+        self.arrivals += 1;
         let end = self.last_send(&message);
         self.messages.insert(id, message);
+        self.place(now, id);
         // What ran too long ago, in a courier that died, is answered at once.
         self.deadlines.extend(end.map(|end| (end.max(now), id)));
     }
@@ -358,17 +360,22 @@
     /// latest, so that keys rest from now on.
     fn on_restored(&mut self, now: Time, restored: Restored) {
         let id = restored.taken.id;
-        self.keys_rest = now + self.settings.rules.order_settle;
+        let rest = now + self.settings.rules.order_settle;
+        if self.keys_rest != rest {
+            self.keys_rest = rest;
+            self.place_fronts(now);
+        }
         self.on_accept(now, restored.taken);
         let Some(message) = self.messages.get_mut(&id) else { return };
         message.attempts = restored.attempts;
         message.maybe_ran = message.maybe_ran.or(restored.maybe_ran);
         if restored.answered {
             message.unheard = true;
-            self.close(id);
+            self.close(now, id);
         } else if let Some(end) = self.messages.get(&id).and_then(|m| self.last_send(m)) {
             self.deadlines.insert((end.max(now), id));
         }
+        self.place(now, id);
     }
 
     fn on_recalled(&mut self, now: Time, outage: Outage) {
@@ -463,13 +470,14 @@
             }
         }
         if finished.complete {
-            self.close(finished.message);
+            self.close(now, finished.message);
         } else if let Some(end) = self.messages.get(&finished.message).and_then(|m| self.last_send(m)) {
             // What can never be sent again is answered at once: it would only fill what may be held and keep
             // its order key from the messages behind it.
             self.deadlines.insert((end.max(now), finished.message));
         }
-        self.forget_if_over(finished.message);
+        self.place(now, finished.message);
+        self.forget_if_over(now, finished.message);
     }
 
     /// Until when a message may be sent again, if that ends before its deadline.
@@ -548,7 +556,7 @@
     /// Health and pace of a route, from the outcome of one call.
     fn learn(&mut self, now: Time, finished: &Finished, call: &Call) {
         let (settings, chance) = (&self.settings, self.rng.f64());
-        let waiting = self.queues.get(&call.route.0).map_or(0, Vec::len) as f64;
+        let waiting = self.queues.held(call.route.0) as f64;
         let Some(route) = self.routes.get_mut(&call.route) else { return };
         let told = finished.allowance.filter(|a| a.limit > 0.0);
         if let Some(told) = told {
@@ -767,9 +775,10 @@
     /// Fills free slots: each to the waiting destination with fewest live calls; of those with equally many,
     /// to the one whose best message is worth most for its time. `next` tells when to look again.
     fn send_ready(&mut self, now: Time, next: &mut Option<Time>) {
+        self.place_outdated(now);
         let mut ready: Vec<(DestinationId, f64)> = Vec::new();
         if self.slots_free() > 0 {
-            for to in self.queues.keys().copied().collect::<Vec<_>>() {
+            for to in self.queues.iter().map(|(to, _)| to).collect::<Vec<_>>() {
                 ready.extend(self.candidate(now, to, next).map(|(.., value)| (to, value)));
             }
         }
@@ -813,16 +822,11 @@
     /// has attempts to spare; what is not so is risked at the slow gaps only.
     fn pick(&self, now: Time, route: RouteId, next: &mut Option<Time>) -> Option<(MessageId, f64)> {
         let spell = self.routes.get(&route).and_then(|r| r.spell.as_ref());
-        let mut best: Option<(bool, f64, MessageId)> = None;
-        for message in self.queues.get(&route.0).into_iter().flatten().filter_map(|m| self.messages.get(m)) {
-            let at = self.sendable_at(now, message);
-            if at.is_none_or(|at| at > now) {
-                earliest(next, at);
-                continue;
-            }
-            // A trial spends an attempt: half of them are kept for the return.
-            let spare = message.attempts * 2 <= self.settings.send_cap;
-            let fit = spell.is_none() || (spare && self.repeatable(message));
+        let queue = self.queues.get(route.0)?;
+        earliest(next, queue.next_ready_at());
+        let mut best: Option<(bool, f64, Reverse<u64>, MessageId)> = None;
+        for (group, rank) in queue.best_of_groups() {
+            let fit = spell.is_none() || group.fits_trial;
             if !fit && spell.is_some_and(|s| s.only_fit) {
                 continue;
             }
@@ -830,15 +834,25 @@
                 earliest(next, Some(at));
                 continue;
             }
-            let worth = self.worth(now, message);
-            if best.is_none_or(|(best_fit, most, _)| (fit, worth) > (best_fit, most)) {
-                best = Some((fit, worth, message.taken.id));
+            let Some(message) = self.messages.get(&rank.message) else { continue };
+            // Of equals the one that came first.
+            let found = (fit, self.worth(now, message), Reverse(rank.arrival), rank.message);
+            if best.is_none_or(|best| found > best) {
+                best = Some(found);
             }
         }
-        best.map(|(_, worth, id)| (id, worth))
+        best.map(|(_, worth, _, id)| (id, worth))
+    }
+
+    /// Whether a message serves for a trial: it may be repeated, and has attempts to spare.
+    fn fits_trial(&self, message: &Message) -> bool {
+        // A trial spends an attempt: half of them are kept for the return.
+        message.attempts * 2 <= self.settings.send_cap && self.repeatable(message)
     }
 
     fn class(&self, message: &Message) -> &Class {
+        #[cfg(test)]
+        tests::note_examined();
         &self.settings.classes[usize::from(message.taken.class.0)]
     }
 
@@ -854,7 +868,7 @@
         let class = self.class(message);
         let mut at = message.not_before;
         if let (true, Some(key)) = (class.in_order, message.taken.key) {
-            if self.keys.get(&key).and_then(|turn| turn.front()) != Some(&message.taken.id) {
+            if self.keys.get(&key)?.first()?.1 != message.taken.id {
                 return None;
             }
             at = at.max(self.keys_rest);
@@ -869,25 +883,32 @@
     /// Worth still to be won, and what of it waiting would lose: on time before late, what is about to be
     /// late before what is fresh, and what is about to run out before what may wait.
     fn worth(&self, now: Time, message: &Message) -> f64 {
+        let (age, aim) = ((now - message.born).as_secs_f64(), self.class(message).aim.as_secs_f64());
+        let (value, ahead) = (self.value(message, age), self.value(message, age + aim));
+        self.full_worth(message) * ((1.0 + WAITING_LOSS) * value - WAITING_LOSS * ahead)
+    }
+
+    fn full_worth(&self, message: &Message) -> f64 {
+        let share = if message.over_share { self.settings.over_share_worth } else { 1.0 };
+        self.class(message).worth * share
+    }
+
+    /// Share of its full worth that a message has at an age, in seconds. It never rises.
+    fn value(&self, message: &Message, age: f64) -> f64 {
         // A repeat that must go before its window ends has nothing left after that.
         let last = self.last_send(message).map(|end| (end - message.born).as_secs_f64());
         let class = self.class(message);
         let (aim, span) = (class.aim.as_secs_f64(), class.deadline.as_secs_f64());
-        let value = |age: f64| {
-            if age > span || last.is_some_and(|end| age > end) {
-                return 0.0;
-            }
-            match self.settings.decay {
-                Decay::Line => {
-                    let late = ((age - aim) / (span - aim).max(0.001)).max(0.0);
-                    1.0 - (1.0 - class.late_share) * late
-                }
-                Decay::Halves => (1.0 - age / aim).min(0.0).exp2().max(class.late_share),
+        if age > span || last.is_some_and(|end| age > end) {
+            return 0.0;
+        }
+        match self.settings.decay {
+            Decay::Line => {
+                let late = ((age - aim) / (span - aim).max(0.001)).max(0.0);
+                1.0 - (1.0 - class.late_share) * late
             }
-        };
-        let age = (now - message.born).as_secs_f64();
-        let share = if message.over_share { self.settings.over_share_worth } else { 1.0 };
-        class.worth * share * ((1.0 + WAITING_LOSS) * value(age) - WAITING_LOSS * value(age + aim))
+            Decay::Halves => (1.0 - age / aim).min(0.0).exp2().max(class.late_share),
+        }
     }
 
     /// The address of a route with the fewest calls out, sick ones last; inside the group of a repeat. Ties
@@ -948,6 +969,7 @@
                 m.out = Some(self.last_call);
                 self.actions.push(Action::Route { message, endpoint: to, try_for, send_by });
             }
+            self.place(now, message);
             carried.push(message);
             next = if carried.len() == room { None } else { self.pick(now, id, &mut None).map(|(m, _)| m) };
         }
@@ -1046,7 +1068,7 @@
             message.unheard = self.settings.answers_take_time;
         }
         self.actions.extend(action);
-        self.close(id);
+        self.close(now, id);
     }
 
     /// Every message has a deadline that answers it in time; one that is out is left half of the slack.
@@ -1089,34 +1111,30 @@
         }
     }
 
-    fn close(&mut self, id: MessageId) {
+    fn close(&mut self, now: Time, id: MessageId) {
         if let Some(message) = self.messages.get_mut(&id).filter(|m| !m.closed) {
             message.closed = true;
             self.open -= 1;
             self.deadlines.remove(&(message.taken.deadline, id));
-            let to = message.taken.destination;
-            if let Some(queue) = self.queues.get_mut(&to) {
-                queue.retain(|m| *m != id);
-                if queue.is_empty() {
-                    self.queues.remove(&to);
-                }
-            }
+            self.queues.place(message.taken.destination, id, None);
+            self.queues.leave(message.taken.destination);
         }
-        self.forget_if_over(id);
+        self.forget_if_over(now, id);
     }
 
     /// A message is forgotten once it is answered and has nothing out; until then its key stays taken.
-    fn forget_if_over(&mut self, id: MessageId) {
+    fn forget_if_over(&mut self, now: Time, id: MessageId) {
         if self.messages.get(&id).is_none_or(|m| !m.closed || m.unheard || m.out.is_some()) {
             return;
         }
-        if let Some(key) = self.messages.remove(&id).and_then(|m| m.taken.key) {
-            if let Some(turn) = self.keys.get_mut(&key) {
-                turn.retain(|m| *m != id);
-                if turn.is_empty() {
-                    self.keys.remove(&key);
-                }
+        let Some(message) = self.messages.remove(&id) else { return };
+        let Some(key) = message.taken.key else { return };
+        if let Some(turn) = self.keys.get_mut(&key) {
+            turn.remove(&(message.arrival, id));
+            if turn.is_empty() {
+                self.keys.remove(&key);
             }
+            self.place_front(now, key);
         }
     }
 
@@ -1150,11 +1168,6 @@
     }
 }
 
-/// The routes of a destination.
-fn routes_of(to: DestinationId) -> std::ops::RangeInclusive<RouteId> {
-    RouteId(to, None)..=RouteId(to, Some(EndpointId(u32::MAX)))
-}
-
 impl Route {
     /// Whether this courier has too few messages here for a figure of its own (`LIGHT`).
     fn is_light(&mut self, now: Time, settings: &Settings) -> bool {
@@ -1210,10 +1223,6 @@
         (self.filled, self.tokens) = (self.told_wait, 1.0 - chance * spread);
     }
 
-    fn tries_for_all(&self, now: Time) -> bool {
-        matches!(self.trials, Trials::Held(until) if now < until)
-    }
-
     /// Mean time between calls to one cold endpoint of several: its even part of the fall budget.
     fn cold_gap(&mut self, now: Time, settings: &Settings, warmth: f64) -> Duration {
         let part = self.fall_part(now, settings, warmth) / self.endpoints.len().max(1) as f64;
@@ -1240,11 +1249,6 @@
     }
 }
 
-/// Couriers that share the destinations: an even part is one over this.
-fn couriers(settings: &Settings) -> f64 {
-    f64::from(settings.couriers.max(1))
-}
-
 /// Until when a keyed message may be resent that may first have run in an attempt sent then.
 fn window_end(class: &Class, first: Time) -> Time {
     first + class.repeat_window.mul_f64(1.0 - WINDOW_MARGIN)
@@ -1257,12 +1261,3 @@
         _ => Duration::MAX,
     }
 }
-
-fn earliest(next: &mut Option<Time>, at: Option<Time>) {
-    *next = [*next, at].into_iter().flatten().min();
-}
-
-/// A gap that doubles from try to try.
-fn growing_gap(unit: Duration, first: f64, tries: u32) -> Duration {
-    unit.mul_f64(first * f64::from(tries.min(16)).exp2())
-}
--- a/crates/cloverstile/src/choice/carried.rs
+++ b/crates/cloverstile/src/choice/carried.rs
@@ -7,7 +7,10 @@
     /// Goes on with the books of the process before, under the same settings; it does not end with that process. The
     /// outcomes of calls out then come here.
     pub fn resumed(self, settings: Settings, seed: u64) -> Self {
-        Courier { settings, rng: fastrand::Rng::with_seed(seed), closing: None, ..self }
+        let rng = fastrand::Rng::with_seed(seed);
+        let mut courier = Courier { settings, rng, closing: None, ..self };
+        courier.rebuild_queues();
+        courier
     }
 
     /// Whether a message is held here that has no final answer yet.
--- a/crates/cloverstile/src/choice/standing.rs
+++ b/crates/cloverstile/src/choice/standing.rs
@@ -1,7 +1,7 @@
 //! How a courier stands with each destination, for those who look on. Nothing is decided here, and looking changes nothing.
 
-use super::{routes_of, Courier};
-use crate::books::{Address, Route, RouteId};
+use super::Courier;
+use crate::books::{routes_of, Address, Route, RouteId};
 use crate::interface::{DestinationId, Mode, Outing, Time};
 
 /// What the messages of a destination wait for.
@@ -58,11 +58,11 @@
     /// Each destination that has messages here.
     pub fn standings(&self, now: Time) -> impl Iterator<Item = Standing> + '_ {
         self.queues.iter().filter_map(move |(to, queue)| {
-            let (_, route) = self.routes.range(routes_of(*to)).next()?;
-            let out = self.routes.range(routes_of(*to)).map(|(_, route)| route.out.len()).sum();
+            let (_, route) = self.routes.range(routes_of(to)).next()?;
+            let out = self.routes.range(routes_of(to)).map(|(_, route)| route.out.len()).sum();
             Some(Standing {
-                destination: *to,
-                waiting: queue.len().saturating_sub(out),
+                destination: to,
+                waiting: queue.held().saturating_sub(out),
                 out,
                 hold: self.hold(now, route),
                 pace: route.rate,
@@ -82,7 +82,7 @@
         let route = self.routes.get(&RouteId(to, None))?;
         Some(Outing {
             since: route.spell.as_ref().filter(|spell| spell.failed).map(|spell| spell.began),
-            waiting: self.queues.contains_key(&to),
+            waiting: self.queues.get(to).is_some(),
             last_answer: route.last_answer,
             told_wait: route.told_wait,
         })
--- /dev/null
+++ b/crates/cloverstile/src/choice/tests.rs
@@ -0,0 +1,428 @@
+//! The index of waiting messages against a plain walk over them, and the work that a turn takes.
+
+use super::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use std::cell::Cell;
+
+thread_local! {
+    static EXAMINED: Cell<u64> = const { Cell::new(0) };
+}
+
+/// A message's class was looked at, as whoever asks what it is worth or when it may be sent has to.
+pub(super) fn note_examined() {
+    EXAMINED.with(|count| count.set(count.get() + 1));
+}
+
+fn examined_by(work: impl FnOnce()) -> u64 {
+    let before = EXAMINED.with(Cell::get);
+    work();
+    EXAMINED.with(Cell::get) - before
+}
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// What `pick` decides, by a walk over all messages of the destination in the order in which they came.
+fn walk(courier: &Courier, now: Time, route: RouteId, next: &mut Option<Time>) -> Option<(MessageId, f64)> {
+    let spell = courier.routes.get(&route).and_then(|r| r.spell.as_ref());
+    let mut queue: Vec<&Message> = courier.messages.values().collect();
+    queue.retain(|message| message.taken.destination == route.0 && !message.closed);
+    queue.sort_by_key(|message| message.arrival);
+    let mut best: Option<(bool, f64, MessageId)> = None;
+    for message in queue {
+        let at = courier.sendable_at(now, message);
+        if at.is_none_or(|at| at > now) {
+            earliest(next, at);
+            continue;
+        }
+        let spare = message.attempts * 2 <= courier.settings.send_cap;
+        let fit = spell.is_none() || (spare && courier.repeatable(message));
+        if !fit && spell.is_some_and(|s| s.only_fit) {
+            continue;
+        }
+        if let Some(at) = spell.map(|s| s.next_risk).filter(|at| !fit && *at > now) {
+            earliest(next, Some(at));
+            continue;
+        }
+        let worth = courier.worth(now, message);
+        if best.is_none_or(|(best_fit, most, _)| (fit, worth) > (best_fit, most)) {
+            best = Some((fit, worth, message.taken.id));
+        }
+    }
+    best.map(|(_, worth, id)| (id, worth))
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// Time passes.
+    Pass(u64),
+    /// Until shortly before or after a moment at which a message's worth may change its course.
+    PassTo {
+        message: usize,
+        kink: usize,
+        off: i64,
+    },
+    Accept {
+        class: u8,
+        destination: u16,
+        key: u64,
+        early: usize,
+        tenant: u32,
+        again: bool,
+    },
+    Restore {
+        class: u8,
+        destination: u16,
+        key: u64,
+        attempts: u32,
+        ran: Option<u64>,
+    },
+    Finish {
+        which: usize,
+        how: usize,
+    },
+    Gone(usize),
+    Heard(usize),
+    Resume,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let accept = (0u8..4, 1u16..3, 0u64..4, 0usize..8, 0u32..2, proptest::bool::weighted(0.1));
+    let restore = (0u8..4, 1u16..3, 0u64..4, 0u32..4, proptest::option::of(0u64..3000));
+    let step = prop_oneof![
+        4 => (0u64..300).prop_map(Step::Pass),
+        6 => (0usize..64, 0usize..10, -3i64..4)
+            .prop_map(|(message, kink, off)| Step::PassTo { message, kink, off }),
+        9 => accept.prop_map(|(class, destination, key, early, tenant, again)| {
+            Step::Accept { class, destination, key, early, tenant, again }
+        }),
+        1 => restore.prop_map(|(class, destination, key, attempts, ran)| {
+            Step::Restore { class, destination, key, attempts, ran }
+        }),
+        4 => (0usize..64, 0usize..9).prop_map(|(which, how)| Step::Finish { which, how }),
+        1 => (0usize..64).prop_map(Step::Gone),
+        1 => (0usize..64).prop_map(Step::Heard),
+        1 => Just(Step::Resume),
+    ];
+    proptest::collection::vec(step, 1..150)
+}
+
+fn class() -> impl Strategy<Value = Class> {
+    let aim =
+        prop_oneof![Just(ms(300)), Just(ms(1000)), Just(ms(3000)), Just(Duration::from_nanos(777_777_777))];
+    let spans = prop_oneof![Just(0.5), Just(1.0), Just(1.5), Just(2.0), Just(5.0), Just(12.0)];
+    let windows = prop_oneof![Just(0.3), Just(1.0), Just(1.2), Just(2.5), Just(20.0)];
+    let effect = prop_oneof![Just(Effect::Safe), Just(Effect::Keyed), Just(Effect::Unsafe)];
+    let worth = prop_oneof![Just(0.0), Just(1.0), Just(1.0), Just(4.0)];
+    let late_share = prop_oneof![Just(0.0), Just(0.2), Just(0.5), Just(0.7), Just(1.0)];
+    (aim, spans, windows, effect, any::<bool>(), worth, late_share).prop_map(
+        |(aim, span, window, effect, in_order, worth, late_share)| Class {
+            aim,
+            deadline: aim.mul_f64(span),
+            repeat_window: aim.mul_f64(window),
+            effect,
+            in_order,
+            worth,
+            late_share,
+            ..Class::default()
+        },
+    )
+}
+
+fn settings() -> impl Strategy<Value = Settings> {
+    let decay = prop_oneof![Just(Decay::Line), Just(Decay::Halves)];
+    let over_share_worth = prop_oneof![Just(0.0), Just(0.1), Just(1.0)];
+    let classes = proptest::collection::vec(class(), 4);
+    (classes, decay, over_share_worth, any::<bool>(), 0u64..3).prop_map(
+        |(classes, decay, over_share_worth, answers_take_time, settle)| Settings {
+            classes,
+            decay,
+            over_share_worth,
+            answers_take_time,
+            tenants: vec![Tenant { quota: 3.0 }],
+            kinds: vec![Kind { batch: 1, own_limits: false }, Kind { batch: 3, own_limits: false }],
+            call_slots: 4,
+            send_cap: 5,
+            couriers: 1,
+            rules: Rules { order_settle: ms(settle * 150), ..Settings::default().rules },
+            ..Settings::default()
+        },
+    )
+}
+
+fn outcome(how: usize) -> Outcome {
+    match how {
+        0 => Outcome::Full(None),
+        1 => Outcome::Full(Some(ms(700))),
+        2 => Outcome::Error,
+        3 => Outcome::Timeout,
+        4 => Outcome::ConnectFailed,
+        5 => Outcome::Reset,
+        6 => Outcome::Cancelled,
+        _ => Outcome::Ok,
+    }
+}
+
+fn listing(destinations: u16, weight: f64) -> Event {
+    let endpoint = |destination: u16| Endpoint {
+        id: EndpointId(u32::from(destination)),
+        zone: ZoneId(0),
+        kind: KindId(destination % 2),
+        destination: DestinationId(destination),
+        mode: Mode::Ready,
+        weight,
+    };
+    Event::Listed(Listing::Whole((1..=destinations).map(endpoint).collect()))
+}
+
+/// Parts of a nanosecond scale by which deadlines are shorter (or longer) than their class allows.
+const EARLY: [i64; 8] = [0, 0, 0, 1, -1, 50_000_000, 900_000_000, -400_000_000];
+
+struct Play {
+    courier: Courier,
+    now: Time,
+    accepted: u32,
+}
+
+impl Play {
+    fn new(settings: Settings) -> Self {
+        let now = Time::ZERO + Duration::from_secs(100);
+        let mut courier = Courier::new(settings, 3);
+        courier.handle(now, listing(2, 4.0));
+        Play { courier, now, accepted: 0 }
+    }
+
+    fn taken(&mut self, class: u8, destination: u16, key: u64, early: i64, tenant: u32) -> Accepted {
+        self.accepted += 1;
+        let full = self.now + self.courier.settings.classes[usize::from(class)].deadline;
+        Accepted {
+            // Neither rising nor falling.
+            id: MessageId(self.accepted.wrapping_mul(0x9E37_79B1)),
+            class: ClassId(class),
+            destination: DestinationId(destination),
+            key: (key > 0).then_some(OrderKey(key)),
+            deadline: Time(full.0.saturating_add_signed(-early).max(self.now.0)),
+            from_dead_courier: false,
+            tenant: TenantId(tenant),
+        }
+    }
+
+    fn message(&self, which: usize) -> Option<&Message> {
+        let count = self.courier.messages.len();
+        self.courier.messages.values().nth(which % count.max(1))
+    }
+
+    /// A moment at which something about a message may change.
+    fn kink(&self, message: usize, kink: usize) -> Option<Time> {
+        let message = self.message(message)?;
+        let class = self.courier.class(message);
+        let end = self.courier.last_send(message).unwrap_or(message.taken.deadline);
+        let least = class.aim.mul_f64((1.0 - class.late_share.max(0.01).log2()).min(20.0));
+        Some(match kink {
+            0 => message.born,
+            1 => message.born + class.aim,
+            2 => message.born + class.deadline,
+            3 => message.born + class.deadline - class.aim,
+            4 => end,
+            5 => end - class.aim,
+            6 => message.not_before,
+            7 => message.born + least,
+            8 => message.born + least - class.aim,
+            _ => self.courier.deadlines.first()?.0,
+        })
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Pass(span) => self.now = self.now + ms(span),
+            Step::PassTo { message, kink, off } => {
+                let at = self.kink(message, kink).map(|at| Time(at.0.saturating_add_signed(off)));
+                self.now = at.map_or(self.now, |at| at.max(self.now));
+            }
+            Step::Accept { class, destination, key, early, tenant, again } => {
+                let taken = self.taken(class, destination, key, EARLY[early], tenant);
+                let taken = Accepted { from_dead_courier: again, ..taken };
+                self.courier.handle(self.now, Event::Accept(taken));
+            }
+            Step::Restore { class, destination, key, attempts, ran } => {
+                let taken = self.taken(class, destination, key, 0, 0);
+                let maybe_ran = ran.map(|ago| (self.now - ms(ago), Some(ZoneId(0))));
+                let restored = Restored { taken, attempts, maybe_ran, answered: attempts == 3 };
+                self.courier.handle(self.now, Event::Restored(restored));
+            }
+            Step::Finish { which, how } => self.finish(which, outcome(how)),
+            Step::Gone(which) => {
+                if let Some(id) = self.message(which).map(|message| message.taken.id) {
+                    self.courier.handle(self.now, Event::ClientGone(id));
+                }
+            }
+            Step::Heard(which) => {
+                let unheard = self.courier.messages.values().filter(|message| message.unheard);
+                let ids: Vec<MessageId> = unheard.map(|message| message.taken.id).collect();
+                if !ids.is_empty() {
+                    self.courier.handle(self.now, Event::Heard(ids[which % ids.len()]));
+                }
+            }
+            Step::Resume => {
+                let settings = self.courier.settings.clone();
+                self.courier = std::mem::take(&mut self.courier).resumed(settings, 4);
+            }
+        }
+    }
+
+    fn finish(&mut self, which: usize, outcome: Outcome) {
+        let out = self.courier.messages.values().filter(|message| message.out.is_some());
+        let out: Vec<(MessageId, u32, u64)> =
+            out.map(|m| (m.taken.id, m.attempts, m.out.unwrap_or_default())).collect();
+        let Some((message, attempts, call)) = out.get(which % out.len().max(1)).copied() else { return };
+        let call = &self.courier.calls[&call];
+        let finished = Finished {
+            message,
+            endpoint: call.to,
+            attempt: attempts.saturating_sub(1) as u16,
+            outcome,
+            latency: self.now - call.sent,
+            complete: outcome == Outcome::Ok,
+            allowance: None,
+        };
+        self.courier.handle(self.now, Event::Finished(finished));
+    }
+
+    /// Compares index and walk, with each route as it is and as it might be.
+    fn compare(&mut self) {
+        self.courier.place_outdated(self.now);
+        let later = self.now + ms(1);
+        let spells = [
+            None,
+            Some(Spell { next_risk: self.now, ..Spell::default() }),
+            Some(Spell { next_risk: later, ..Spell::default() }),
+            Some(Spell { only_fit: true, ..Spell::default() }),
+        ];
+        for route in [RouteId(DestinationId(1), None), RouteId(DestinationId(2), None)] {
+            self.compare_route(route);
+            let Some(known) = self.courier.routes.get_mut(&route) else { continue };
+            let before = known.spell.take();
+            for spell in &spells {
+                let spell = spell.as_ref().map(|s| Spell {
+                    next_risk: s.next_risk,
+                    only_fit: s.only_fit,
+                    ..Spell::default()
+                });
+                self.courier.routes.get_mut(&route).expect("known").spell = spell;
+                self.compare_route(route);
+            }
+            self.courier.routes.get_mut(&route).expect("known").spell = before;
+        }
+    }
+
+    fn compare_route(&self, route: RouteId) {
+        let (mut next, mut expected_next) = (None, None);
+        let picked = self.courier.pick(self.now, route, &mut next);
+        let expected = walk(&self.courier, self.now, route, &mut expected_next);
+        let bits = |found: Option<(MessageId, f64)>| found.map(|(id, worth)| (id, worth.to_bits()));
+        assert_eq!(bits(picked), bits(expected), "at {:?}", self.now);
+        assert_eq!(next, expected_next, "at {:?}", self.now);
+        let open = self.courier.messages.values().filter(|m| !m.closed && m.taken.destination == route.0);
+        assert_eq!(self.courier.queues.held(route.0), open.count());
+    }
+}
+
+#[test]
+fn the_index_picks_what_a_walk_picks() {
+    let config = Config { cases: 1500, failure_persistence: None, ..Config::default() };
+    let mut runner = TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[17; 32]));
+    let check = |(settings, steps): (Settings, Vec<Step>)| {
+        let mut play = Play::new(settings);
+        for step in steps {
+            play.step(step);
+            play.compare();
+            play.courier.decide(play.now, &mut Vec::new());
+            play.compare();
+        }
+        Ok(())
+    };
+    runner.run(&(settings(), steps()), check).unwrap();
+}
+
+const DESTINATIONS: u16 = 8;
+const KEYS: u32 = 16;
+
+/// A courier that holds so many messages for destinations that are all silent, handed in within a second; in order under a
+/// few keys, or each for itself.
+fn silent(messages: u32, in_order: bool) -> (Courier, Time) {
+    let settings = Settings {
+        classes: vec![Class { in_order, ..Class::default() }],
+        call_slots: 64,
+        most_held: 2 * messages as usize,
+        answers_take_time: true,
+        ..Settings::default()
+    };
+    let (begin, deadline) = (Time::ZERO + Duration::from_secs(100), settings.classes[0].deadline);
+    let mut courier = Courier::new(settings, 5);
+    courier.handle(begin, listing(DESTINATIONS, 50.0));
+    let mut now = begin;
+    for message in 0..messages {
+        now = begin + Duration::from_secs(1).mul_f64(f64::from(message) / f64::from(messages));
+        let taken = Accepted {
+            id: MessageId(message),
+            class: ClassId(0),
+            destination: DestinationId(1 + message as u16 % DESTINATIONS),
+            key: Some(OrderKey(u64::from(message % KEYS))),
+            deadline: now + deadline,
+            from_dead_courier: false,
+            tenant: TenantId(0),
+        };
+        courier.handle(now, Event::Accept(taken));
+        if message % (messages / 100) == 0 {
+            courier.decide(now, &mut Vec::new());
+        }
+    }
+    (courier, now)
+}
+
+/// Messages examined in a turn, in the mean over a time in which none of them comes near its aim or its end.
+fn examined_a_turn(messages: u32, in_order: bool) -> u64 {
+    const TURNS: u64 = 50;
+    let (mut courier, begin) = silent(messages, in_order);
+    let begin = begin + ms(200);
+    courier.decide(begin, &mut Vec::new());
+    let examined = examined_by(|| {
+        for turn in 0..TURNS {
+            courier.decide(begin + ms(20 * turn), &mut Vec::new());
+        }
+    });
+    examined / TURNS
+}
+
+#[test]
+fn the_work_of_a_turn_does_not_grow_with_the_messages_held() {
+    for in_order in [true, false] {
+        let few = examined_a_turn(1_000, in_order);
+        for messages in [10_000, 100_000] {
+            let many = examined_a_turn(messages, in_order);
+            assert!(many <= 2 * few + 20, "{many} examined a turn with {messages} held, {few} with 1000");
+        }
+    }
+}
+
+/// A message is filed anew a few times in its life, however many there are.
+#[test]
+fn the_work_for_a_message_over_its_life_does_not_grow_with_the_messages_held() {
+    let of_each = |messages: u32, in_order: bool| {
+        let examined = examined_by(|| {
+            let (mut courier, begin) = silent(messages, in_order);
+            for turn in 0..440 {
+                courier.decide(begin + ms(50 * turn), &mut Vec::new());
+            }
+            assert_eq!(courier.queues.iter().count(), 0, "all are answered");
+        });
+        examined / u64::from(messages)
+    };
+    for in_order in [true, false] {
+        let few = of_each(1_000, in_order);
+        let many = of_each(20_000, in_order);
+        assert!(many <= 2 * few, "{many} looks at each message of 20000, {few} of 1000");
+    }
+}
--- a/crates/cloverstile/src/lib.rs
+++ b/crates/cloverstile/src/lib.rs
@@ -31,6 +31,7 @@
 mod books;
 mod choice;
 mod interface;
+mod ready;
 mod settings;
 
 pub use choice::{Courier, Hold, Standing};
--- a/crates/gullcart-engine/src/carried.rs
+++ b/crates/gullcart-engine/src/carried.rs
@@ -8,7 +8,7 @@
 use crate::directory::Directory;
 
 /// Whoever changes a type that is carried raises it.
-pub(crate) const FORMAT: u32 = 3;
+pub(crate) const FORMAT: u32 = 4;
 
 /// A call that is out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
