--- a/crates/gullcart-emulator/src/calls.rs
+++ b/crates/gullcart-emulator/src/calls.rs
@@ -2,7 +2,8 @@
 
 use crate::address::Address;
 use crate::courier::OutCall;
-use crate::world::{Arriving, CallThere, Due, World};
+use crate::events::{CallInTransit, EndpointCall, Scheduled};
+use crate::world::World;
 use cloverstile::{Allowance, MessageId, Outcome};
 use gullcart_engine::{Call, Ended, Input, Stop};
 use gullcart_judge::trace::{Answer, At, By, CallId, CourierId, Event, State};
@@ -61,16 +62,16 @@
         let limit = now + call.try_for.min(Duration::from_secs_f64(self.scenario.couriers.connect_s));
         // As the daemon's network code has it: too late to be sent says nothing of the endpoint, never up says that it is out.
         match send_by.filter(|by| *by < limit) {
-            Some(by) if at > by => {
-                self.queue.put(by, Due::Never { courier, epoch, message, serial, outcome: Outcome::Moot })
-            }
+            Some(by) if at > by => self
+                .queue
+                .put(by, Scheduled::Never { courier, epoch, message, serial, outcome: Outcome::Moot }),
             _ if fresh && at > limit => {
                 let outcome = Outcome::ConnectFailed;
-                self.queue.put(limit, Due::Never { courier, epoch, message, serial, outcome });
+                self.queue.put(limit, Scheduled::Never { courier, epoch, message, serial, outcome });
             }
             _ => {
-                self.queue.put(at, Due::Write { courier, epoch, message, serial, fresh });
-                self.queue.put(now + call.try_for, Due::GiveUp { courier, epoch, message, serial });
+                self.queue.put(at, Scheduled::Write { courier, epoch, message, serial, fresh });
+                self.queue.put(now + call.try_for, Scheduled::GiveUp { courier, epoch, message, serial });
             }
         }
     }
@@ -107,8 +108,9 @@
         let Some(address) = Address::of(call.address) else { return };
         let (first, at) = (self.now, self.over_there());
         let (message, id, key) = (call.message, call.id.clone(), call.idempotency_key.clone());
-        let arriving = Arriving { courier, epoch, message, serial: 0, address, id, key, first, fresh: true };
-        self.queue.put(at, Due::Call(arriving));
+        let arriving =
+            CallInTransit { courier, epoch, message, serial: 0, address, id, key, first, fresh: true };
+        self.queue.put(at, Scheduled::Call(arriving));
     }
 
     pub(crate) fn write(&mut self, courier: usize, epoch: u32, message: MessageId, serial: u64, fresh: bool) {
@@ -128,8 +130,8 @@
         let Some(out) = process.and_then(|process| process.out.get_mut(&message)) else { return };
         out.is_sent = true;
         let (id, key) = (out.id.clone(), out.key.clone());
-        let arriving = Arriving { courier, epoch, message, serial, address, id, key, first: now, fresh };
-        self.queue.put(at, Due::Call(arriving));
+        let arriving = CallInTransit { courier, epoch, message, serial, address, id, key, first: now, fresh };
+        self.queue.put(at, Scheduled::Call(arriving));
     }
 
     /// The outcome of a call is known to its courier after a while.
@@ -150,12 +152,12 @@
         };
         out.is_done = true;
         let ended = ended(outcome, after, None);
-        self.queue.put(now + after, Due::Back { courier, epoch, message, serial, ended, keep: false });
+        self.queue.put(now + after, Scheduled::Back { courier, epoch, message, serial, ended, keep: false });
     }
 
     /// The last byte of a call has come.
-    pub(crate) fn call(&mut self, arriving: Arriving) {
-        let Arriving { courier, epoch, message, serial, address, id, key, first, fresh } = arriving;
+    pub(crate) fn call(&mut self, arriving: CallInTransit) {
+        let CallInTransit { courier, epoch, message, serial, address, id, key, first, fresh } = arriving;
         let Some((partner, standing)) = self.at_address(address) else {
             // Broken meanwhile: some of it was written.
             return self.finish(courier, epoch, message, serial, Outcome::Reset, Duration::from_micros(100));
@@ -189,9 +191,9 @@
             Fate::Refused(_) => Some(now + handshake),
             Fate::Silent => None,
         };
-        self.calls.insert(call, CallThere { courier, epoch, message, serial, partner, standing, fate });
+        self.calls.insert(call, EndpointCall { courier, epoch, message, serial, partner, standing, fate });
         if let Some(due) = due {
-            self.queue.put(due, Due::Fate(call));
+            self.queue.put(due, Scheduled::Fate(call));
         }
         let process = self.places[courier].process(epoch);
         let out =
@@ -211,9 +213,10 @@
         let (partner, standing) = (there.partner, there.standing);
         let place = self.endpoints[partner][standing].place;
         if let Some(until) = self.partners[partner].stalled(place).filter(|until| *until > now) {
-            return self.queue.put(until, Due::Fate(call));
+            return self.queue.put(until, Scheduled::Fate(call));
         }
-        let Some(CallThere { courier, epoch, message, serial, fate, .. }) = self.calls.remove(&call) else {
+        let Some(EndpointCall { courier, epoch, message, serial, fate, .. }) = self.calls.remove(&call)
+        else {
             return;
         };
         let reports = self.scenario.partners[partner].reports;
@@ -238,7 +241,7 @@
         let at = self.over_there();
         let allowance = allowance.filter(|_| keep);
         let ended = ended(outcome, Duration::ZERO, allowance);
-        self.queue.put(at, Due::Back { courier, epoch, message, serial, ended, keep });
+        self.queue.put(at, Scheduled::Back { courier, epoch, message, serial, ended, keep });
     }
 
     /// A partner resets the connection of a call.
@@ -253,7 +256,7 @@
         self.note(Event::CallCut { call, by: By::Partner });
         let at = self.over_there();
         let ended = ended(Outcome::Reset, Duration::ZERO, None);
-        self.queue.put(at, Due::Back { courier, epoch, message, serial, ended, keep: false });
+        self.queue.put(at, Scheduled::Back { courier, epoch, message, serial, ended, keep: false });
     }
 
     /// A courier has closed the connection of a call.
@@ -308,7 +311,7 @@
         let Some(out) = process.out.get(&message) else { return };
         let (serial, is_sent) = (out.serial, out.is_sent);
         if let Some(call) = out.call {
-            self.queue.put(at, Due::Cut(call));
+            self.queue.put(at, Scheduled::Cut(call));
         }
         let after = if is_sent { after } else { Duration::ZERO };
         self.finish(courier, epoch, message, serial, outcome, after);
--- a/crates/gullcart-emulator/src/clients.rs
+++ b/crates/gullcart-emulator/src/clients.rs
@@ -1,6 +1,7 @@
 //! Clients: messages sent by the schedule, and what they do with answers.
 
-use crate::world::{Due, Sending, Waiting, World, LEAD};
+use crate::events::{PendingRequest, Scheduled, Sending};
+use crate::world::{World, LEAD};
 use bytes_of::body;
 use gullcart_engine::{Enqueue, Input, Ticket};
 use gullcart_judge::trace::{ClassId, CourierId, Event, MessageId, OrderKey, Told};
@@ -38,7 +39,7 @@
     /// A message is handed in after a while.
     pub(crate) fn send_after(&mut self, sending: Sending, after: Duration) {
         self.busy += 1;
-        self.queue.put(self.now + after, Due::Send(sending, false));
+        self.queue.put(self.now + after, Scheduled::Send(sending, false));
     }
 
     /// Who gets a message: those of one key go to one courier while it runs.
@@ -87,10 +88,10 @@
             partner: World::partner_id(arrival.partner),
             deadline,
         });
-        self.waiting.insert(message, Waiting { origin, courier, retry, again });
+        self.waiting.insert(message, PendingRequest { origin, courier, retry, again });
         let (at, epoch) = (self.over_there(), self.places[courier].epoch);
-        self.queue.put(at, Due::Request(courier, epoch, message));
-        self.queue.put(self.now + PATIENCE, Due::Told(message, Told::GaveUp));
+        self.queue.put(at, Scheduled::Request(courier, epoch, message));
+        self.queue.put(self.now + PATIENCE, Scheduled::Told(message, Told::GaveUp));
     }
 
     /// A request reaches its courier, or nobody.
@@ -98,7 +99,7 @@
         let Some(waiting) = self.waiting.get(&message) else { return };
         if self.places[courier].process(epoch).is_none() {
             let at = self.over_there();
-            return self.queue.put(at, Due::Told(message, Told::Unreached));
+            return self.queue.put(at, Scheduled::Told(message, Told::Unreached));
         }
         let (origin, again) = (waiting.origin, waiting.again);
         let arrival = self.book.origins[origin].arrival;
@@ -121,7 +122,7 @@
     /// A client has its answer, or waits no more.
     pub(crate) fn told(&mut self, message: MessageId, told: Told) {
         let Some(waiting) = self.waiting.remove(&message) else { return };
-        let Waiting { origin, courier, retry, .. } = waiting;
+        let PendingRequest { origin, courier, retry, .. } = waiting;
         self.note(Event::Answered { message, told });
         match told {
             Told::Taken | Told::Error => self.turn_ends(origin),
@@ -131,7 +132,7 @@
             }
             Told::GaveUp | Told::Cut | Told::Unreached => {
                 let sending = Sending { origin, retry, again: true, avoid: Some(courier) };
-                self.queue.put(self.now + PAUSE, Due::Send(sending, true));
+                self.queue.put(self.now + PAUSE, Scheduled::Send(sending, true));
             }
         }
     }
@@ -141,7 +142,7 @@
         self.busy -= 1;
         let Some(key) = self.book.origins[origin].arrival.key else { return };
         match self.turns.get_mut(&key).and_then(std::collections::VecDeque::pop_front) {
-            Some(next) => self.queue.put(self.now, Due::Send(next, true)),
+            Some(next) => self.queue.put(self.now, Scheduled::Send(next, true)),
             None => drop(self.turns.remove(&key)),
         }
     }
--- a/crates/gullcart-emulator/src/faults.rs
+++ b/crates/gullcart-emulator/src/faults.rs
@@ -2,7 +2,8 @@
 
 use crate::address::Address;
 use crate::courier::Process;
-use crate::world::{Due, Sending, Standing, World, LEAD};
+use crate::events::{Endpoint, Scheduled, Sending};
+use crate::world::{World, LEAD};
 use gullcart_engine::Input;
 use gullcart_judge::trace::{By, CallId, CourierId, EndpointId, Event, Process as What, State};
 use gullcart_message::Target;
@@ -16,14 +17,14 @@
 
 impl World<'_> {
     /// A new endpoint, at an address of its own or at that of another.
-    pub(crate) fn stand(&mut self, _partner: usize, place: usize, address: Option<Address>) -> Standing {
+    pub(crate) fn stand(&mut self, _partner: usize, place: usize, address: Option<Address>) -> Endpoint {
         let id = EndpointId(self.next_endpoint);
         self.next_endpoint += 1;
-        Standing { id, place, address: address.unwrap_or(Address(id.0)), state: State::Serving }
+        Endpoint { id, place, address: address.unwrap_or(Address(id.0)), state: State::Serving }
     }
 
     /// An endpoint as the register lists it.
-    pub(crate) fn target(&self, partner: usize, standing: &Standing) -> (Target, State) {
+    pub(crate) fn target(&self, partner: usize, standing: &Endpoint) -> (Target, State) {
         let state = match standing.state {
             State::Serving => "SERVING",
             State::Draining => "DRAINING",
@@ -105,7 +106,7 @@
                 let after = self.places[courier].signalled.map_or(now, |at| at + RESTART);
                 // Not before the one before has ended.
                 let at = if self.places[courier].process.is_some() { now + END } else { now };
-                self.queue.put(at.max(after), Due::Start(courier));
+                self.queue.put(at.max(after), Scheduled::Start(courier));
             }
             Action::Full(courier, full) => self.places[courier].disk.refuse(full),
         }
@@ -125,20 +126,20 @@
         for courier in 0..self.places.len() {
             let late = from + (to - from) * self.rng.f64();
             let at = self.now + Duration::from_secs_f64(late);
-            self.queue.put(at, Due::News(courier, partner, standing, state));
+            self.queue.put(at, Scheduled::News(courier, partner, standing, state));
         }
     }
 
     /// News reaches a courier's agent.
     pub(crate) fn news(&mut self, courier: usize, partner: usize, standing: usize, state: State) {
         let there = &self.endpoints[partner][standing];
-        let known = Standing { id: there.id, place: there.place, address: there.address, state };
+        let known = Endpoint { id: there.id, place: there.place, address: there.address, state };
         let target = self.target(partner, &known);
         let agent = &mut self.places[courier].agent;
         agent.rev += 1;
         agent.targets.insert(known.id, target);
         agent.untold.push(known.id);
-        self.queue.put(self.now + TOLD_AT_LAST, Due::ToldAtLast(courier));
+        self.queue.put(self.now + TOLD_AT_LAST, Scheduled::ToldAtLast(courier));
         if !self.places[courier].agent.is_silent {
             self.tell_news(courier);
         }
@@ -195,8 +196,8 @@
             *is_ending = true;
         }
         self.input(courier, epoch, Input::Terminate);
-        self.queue.put(now + FRONT_NOTICES, Due::FrontNotices(courier, epoch));
-        self.queue.put(now + END, Due::Kill(courier, epoch));
+        self.queue.put(now + FRONT_NOTICES, Scheduled::FrontNotices(courier, epoch));
+        self.queue.put(now + END, Scheduled::Kill(courier, epoch));
     }
 
     fn kill(&mut self, courier: usize, folder_lost: bool) {
@@ -240,7 +241,7 @@
             .collect();
         for message in waiting {
             let at = self.over_there();
-            self.queue.put(at, Due::Told(message, gullcart_judge::trace::Told::Unreached));
+            self.queue.put(at, Scheduled::Told(message, gullcart_judge::trace::Told::Unreached));
         }
     }
 }
--- a/crates/gullcart-emulator/src/lib.rs
+++ b/crates/gullcart-emulator/src/lib.rs
@@ -10,11 +10,15 @@
 mod calls;
 mod clients;
 mod courier;
+mod events;
 mod faults;
+mod outcome;
+mod play;
+mod processes;
 mod queue;
 mod world;
 
-pub use world::{Emulated, EmulationError};
+pub use outcome::{Emulated, EmulationError};
 
 use gullcart_rehearsal::{Scenario, Until};
 
