Run the courier with few descriptors without a script that a test has written

Cause: `idle_clients_may_fill_the_descriptors_while_discovery_is_down` wrote a shell script and executed it.

Ruled out: to try again where it fails so, which hides what is wrong; to run that test alone, which leaves the script.

Change: the test world has `descriptor_limit`. The shell is given the limit and the program as arguments, and no file is written. Every assertion of the test, the limit of 96 and the program are as before; a limit that cannot be set fails the start now.

--- a/crates/gullcart-standins/src/world/courier.rs
+++ b/crates/gullcart-standins/src/world/courier.rs
@@ -47,7 +47,10 @@
 
     /// What starts a courier.
     fn command(&self) -> Command {
-        let mut command = Command::new(&self.program);
+        let mut command = match self.descriptor_limit {
+            None => Command::new(&self.program),
+            Some(limit) => limited(&self.program, limit),
+        };
         command
             .env("BALANCER_STATE", self.state())
             .env("BALANCER_CONFIG", self.folder.join("config.json"))
@@ -56,6 +59,14 @@
     }
 }
 
+/// A program that the system holds to so many descriptors. The shell is not asked to run a script of ours: a process that
+/// another test forks meanwhile may hold such a file open for writing, and then it cannot be executed.
+fn limited(program: &str, descriptors: u32) -> Command {
+    let mut command = Command::new("/bin/sh");
+    command.arg("-c").arg(format!("ulimit -n {descriptors} && exec \"$0\"")).arg(program);
+    command
+}
+
 /// The lines that a courier has written to its log.
 #[derive(Default)]
 struct Log {
--- a/crates/gullcart-standins/src/world/harness.rs
+++ b/crates/gullcart-standins/src/world/harness.rs
@@ -27,6 +27,8 @@
     pub slots: u32,
     /// Descriptors of a courier.
     pub sockets: u32,
+    /// Descriptors that a courier may open, where the system is to hold it to fewer than usual.
+    pub descriptor_limit: Option<u32>,
     /// Each endpoint has a destination of its own, from 1 on.
     pub apart: bool,
     /// Couriers that share the endpoints, as they are told.
@@ -76,6 +78,7 @@
             most_held: 400,
             slots: 16,
             sockets: 1024,
+            descriptor_limit: None,
             apart: false,
             couriers: 1,
             variables: Vec::new(),
--- a/crates/gullcart/tests/endings.rs
+++ b/crates/gullcart/tests/endings.rs
@@ -5,7 +5,6 @@
 use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
-use std::os::unix::fs::PermissionsExt;
 use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
@@ -314,11 +313,9 @@
 #[test]
 fn idle_clients_may_fill_the_descriptors_while_discovery_is_down() {
     const LIMIT: usize = 96;
-    let script = std::env::temp_dir().join(format!("gullcart-limited-{}", std::process::id()));
-    std::fs::write(&script, format!("#!/bin/sh\nulimit -n {LIMIT}\nexec {PROGRAM}\n")).unwrap();
-    std::fs::set_permissions(&script, std::fs::Permissions::from_mode(0o700)).unwrap();
-    let mut world = World::new(script.to_str().unwrap(), 2, 3.0);
+    let mut world = World::new(PROGRAM, 2, 3.0);
     (world.sockets, world.slots) = (LIMIT as u32, 4);
+    world.descriptor_limit = Some(LIMIT as u32);
     world.silence_discovery(true);
     let courier = world.start();
     courier.log_until("the watch on the list broke");
@@ -354,7 +351,6 @@
     courier.log_until("the list has changed");
     assert!(back.elapsed() < Duration::from_secs(6), "{:?}", back.elapsed());
     drop(idle);
-    let _ = std::fs::remove_file(script);
 }
 
 /// With its folder full and discovery silent a courier is ready at once: nothing before that waits for the network.
