Take RESP2 out of the server for clients into a module of its own

Cause: `clients.rs` held the bytes of the protocol beside the life of connections, 525 lines in all.

Change: `resp` decodes requests, reads an `ENQUEUE` and encodes answers, and knows no socket; `clients.rs` has 407 lines. `wire`, which was also the name of another module, is `encode`; the form of ids and keys is a function, their length a named constant. The three tests of the decoder moved with it, unchanged, from `clients::tests` to `resp::tests`.

--- a/crates/gullcart/src/clients.rs
+++ b/crates/gullcart/src/clients.rs
@@ -1,12 +1,12 @@
-//! The server for clients: RESP2 requests in, one answer each, on a bounded number of connections.
+//! The server for clients: requests in, one answer each, on a bounded number of connections. How they are written is in
+//! `resp`.
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 use socket2::SockRef;
 use std::cell::RefCell;
 use std::io::{self, Read};
 use std::rc::Rc;
 use std::time::Duration;
-use thiserror::Error;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, SemaphorePermit};
@@ -15,15 +15,10 @@
 use tracing::warn;
 
 use crate::places::{ClientLimits, Doing, Place, Places};
+use crate::resp::{decode, encode, read_enqueue};
 use crate::vocabulary::Inputs;
 use gullcart_engine::{Answer, Enqueue, Input, Seldom, EPOCH};
 
-const MOST_WORDS: usize = 16;
-const LONGEST_BODY: usize = 64 << 10;
-/// All of a request but its body: a key, an id, fields and their lengths.
-const LONGEST_REST: usize = 4 << 10;
-/// A line that announces a count or a length.
-const LONGEST_LINE: usize = 32;
 /// Read at once, as far as it is there. A request that needs more waits for one of the places for long ones.
 const READ: usize = 4 << 10;
 /// How long a connection may stay without its first request, ...
@@ -48,16 +43,6 @@
 /// While the courier ends, a new connection may take this long to bring its request.
 const LAST_REQUEST: Duration = Duration::from_millis(400);
 
-/// An answer as it goes out.
-fn wire(answer: &Answer) -> String {
-    match answer {
-        Answer::Taken(_) | Answer::Held => "+OK\r\n".to_owned(),
-        Answer::Busy(None) => "-BUSY\r\n".to_owned(),
-        Answer::Busy(Some(after)) => format!("-BUSY {}\r\n", after.as_millis()),
-        Answer::Error(text) => format!("-ERR {text}\r\n"),
-    }
-}
-
 /// What the courier is about to do, as its clients' connections have to know.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Phase {
@@ -345,7 +330,7 @@
             },
             _ => Answer::Error("unknown command"),
         };
-        self.out.extend_from_slice(wire(&answer).as_bytes());
+        self.out.extend_from_slice(encode(&answer).as_bytes());
         self.flush_long().await.map(Some)
     }
 
@@ -353,7 +338,7 @@
         // What was answered before must not be lost with this answer, nor this one with those.
         self.flush().await?;
         let Some(answer) = self.driver.hand_in(enqueue).await else { return Ok(None) };
-        self.out.extend_from_slice(wire(&answer).as_bytes());
+        self.out.extend_from_slice(encode(&answer).as_bytes());
         let written = self.flush().await;
         if let (Err(_), Answer::Taken(message)) = (&written, answer) {
             // The client never heard that it was taken on, and hands it in again under another id.
@@ -420,105 +405,3 @@
     }
     BIN.with_borrow_mut(|bin| stream.try_read(bin))
 }
-
-/// `ENQUEUE key id names-and-values body`.
-fn read_enqueue(words: &[Bytes]) -> Result<Enqueue, &'static str> {
-    let [_, key, id, fields, body] = words else {
-        return Err("ENQUEUE takes a key, an id, fields and a body");
-    };
-    if body.len() > LONGEST_BODY {
-        return Err("the body is too long");
-    }
-    let text = |bytes: &Bytes| std::str::from_utf8(bytes).ok().map(str::to_owned);
-    // The id goes on in a header and in a notice.
-    let token = |text: &String| {
-        (1..=128).contains(&text.len())
-            && text.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.:".contains(&b))
-    };
-    let key =
-        text(key).and_then(|key| u64::from_str_radix(&key, 16).ok()).ok_or("the key is not hexadecimal")?;
-    let id = text(id).filter(token).ok_or("the id has other characters than an id may have")?;
-    let fields = text(fields).ok_or("the fields are not text")?;
-    let field = |name: &str| {
-        let mut pairs = fields.split(',').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(known, _)| *known == name).map(|(_, value)| value)
-    };
-    let idempotency_key = field("k").map(str::to_owned);
-    if idempotency_key.as_ref().is_some_and(|key| !token(key)) {
-        return Err("k has other characters than a key may have");
-    }
-    Ok(Enqueue {
-        id,
-        key,
-        class: field("c").ok_or("c is missing")?.to_owned(),
-        destination: field("dest").and_then(|v| v.parse().ok()).ok_or("dest is missing or no number")?,
-        left: field("d")
-            .and_then(|v| v.parse().ok())
-            .map(Duration::from_millis)
-            .ok_or("d is missing or no number")?,
-        idempotency_key,
-        again: field("again") == Some("1"),
-        // A copy of its own: a slice would keep all that was read with it.
-        body: Bytes::copy_from_slice(body),
-    })
-}
-
-#[derive(Debug, Error, PartialEq, Eq)]
-enum RespError {
-    #[error("Protocol error: expected an array of bulk strings")]
-    Form,
-    #[error("Protocol error: too long")]
-    Long,
-}
-
-/// Takes the first whole request out of the buffer; none while it is not whole. Requests are arrays of bulk
-/// strings and nothing else, so that depth and size are bounded before anything is stored; the general
-/// decoders recurse as deep as their input says.
-fn decode(buffer: &mut BytesMut) -> Result<Option<Vec<Bytes>>, RespError> {
-    let Some((count, mut at)) = number(buffer, 0, b'*')? else { return Ok(None) };
-    if count > MOST_WORDS {
-        return Err(RespError::Long);
-    }
-    let mut spans = Vec::with_capacity(count);
-    let mut longest = 0;
-    for _ in 0..count {
-        let Some((length, start)) = number(buffer, at, b'$')? else { return Ok(None) };
-        if length > LONGEST_BODY {
-            return Err(RespError::Long);
-        }
-        let end = start + length;
-        longest = longest.max(length);
-        if end - longest > LONGEST_REST {
-            return Err(RespError::Long);
-        }
-        match buffer.get(end..end + 2) {
-            None => return Ok(None),
-            Some(b"\r\n") => {}
-            Some(_) => return Err(RespError::Form),
-        }
-        spans.push(start..end);
-        at = end + 2;
-    }
-    let frame = buffer.split_to(at).freeze();
-    Ok(Some(spans.into_iter().map(|span| frame.slice(span)).collect()))
-}
-
-/// A line of a sign and a number at a place in the buffer: the number and where the line ends.
-fn number(buffer: &BytesMut, at: usize, sign: u8) -> Result<Option<(usize, usize)>, RespError> {
-    let mut line = &buffer[at..];
-    match line.first() {
-        None => return Ok(None),
-        Some(first) if *first != sign => return Err(RespError::Form),
-        Some(_) => line.advance(1),
-    }
-    let Some(end) = line.iter().take(LONGEST_LINE).position(|byte| *byte == b'\n') else {
-        return if line.len() < LONGEST_LINE { Ok(None) } else { Err(RespError::Form) };
-    };
-    let digits = line[..end].strip_suffix(b"\r").ok_or(RespError::Form)?;
-    let valid = !digits.is_empty() && digits.iter().all(u8::is_ascii_digit);
-    let text = std::str::from_utf8(digits).ok().filter(|_| valid).ok_or(RespError::Form)?;
-    Ok(Some((text.parse().map_err(|_| RespError::Long)?, at + end + 2)))
-}
-
-#[cfg(test)]
-mod tests;
--- a/crates/gullcart/src/lib.rs
+++ b/crates/gullcart/src/lib.rs
@@ -1,6 +1,6 @@
 //! gullcart: a courier that takes messages from clients and delivers them to partners' endpoints.
 //!
-//! The courier itself is `gullcart-engine`. Here are its sockets: `vocabulary` below all; `update_stream`, `wire`, `calls`, `discovery` and
+//! The courier itself is `gullcart-engine`. Here are its sockets: `vocabulary` and `resp` below all; `update_stream`, `wire`, `calls`, `discovery` and
 //! `clients` above it, none of which knows the loop; then `driver`, the loop round the engine; `upgrade`, by which all of it moves
 //! to another process; `service`, which puts the parts together; then this file.
 #![forbid(unsafe_code)]
@@ -13,6 +13,7 @@
 mod driver;
 mod group;
 mod places;
+mod resp;
 mod service;
 mod update_stream;
 mod upgrade;
--- /dev/null
+++ b/crates/gullcart/src/resp.rs
@@ -0,0 +1,131 @@
+//! RESP2 as clients speak it: requests out of bytes, what an `ENQUEUE` asks, and answers as bytes. No socket.
+
+use bytes::{Buf, Bytes, BytesMut};
+use gullcart_engine::{Answer, Enqueue};
+use std::time::Duration;
+use thiserror::Error;
+
+/// Words of a request, at most.
+const MOST_WORDS: usize = 16;
+/// The body of a message, in bytes.
+const LONGEST_BODY: usize = 64 << 10;
+/// All of a request but its body: a key, an id, fields and their lengths.
+const LONGEST_REST: usize = 4 << 10;
+/// A line that announces a count or a length.
+const LONGEST_LINE: usize = 32;
+/// An id or an idempotency key, in bytes.
+const LONGEST_TOKEN: usize = 128;
+
+/// An answer as it goes out.
+pub fn encode(answer: &Answer) -> String {
+    match answer {
+        Answer::Taken(_) | Answer::Held => "+OK\r\n".to_owned(),
+        Answer::Busy(None) => "-BUSY\r\n".to_owned(),
+        Answer::Busy(Some(after)) => format!("-BUSY {}\r\n", after.as_millis()),
+        Answer::Error(text) => format!("-ERR {text}\r\n"),
+    }
+}
+
+/// Why bytes are no request; what follows them cannot be told apart any more.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum RespError {
+    #[error("Protocol error: expected an array of bulk strings")]
+    Form,
+    #[error("Protocol error: too long")]
+    Long,
+}
+
+/// Takes the first whole request out of the buffer; none while it is not whole. Requests are arrays of bulk
+/// strings and nothing else, so that depth and size are bounded before anything is stored; the general
+/// decoders recurse as deep as their input says.
+pub fn decode(buffer: &mut BytesMut) -> Result<Option<Vec<Bytes>>, RespError> {
+    let Some((count, mut at)) = number(buffer, 0, b'*')? else { return Ok(None) };
+    if count > MOST_WORDS {
+        return Err(RespError::Long);
+    }
+    let mut spans = Vec::with_capacity(count);
+    let mut longest = 0;
+    for _ in 0..count {
+        let Some((length, start)) = number(buffer, at, b'$')? else { return Ok(None) };
+        if length > LONGEST_BODY {
+            return Err(RespError::Long);
+        }
+        let end = start + length;
+        longest = longest.max(length);
+        if end - longest > LONGEST_REST {
+            return Err(RespError::Long);
+        }
+        match buffer.get(end..end + 2) {
+            None => return Ok(None),
+            Some(b"\r\n") => {}
+            Some(_) => return Err(RespError::Form),
+        }
+        spans.push(start..end);
+        at = end + 2;
+    }
+    let frame = buffer.split_to(at).freeze();
+    Ok(Some(spans.into_iter().map(|span| frame.slice(span)).collect()))
+}
+
+/// A line of a sign and a number at a place in the buffer: the number and where the line ends.
+fn number(buffer: &BytesMut, at: usize, sign: u8) -> Result<Option<(usize, usize)>, RespError> {
+    let mut line = &buffer[at..];
+    match line.first() {
+        None => return Ok(None),
+        Some(first) if *first != sign => return Err(RespError::Form),
+        Some(_) => line.advance(1),
+    }
+    let Some(end) = line.iter().take(LONGEST_LINE).position(|byte| *byte == b'\n') else {
+        return if line.len() < LONGEST_LINE { Ok(None) } else { Err(RespError::Form) };
+    };
+    let digits = line[..end].strip_suffix(b"\r").ok_or(RespError::Form)?;
+    let valid = !digits.is_empty() && digits.iter().all(u8::is_ascii_digit);
+    let text = std::str::from_utf8(digits).ok().filter(|_| valid).ok_or(RespError::Form)?;
+    Ok(Some((text.parse().map_err(|_| RespError::Long)?, at + end + 2)))
+}
+
+/// `ENQUEUE key id names-and-values body`.
+pub fn read_enqueue(words: &[Bytes]) -> Result<Enqueue, &'static str> {
+    let [_, key, id, fields, body] = words else {
+        return Err("ENQUEUE takes a key, an id, fields and a body");
+    };
+    if body.len() > LONGEST_BODY {
+        return Err("the body is too long");
+    }
+    let text = |bytes: &Bytes| std::str::from_utf8(bytes).ok().map(str::to_owned);
+    let key =
+        text(key).and_then(|key| u64::from_str_radix(&key, 16).ok()).ok_or("the key is not hexadecimal")?;
+    let id = text(id).filter(|id| is_token(id)).ok_or("the id has other characters than an id may have")?;
+    let fields = text(fields).ok_or("the fields are not text")?;
+    let field = |name: &str| {
+        let mut pairs = fields.split(',').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(known, _)| *known == name).map(|(_, value)| value)
+    };
+    let idempotency_key = field("k").map(str::to_owned);
+    if idempotency_key.as_ref().is_some_and(|key| !is_token(key)) {
+        return Err("k has other characters than a key may have");
+    }
+    Ok(Enqueue {
+        id,
+        key,
+        class: field("c").ok_or("c is missing")?.to_owned(),
+        destination: field("dest").and_then(|v| v.parse().ok()).ok_or("dest is missing or no number")?,
+        left: field("d")
+            .and_then(|v| v.parse().ok())
+            .map(Duration::from_millis)
+            .ok_or("d is missing or no number")?,
+        idempotency_key,
+        again: field("again") == Some("1"),
+        // A copy of its own: a slice would keep all that was read with it.
+        body: Bytes::copy_from_slice(body),
+    })
+}
+
+/// Whether a text may go on in a header and in a notice.
+fn is_token(text: &str) -> bool {
+    let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.:".contains(&byte);
+    (1..=LONGEST_TOKEN).contains(&text.len()) && text.bytes().all(is_allowed)
+}
+
+#[cfg(test)]
+mod tests;
