Refuse a scenario's interval between stalls or upgrades that is not a finite number

Change: the check asks for a finite number over 0, with the text that it had.

Measured: the new test fails without the change.

--- a/crates/gullcart-rehearsal/src/scenario/faults.rs
+++ b/crates/gullcart-rehearsal/src/scenario/faults.rs
@@ -155,8 +155,8 @@
         self.check_upgrades(&table)?;
         self.check_length(&table)?;
         self.check_severity(&table)?;
-        let repeats = !self.every_s.is_some_and(|every| every <= 0.0);
-        table.require(repeats, "every_s", "must be over 0")?;
+        let every = self.every_s.is_none_or(|every| every > 0.0 && every.is_finite());
+        table.require(every, "every_s", "must be over 0")?;
         table.require((0.0..=3600.0).contains(&self.step_s), "step_s", "must be 0 or more")?;
         let one_anchor = self.during.is_none() || self.after.is_none();
         table.require(one_anchor, "after", "only one of 'during' and 'after' may be there")
--- a/crates/gullcart-rehearsal/tests/scenarios.rs
+++ b/crates/gullcart-rehearsal/tests/scenarios.rs
@@ -113,6 +113,19 @@
     }
 }
 
+/// Neither kind that repeats can be drawn with an interval that is no length of time.
+#[test]
+fn an_interval_without_a_length_is_refused() {
+    for kind in ["upgrade", "stall"] {
+        for every in ["nan", "inf", "0", "-1"] {
+            let fault =
+                format!("[[fault]]\nname = \"x\"\nkind = \"{kind}\"\nlength_s = 1\nevery_s = {every}\n");
+            let error = Scenario::read("test.toml", &format!("{HEAD}{fault}")).expect_err(every);
+            assert_eq!((error.line, error.key.as_str()), (24, "fault[0].every_s"), "{kind} {every}: {error}");
+        }
+    }
+}
+
 fn when(day: &Day, which: impl Fn(&Action) -> bool) -> Vec<At> {
     day.actions.iter().filter(|(_, action)| which(action)).map(|(at, _)| *at).collect()
 }
