--- a/crates/cloverstile-wirehost/src/host.rs
+++ b/crates/cloverstile-wirehost/src/host.rs
@@ -89,7 +89,7 @@
                 let accepted = Accepted {
                     id: MessageId(call),
                     class: ClassId(profile),
-                    destination: DestinationId(dest as u16),
+                    destination: DestinationId(dest as u32),
                     key: (key != 0).then_some(OrderKey(key)),
                     deadline: Time(deadline),
                     from_dead_courier: opts & 16 != 0,
@@ -159,7 +159,7 @@
         id: EndpointId(entry.endpoint),
         zone: ZoneId(entry.zone),
         kind: KindId(entry.kind),
-        destination: DestinationId(entry.cell),
+        destination: DestinationId(entry.cell.into()),
         mode: match entry.mode {
             3 => Mode::Ready,
             1 => Mode::Draining,
--- a/crates/cloverstile/src/interface.rs
+++ b/crates/cloverstile/src/interface.rs
@@ -51,7 +51,7 @@
     /// One address of a destination.
     EndpointId(u32);
     /// A partner's system; a message names the one that it is for.
-    DestinationId(u16);
+    DestinationId(u32);
     /// Index into [`Settings::classes`].
     ClassId(u8);
     /// Index into [`Settings::tenants`].
--- a/crates/cloverstile/tests/common/mod.rs
+++ b/crates/cloverstile/tests/common/mod.rs
@@ -26,7 +26,7 @@
     Settings { classes, couriers: 1, ..Settings::default() }
 }
 
-pub fn endpoint(id: u32, destination: u16) -> Endpoint {
+pub fn endpoint(id: u32, destination: u32) -> Endpoint {
     Endpoint {
         id: EndpointId(id),
         zone: ZoneId(0),
@@ -42,7 +42,7 @@
     now: Time,
     id: u32,
     (class, rules): (ClassId, &Class),
-    destination: u16,
+    destination: u32,
     key: Option<u64>,
 ) -> Accepted {
     Accepted {
@@ -82,7 +82,7 @@
         self.courier.handle(self.now, event);
     }
 
-    pub fn accept(&mut self, id: u32, class: u8, destination: u16, key: Option<u64>) {
+    pub fn accept(&mut self, id: u32, class: u8, destination: u32, key: Option<u64>) {
         let class = (ClassId(class), &self.settings.classes[usize::from(class)]);
         self.tell(Event::Accept(accepted(self.now, id, class, destination, key)));
     }
--- a/crates/cloverstile/tests/lost_alone.rs
+++ b/crates/cloverstile/tests/lost_alone.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// Sends a message and has it answered at once.
-fn deliver(bench: &mut Bench, id: u32, destination: u16) {
+fn deliver(bench: &mut Bench, id: u32, destination: u32) {
     bench.accept(id, 0, destination, None);
     bench.now = bench.now + ms(20);
     for (message, to, _) in bench.routes() {
@@ -18,7 +18,7 @@
 }
 
 /// Sends messages that are never answered, one after the other.
-fn lose(bench: &mut Bench, ids: std::ops::Range<u32>, destination: u16) {
+fn lose(bench: &mut Bench, ids: std::ops::Range<u32>, destination: u32) {
     for id in ids {
         bench.accept(id, 0, destination, None);
         bench.now = bench.now + ms(20);
@@ -28,17 +28,17 @@
 
 /// Three destinations, each with four of the slots taken by calls that were lost a while ago.
 fn with_lost_calls(call_slots: usize) -> Bench {
-    let endpoints = (1..=3).map(|to| endpoint(u32::from(to) + 6, to)).collect();
+    let endpoints = (1..=3).map(|to| endpoint(to + 6, to)).collect();
     let settings = Settings { call_slots, ..settings(vec![unsafe_class()]) };
     let mut bench = Bench::new(settings, endpoints);
     for to in 1..=3 {
-        let first = u32::from(to) * 100;
+        let first = to * 100;
         lose(&mut bench, first..first + 4, to);
         deliver(&mut bench, first + 50, to);
     }
     for round in 0..60 {
         for to in 1..=3 {
-            deliver(&mut bench, 1000 + round * 3 + u32::from(to), to);
+            deliver(&mut bench, 1000 + round * 3 + to, to);
         }
     }
     bench
@@ -77,13 +77,13 @@
 /// eight seconds, as every other destination with work had fewer calls out.
 #[test]
 fn lost_calls_do_not_cost_their_destination_its_turn() {
-    let endpoints = (1..=6).map(|to| endpoint(u32::from(to) + 6, to)).collect();
+    let endpoints = (1..=6).map(|to| endpoint(to + 6, to)).collect();
     let mut bench = Bench::new(Settings { call_slots: 8, ..settings(vec![unsafe_class()]) }, endpoints);
     for lost in 0..4 {
         lose(&mut bench, lost..lost + 1, 1);
         // Until their latencies are known well: they decide between destinations with as many calls out.
         for id in 0..240 {
-            deliver(&mut bench, 1000 + lost * 240 + id, 1 + (id % 6) as u16);
+            deliver(&mut bench, 1000 + lost * 240 + id, 1 + id % 6);
         }
     }
     // Four slots are left, and six destinations that each have more than enough for them.
@@ -91,7 +91,7 @@
     let mut out = std::collections::VecDeque::new();
     for round in 0..100 {
         for to in 1..=6 {
-            bench.accept(2000 + 6 * round + u32::from(to), 0, to, None);
+            bench.accept(2000 + 6 * round + to, 0, to, None);
         }
         bench.now = bench.now + ms(10);
         for (message, to, _) in bench.routes() {
--- a/crates/cloverstile/tests/properties.rs
+++ b/crates/cloverstile/tests/properties.rs
@@ -13,7 +13,7 @@
 #[derive(Clone, Debug)]
 enum Step {
     Pass(u64),
-    Accept { class: u8, destination: u16, key: u64 },
+    Accept { class: u8, destination: u32, key: u64 },
     Finish { which: usize, how: usize },
     Gone(usize),
     Mode { endpoint: u32, mode: usize },
@@ -22,7 +22,7 @@
 fn steps() -> impl Strategy<Value = Vec<Step>> {
     let step = prop_oneof![
         5 => (1u64..400).prop_map(Step::Pass),
-        5 => (0u8..4, 1u16..4, 0u64..4).prop_map(|(class, destination, key)| Step::Accept { class, destination, key }),
+        5 => (0u8..4, 1u32..4, 0u64..4).prop_map(|(class, destination, key)| Step::Accept { class, destination, key }),
         5 => (0usize..64, 0usize..9).prop_map(|(which, how)| Step::Finish { which, how }),
         1 => (0usize..64).prop_map(Step::Gone),
         1 => (0u32..6, 0usize..3).prop_map(|(endpoint, mode)| Step::Mode { endpoint, mode }),
@@ -37,11 +37,7 @@
     let rules = Rules { order_settle: ms(120), ..base.rules.clone() };
     let settings = Settings { call_slots: 5, most_held: 60, send_cap: 5, kinds, rules, ..base };
     let endpoints = (0..6)
-        .map(|id| Endpoint {
-            kind: KindId((id % 2) as u16),
-            weight: 20.0,
-            ..endpoint(id, 1 + (id / 2) as u16)
-        })
+        .map(|id| Endpoint { kind: KindId((id % 2) as u16), weight: 20.0, ..endpoint(id, 1 + id / 2) })
         .collect();
     (settings, endpoints)
 }
@@ -49,7 +45,7 @@
 #[derive(Debug)]
 struct Held {
     class: usize,
-    destination: u16,
+    destination: u32,
     key: u64,
     deadline: Time,
     out: Option<(u32, Time)>,
@@ -62,7 +58,7 @@
 struct Judge {
     settings: Settings,
     held: BTreeMap<u32, Held>,
-    waits: BTreeMap<u16, Time>,
+    waits: BTreeMap<u32, Time>,
     rests: BTreeMap<u64, Time>,
     modes: BTreeMap<u32, Mode>,
 }
@@ -255,7 +251,7 @@
 fn interleaved_couriers_act_as_alone() {
     let run = |bench: &mut Bench, step: u32| {
         bench.now = bench.now + ms(40);
-        bench.accept(step, 2, 1 + (step % 3) as u16, None);
+        bench.accept(step, 2, 1 + (step % 3) as u32, None);
         let actions = bench.decide();
         for action in &actions {
             if let Action::Route { message, endpoint, .. } = action {
--- a/crates/cloverstile/tests/rules.rs
+++ b/crates/cloverstile/tests/rules.rs
@@ -340,12 +340,12 @@
 /// Incident id37437: hung destinations pinned all slots.
 #[test]
 fn hung_destinations_leave_slots_for_the_healthy() {
-    let all = (1..=5).map(|d| endpoint(u32::from(d), d)).collect();
+    let all = (1..=5).map(|d| endpoint(d, d)).collect();
     let mut bench = Bench::new(settings(vec![unsafe_class()]), all);
     let mut healthy = 0;
     for id in 0..400 {
         bench.now = bench.now + ms(25);
-        bench.accept(id, 0, 1 + (id % 5) as u16, None);
+        bench.accept(id, 0, 1 + id % 5, None);
         for (message, to, _) in bench.routes() {
             // Only the fifth destination answers.
             if to == 5 {
@@ -517,12 +517,12 @@
 /// Sends a message to each of `count` destinations in turn, each with a connection idle for two seconds; calls
 /// on these end so, those on new ones well. Returns how often idle connections were closed before use.
 fn closes_after(outcome: Outcome, count: u32) -> usize {
-    let all = (1..=count).map(|d| endpoint(d, d as u16)).collect();
+    let all = (1..=count).map(|d| endpoint(d, d)).collect();
     let mut bench = Bench::new(settings(vec![safe()]), all);
     let mut id = 0;
     let mut call = |bench: &mut Bench, to: u32, outcome: Outcome| {
         id += 1;
-        bench.accept(id, 0, to as u16, None);
+        bench.accept(id, 0, to, None);
         let actions = bench.decide();
         let closes = actions.iter().filter(|a| matches!(a, Action::CloseIdle { .. })).count();
         bench.now = bench.now + ms(20);
@@ -584,7 +584,7 @@
 fn with_all_slots_taken_a_stalled_call_is_called_off() {
     let base = settings(vec![safe()]);
     let mut bench = Bench::new(Settings { call_slots: 2, ..base }, vec![endpoint(1, 1), endpoint(2, 2)]);
-    (0..2).for_each(|id| bench.accept(id, 0, 1 + id as u16, None));
+    (0..2).for_each(|id| bench.accept(id, 0, 1 + id, None));
     assert_eq!(bench.routes().len(), 2);
     bench.accept(5, 0, 2, None);
     let off = bench.until_action(Duration::from_secs(3));
--- a/crates/gullcart-emulator/src/world.rs
+++ b/crates/gullcart-emulator/src/world.rs
@@ -627,6 +627,6 @@
     }
 
     pub fn partner_id(partner: usize) -> PartnerId {
-        PartnerId(partner as u16 + 1)
+        PartnerId(partner as u32 + 1)
     }
 }
--- a/crates/gullcart-engine/src/vocabulary.rs
+++ b/crates/gullcart-engine/src/vocabulary.rs
@@ -12,7 +12,7 @@
     pub id: String,
     pub key: u64,
     pub class: String,
-    pub destination: u16,
+    pub destination: u32,
     /// How long it may still be delivered.
     pub left: Duration,
     pub idempotency_key: Option<String>,
--- a/crates/gullcart-engine/tests/common/mod.rs
+++ b/crates/gullcart-engine/tests/common/mod.rs
@@ -13,7 +13,7 @@
 pub const DISK: u64 = 256 << 10;
 pub const START_MS: u64 = 1_790_000_000_000;
 
-pub fn target(number: u16, state: &str) -> Target {
+pub fn target(number: u32, state: &str) -> Target {
     Target {
         uid: format!("s-{number}"),
         endpoint: format!("127.0.0.1:{}", 1000 + number),
@@ -69,7 +69,7 @@
     }
 }
 
-pub fn enqueue(number: u64, class: &str, destination: u16) -> Enqueue {
+pub fn enqueue(number: u64, class: &str, destination: u32) -> Enqueue {
     Enqueue {
         id: format!("m{number}"),
         key: if class == "notice" { 1 + number % 3 } else { 0 },
--- a/crates/gullcart-engine/tests/once.rs
+++ b/crates/gullcart-engine/tests/once.rs
@@ -71,7 +71,7 @@
         endpoint: format!("127.0.0.1:{}", 1000 + number),
         az: ["kingston", "montego", "ocho-rios"][usize::from(zone)].to_owned(),
         model: "banks".to_owned(),
-        pod_group: number / 3,
+        pod_group: (number / 3).into(),
         state: "SERVING".to_owned(),
         capacity_hint: 400.0,
     }
@@ -288,7 +288,7 @@
             id: format!("m{number}"),
             key: if class == "notice" { 1 + number % 2 } else { 0 },
             class: class.to_owned(),
-            destination: (number % 3) as u16,
+            destination: (number % 3) as u32,
             left,
             idempotency_key: (class != "salary").then(|| format!("k{number}")),
             again: from_dead,
--- a/crates/gullcart-engine/tests/promises.rs
+++ b/crates/gullcart-engine/tests/promises.rs
@@ -89,7 +89,7 @@
             0..4 => {
                 self.next += 1;
                 let class = if self.rng.bool() { "notice" } else { "salary" };
-                Input::Enqueue(Ticket(self.next), enqueue(self.next, class, self.rng.u16(..4)))
+                Input::Enqueue(Ticket(self.next), enqueue(self.next, class, self.rng.u16(..4).into()))
             }
             4..8 => {
                 let Some((message, endpoint)) = self.out.pop_first() else { return };
@@ -107,7 +107,7 @@
             8 => Input::Heard(std::mem::take(&mut self.told).into_iter().collect()),
             _ => {
                 let state = if self.rng.bool() { "DRAINING" } else { "SERVING" };
-                let targets = vec![target(self.rng.u16(..8), state)];
+                let targets = vec![target(self.rng.u16(..8).into(), state)];
                 Input::Listed(Update { rev: self.engine.rev() + 1, all: false, targets })
             }
         };
--- a/crates/gullcart-engine/tests/taken_on.rs
+++ b/crates/gullcart-engine/tests/taken_on.rs
@@ -35,7 +35,7 @@
 fn fill(engine: &mut Engine<Disk>, numbers: std::ops::Range<u64>, class: &str) -> Turn {
     let mut all = Turn::default();
     for number in numbers {
-        engine.handle(EPOCH, Input::Enqueue(Ticket(number), enqueue(number, class, (number % 4) as u16)));
+        engine.handle(EPOCH, Input::Enqueue(Ticket(number), enqueue(number, class, (number % 4) as u32)));
         let Turn { taken, busy, ends, calls } = turn(engine, EPOCH);
         all.taken += taken;
         all.busy += busy;
--- a/crates/gullcart-journal/benches/before.rs
+++ b/crates/gullcart-journal/benches/before.rs
@@ -93,7 +93,7 @@
     pub rev: u64,
     pub targets: BTreeMap<String, Target>,
     /// One that has no endpoints just now may get others.
-    pub destinations: BTreeSet<u16>,
+    pub destinations: BTreeSet<u32>,
     pub outages: Vec<OutageNote>,
 }
 
@@ -144,7 +144,9 @@
                 }
             }
             Record::Outages(outages) => self.outages = outages,
-            Record::Destinations(destinations) => self.destinations.extend(destinations),
+            Record::Destinations(destinations) => {
+                self.destinations.extend(destinations.into_iter().map(u32::from))
+            }
         }
     }
 }
@@ -274,7 +276,8 @@
         };
         let targets = self.image.targets.values().cloned().collect();
         write(Record::Targets(Update { rev: self.image.rev, all: true, targets }))?;
-        write(Record::Destinations(self.image.destinations.iter().copied().collect()))?;
+        let numbers = self.image.destinations.iter().filter_map(|number| u16::try_from(*number).ok());
+        write(Record::Destinations(numbers.collect()))?;
         write(Record::Outages(self.image.outages.clone()))?;
         for (number, held) in &self.image.held {
             write(Record::Whole(*number, held.clone()))?;
--- a/crates/gullcart-journal/src/image.rs
+++ b/crates/gullcart-journal/src/image.rs
@@ -46,7 +46,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct OutageNote {
     /// Of which destination.
-    pub destination: u16,
+    pub destination: u32,
     /// Of which endpoint, where its endpoints are routes apart.
     pub uid: Option<String>,
     /// Unix milliseconds.
@@ -67,7 +67,7 @@
     }
 }
 
-pub(crate) type OutagePlace = (u16, Option<String>);
+pub(crate) type OutagePlace = (u32, Option<String>);
 
 /// A record. New kinds go to the end, and are read by programs that know them only.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -87,7 +87,7 @@
     /// Entries of the list; the last part of a change carries its version.
     List { rev: Option<u64>, set: Vec<Target>, gone: Vec<String> },
     /// Destinations that were ever listed.
-    Destinations(Vec<u16>),
+    Destinations(Vec<u32>),
     /// Outages that are remembered, and those that are not any more.
     Outages { set: Vec<OutageNote>, gone: Vec<OutagePlace> },
     /// Segments below that are not needed any more; the last number that was given out.
@@ -119,7 +119,7 @@
     /// The list, by uid.
     pub targets: BTreeMap<String, Target>,
     /// One that has no endpoints just now may get others.
-    pub destinations: BTreeSet<u16>,
+    pub destinations: BTreeSet<u32>,
     /// Endpoints that operators took out, by uid, whether listed or not.
     pub suspended: BTreeSet<String>,
     /// Ids that were once in the list, the longest gone first; of more than [`MOST_FORMER`] the longest gone are forgotten.
@@ -214,7 +214,7 @@
     }
 
     /// What an update changes: entries that are new or other, those that go, and destinations not heard of before.
-    pub(crate) fn changes(&self, update: &Update) -> (Vec<Target>, Vec<String>, Vec<u16>) {
+    pub(crate) fn changes(&self, update: &Update) -> (Vec<Target>, Vec<String>, Vec<u32>) {
         // The last word on each counts.
         let told: BTreeMap<&str, &Target> = update.targets.iter().map(|t| (t.uid.as_str(), t)).collect();
         let mut gone: Vec<String> = Vec::new();
@@ -229,7 +229,7 @@
                 set.push(target.clone());
             }
         }
-        let heard: BTreeSet<u16> = update.targets.iter().map(|target| target.pod_group).collect();
+        let heard: BTreeSet<u32> = update.targets.iter().map(|target| target.pod_group).collect();
         (set, gone, heard.difference(&self.destinations).copied().collect())
     }
 
--- a/crates/gullcart-journal/src/journal.rs
+++ b/crates/gullcart-journal/src/journal.rs
@@ -71,8 +71,8 @@
 #[derive(Clone, Debug)]
 enum At {
     Targets(Option<String>),
-    Destinations(Option<u16>),
-    Outages(Option<(u16, Option<String>)>),
+    Destinations(Option<u32>),
+    Outages(Option<(u32, Option<String>)>),
     Suspended(Option<String>),
     /// So many of them are written.
     Former(usize),
@@ -329,9 +329,9 @@
     }
 
     /// Destinations that messages may be taken on for, besides those of the list.
-    pub fn destinations(&mut self, destinations: impl IntoIterator<Item = u16>) -> Result<(), JournalError> {
+    pub fn destinations(&mut self, destinations: impl IntoIterator<Item = u32>) -> Result<(), JournalError> {
         let known = &self.image.destinations;
-        let more: Vec<u16> = destinations.into_iter().filter(|number| !known.contains(number)).collect();
+        let more: Vec<u32> = destinations.into_iter().filter(|number| !known.contains(number)).collect();
         self.state_records(
             more.chunks(DESTINATIONS).map(|part| Record::Destinations(part.to_vec())).collect(),
         )
@@ -691,7 +691,7 @@
             }
             At::Destinations(after) => {
                 let range = (after.map_or(Bound::Unbounded, Bound::Excluded), Bound::Unbounded);
-                let part: Vec<u16> = image.destinations.range(range).take(DESTINATIONS).copied().collect();
+                let part: Vec<u32> = image.destinations.range(range).take(DESTINATIONS).copied().collect();
                 let next = match part.last() {
                     Some(number) if part.len() == DESTINATIONS => At::Destinations(Some(*number)),
                     _ => At::Outages(None),
--- a/crates/gullcart-journal/src/legacy.rs
+++ b/crates/gullcart-journal/src/legacy.rs
@@ -27,7 +27,7 @@
     Whole(u32, Held),
     Targets(Update),
     Outages(Vec<OutageNote>),
-    Destinations(Vec<u16>),
+    Destinations(Vec<u32>),
 }
 
 impl From<Old> for Record {
--- a/crates/gullcart-journal/tests/common/mod.rs
+++ b/crates/gullcart-journal/tests/common/mod.rs
@@ -12,7 +12,7 @@
     held: BTreeMap<u32, Held>,
     targets: BTreeMap<String, Target>,
     rev: u64,
-    destinations: BTreeSet<u16>,
+    destinations: BTreeSet<u32>,
     outages: Vec<OutageNote>,
     /// A change of the list or of outages is under way, of which a part may be there.
     in_parts: bool,
@@ -65,7 +65,7 @@
         id: format!("{number:016x}"),
         key: number % 7,
         class: "pay-notice".to_owned(),
-        destination: (number % 12) as u16,
+        destination: (number % 12) as u32,
         idempotency_key: number.is_multiple_of(3).then(|| format!("{number:08x}")),
         deadline_ms: 1_790_000_000_000 + number,
         again: false,
@@ -157,7 +157,7 @@
             (_, _) => {
                 let count = self.rng.u16(..5);
                 let notes = (0..count).map(|n| OutageNote {
-                    destination: n * 2,
+                    destination: u32::from(n) * 2,
                     uid: None,
                     since_ms: self.rng.u64(..1000),
                     evidence: 3,
@@ -244,14 +244,14 @@
         let all = self.rng.u8(..4) == 0;
         let count = self.rng.usize(..if all { 90 } else { 3 });
         let target = |rng: &mut fastrand::Rng| {
-            let number = rng.u16(..100);
+            let number: u16 = rng.u16(..100);
             let state = ["SERVING", "DRAINING", "DELETED"][rng.usize(..if all { 2 } else { 3 })];
             Target {
                 uid: format!("s-{number}"),
                 endpoint: format!("127.0.0.1:{}", rng.u16(1..9)),
                 az: "a".to_owned(),
                 model: "m".to_owned(),
-                pod_group: number % 12,
+                pod_group: (number % 12).into(),
                 state: state.to_owned(),
                 capacity_hint: 1.0,
             }
--- a/crates/gullcart-judge/src/trace.rs
+++ b/crates/gullcart-judge/src/trace.rs
@@ -64,7 +64,7 @@
 id!(/// An endpoint, one for each `uid`: one that comes in the place of another has its own.
     EndpointId(u32), "endpoint ");
 id!(/// A partner, the `dest` of a message and `pod_group` of endpoints.
-    PartnerId(u16), "partner ");
+    PartnerId(u32), "partner ");
 id!(/// Place of a class in the settings.
     ClassId(u8), "class ");
 id!(/// What messages of an ordered class share that must go one after the other.
--- a/crates/gullcart-judge/tests/lawful.rs
+++ b/crates/gullcart-judge/tests/lawful.rs
@@ -59,7 +59,7 @@
     for (number, plan) in plans.iter().enumerate() {
         clock += plan.gap;
         let (message, courier) = (MessageId(number as u64), CourierId(plan.courier));
-        let partner = PartnerId(plan.key as u16);
+        let partner = PartnerId(plan.key as u32);
         let deadline = At::ms(clock + 60_000);
         let class = ClassId(plan.class);
         let key = (plan.class == 2).then_some(OrderKey(plan.key));
--- a/crates/gullcart-message/src/lib.rs
+++ b/crates/gullcart-message/src/lib.rs
@@ -12,7 +12,7 @@
     pub key: u64,
     /// By name: its place in the settings may differ after a restart.
     pub class: String,
-    pub destination: u16,
+    pub destination: u32,
     pub idempotency_key: Option<String>,
     /// Wall time, Unix milliseconds, as are all times here.
     pub deadline_ms: u64,
@@ -34,7 +34,7 @@
     pub endpoint: String,
     pub az: String,
     pub model: String,
-    pub pod_group: u16,
+    pub pod_group: u32,
     pub state: String,
     pub capacity_hint: f64,
 }
--- a/crates/gullcart-rehearsal/src/run/mod.rs
+++ b/crates/gullcart-rehearsal/src/run/mod.rs
@@ -423,7 +423,7 @@
 }
 
 fn partner_id(place: usize) -> PartnerId {
-    PartnerId(place as u16 + 1)
+    PartnerId(place as u32 + 1)
 }
 
 fn lateness(histogram: &Histogram<u64>) -> Lateness {
--- a/crates/gullcart-standins/src/client.rs
+++ b/crates/gullcart-standins/src/client.rs
@@ -25,7 +25,7 @@
     /// Name of its class.
     pub class: &'a str,
     /// Where it is to go.
-    pub partner: u16,
+    pub partner: u32,
     /// How long it may still be delivered.
     pub left: Duration,
     /// In keyed classes.
--- a/crates/gullcart-standins/src/world.rs
+++ b/crates/gullcart-standins/src/world.rs
@@ -489,7 +489,7 @@
         self.tell(2, &[self.target(endpoint, "DELETED")]);
     }
 
-    fn tell(&self, rev: u32, targets: &[Value]) {
+    pub fn tell(&self, rev: u32, targets: &[Value]) {
         let mut watches = self.discovery.state.watches.lock().unwrap();
         watches.rev = watches.rev.max(rev);
         let update = json!({"rev": watches.rev, "all": false, "targets": targets});
@@ -803,13 +803,13 @@
     }
 
     /// Hands a message in; `class` may carry further fields.
-    pub fn enqueue(&mut self, id: &str, key: &str, class: &str, destination: u16, body: &[u8]) -> String {
+    pub fn enqueue(&mut self, id: &str, key: &str, class: &str, destination: u32, body: &[u8]) -> String {
         self.begin_enqueue(id, key, class, destination, body);
         self.line()
     }
 
     /// Sends a hand-in without waiting for its answer.
-    pub fn begin_enqueue(&mut self, id: &str, key: &str, class: &str, destination: u16, body: &[u8]) {
+    pub fn begin_enqueue(&mut self, id: &str, key: &str, class: &str, destination: u32, body: &[u8]) {
         let fields = format!("d=20000,c={class},dest={destination}");
         self.command(&[b"ENQUEUE", key.as_bytes(), id.as_bytes(), fields.as_bytes(), body]);
     }
--- a/crates/gullcart/tests/clients.rs
+++ b/crates/gullcart/tests/clients.rs
@@ -146,3 +146,29 @@
     assert_eq!(world.call().id, "s1");
     assert!(stuck.line().starts_with("-ERR"));
 }
+
+/// A destination that no list has named is told apart from what is no destination at all.
+#[test]
+fn destinations_of_32_bits_are_asked_for_and_what_is_longer_is_an_error() {
+    let world = World::new(PROGRAM, 1, 3.0);
+    let courier = world.start();
+    let mut client = courier.client();
+    let mut ask = |id: &str, destination: &str| {
+        client.ask(&["ENQUEUE", "0", id, &format!("c=salary,d=9000,dest={destination}"), "x"])
+    };
+    for unlisted in ["65535", "65536", "1600000", "4294967295"] {
+        assert_eq!(ask("m1", unlisted), "-ERR unknown destination", "{unlisted}");
+    }
+    for unfit in ["4294967296", "-1", "1.5", "x", ""] {
+        assert_eq!(ask("m1", unfit), "-ERR dest is missing or no number", "{unfit}");
+    }
+    // The list names one of them from now on.
+    let mut wide = world.change(2, 0, "SERVING")["targets"][0].clone();
+    (wide["uid"], wide["pod_group"]) = ("wide".into(), 1_600_000.into());
+    world.tell(2, &[wide]);
+    courier.log_until("rev=2");
+    assert_eq!(ask("m1", "1600000"), "+OK");
+    let call = world.call();
+    assert_eq!(call.id, "m1");
+    call.answer("200 OK", "");
+}
--- a/crates/gullcart/tests/sizes.rs
+++ b/crates/gullcart/tests/sizes.rs
@@ -7,7 +7,7 @@
 /// KiB that an endpoint more may take.
 const MOST_FOR_ONE: u64 = 3;
 /// A destination among the many.
-const ONE: u16 = 4;
+const ONE: u32 = 4;
 
 /// Hands a salary in until it is served, as news of the list come when they come.
 fn is_served(world: &World, courier: &Courier<'_>, ids: &mut u32) -> bool {
--- a/crates/gullcartctl/src/fleet.rs
+++ b/crates/gullcartctl/src/fleet.rs
@@ -27,7 +27,7 @@
     logs: Vec<PathBuf>,
     /// Only this destination
     #[arg(long, value_name = "NUMBER")]
-    destination: Option<u16>,
+    destination: Option<u32>,
     /// For machines: one object a row
     #[arg(long)]
     json: bool,
@@ -58,13 +58,13 @@
 #[derive(Default)]
 struct Table {
     begin: Option<SystemTime>,
-    rows: BTreeMap<(i64, u16), Row>,
+    rows: BTreeMap<(i64, u32), Row>,
     dropped: u64,
 }
 
 impl Table {
     /// Takes one line of a log in; lines of another kind are passed over.
-    fn add(&mut self, line: &str, only: Option<u16>) {
+    fn add(&mut self, line: &str, only: Option<u32>) {
         let Some((head, tail)) = line.split_once(" tally ") else { return };
         let Some(at) = head.split_whitespace().find_map(|word| humantime::parse_rfc3339(word).ok()) else {
             return;
