Let a change of the list cost by what it names, not by what is listed

One change among 50,000 endpoints took 15 to 22 ms of processor time. By the profile 58 % of it were the directory's forgetting of endpoints that are gone, which walked all its numbers at every change; the walk for endpoints that are out by hand, and the decisions' walk over all addresses for those that are over, came next.

The directory keeps what is gone and what is out beside its entries, and goes over these alone. They follow from the entries and are found again after a hand-over, so its block has the same bytes. The decisions look at the endpoints that a change names; a whole list is gone over as before.

What is left is the walk over all routes for outages in every turn, which this leaves alone. The listing step alone is now as fast among 30,000 endpoints as among 1,000, within a factor of eight (`listing_cost`).

--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -229,17 +229,16 @@
     // ---- Events ----
 
     fn on_listing(&mut self, now: Time, listing: Listing) {
-        let entries = match listing {
+        let (entries, mut over): (Vec<Endpoint>, Vec<EndpointId>) = match listing {
             Listing::Failed => return,
-            Listing::Changes(entries) => entries,
+            Listing::Changes(entries) => (entries, Vec::new()),
             Listing::Whole(entries) => {
                 // What a whole list does not name is gone: it gets nothing new from now on.
-                for address in self.addresses.values_mut() {
-                    address.entry.mode = Mode::Gone;
-                }
-                entries
+                self.addresses.values_mut().for_each(|address| address.entry.mode = Mode::Gone);
+                (entries, self.addresses.keys().copied().collect())
             }
         };
+        over.extend(entries.iter().map(|entry| entry.id));
         for entry in entries {
             if entry.mode == Mode::Gone && !self.addresses.contains_key(&entry.id) {
                 continue;
@@ -285,10 +284,9 @@
                 Address { entry, calls_out, preference, failures, avoid_until, used, suspended, cold };
             self.addresses.insert(id, address);
         }
-        let over = self.addresses.values().filter(|a| a.entry.mode == Mode::Gone && a.calls_out == 0);
-        for id in over.map(|a| a.entry.id).collect::<Vec<_>>() {
-            self.forget_address(id);
-        }
+        let is_over = |a: &Address| a.entry.mode == Mode::Gone && a.calls_out == 0;
+        over.retain(|id| self.addresses.get(id).is_some_and(is_over));
+        over.into_iter().for_each(|id| self.forget_address(id));
     }
 
     /// Forgets an endpoint that is gone and has no call out. What was learnt of its destination stays, except
--- a/crates/gullcart-engine/src/directory.rs
+++ b/crates/gullcart-engine/src/directory.rs
@@ -17,6 +17,12 @@
     last: u32,
     numbers: HashMap<String, EndpointId>,
     entries: BTreeMap<EndpointId, Entry>,
+    /// Entries that are gone and not forgotten yet. Follows from the entries, as the next one does.
+    #[serde(skip)]
+    gone: BTreeSet<EndpointId>,
+    /// Entries that operators have taken out.
+    #[serde(skip)]
+    suspended: BTreeSet<EndpointId>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -39,9 +45,21 @@
             last: 0,
             numbers: HashMap::new(),
             entries: BTreeMap::new(),
+            gone: BTreeSet::new(),
+            suspended: BTreeSet::new(),
         }
     }
 
+    /// The directory of the process before, with what follows from its entries.
+    pub fn resumed(self) -> Self {
+        let which = |is: fn(&Entry) -> bool| {
+            self.entries.iter().filter(|(_, entry)| is(entry)).map(|(id, _)| *id).collect()
+        };
+        let gone = which(|entry| entry.mode == Mode::Gone);
+        let suspended = which(|entry| entry.is_suspended);
+        Directory { gone, suspended, ..self }
+    }
+
     pub fn address(&self, id: EndpointId) -> Option<SocketAddr> {
         self.entries.get(&id).and_then(|entry| entry.address)
     }
@@ -82,13 +100,19 @@
 
     /// Endpoints in the list.
     pub fn listed(&self) -> usize {
-        self.entries.values().filter(|entry| entry.mode != Mode::Gone).count()
+        self.entries.len() - self.gone.len()
     }
 
     /// Marks the endpoints that operators have taken out, by uid, and names them.
     pub fn suspend(&mut self, out: &BTreeSet<String>) -> Vec<EndpointId> {
-        self.entries.values_mut().for_each(|entry| entry.is_suspended = out.contains(&entry.uid));
-        self.entries.iter().filter(|(_, entry)| entry.is_suspended).map(|(id, _)| *id).collect()
+        let listed = out.iter().filter_map(|uid| self.number(uid)).collect();
+        let before = std::mem::replace(&mut self.suspended, listed);
+        for id in before.union(&self.suspended) {
+            if let Some(entry) = self.entries.get_mut(id) {
+                entry.is_suspended = self.suspended.contains(id);
+            }
+        }
+        self.suspended.iter().copied().collect()
     }
 
     pub fn is_gone(&self, id: EndpointId) -> bool {
@@ -97,8 +121,14 @@
 
     /// Forgets the endpoints that are gone, but those that are still needed.
     pub fn forget_gone(&mut self, needed: impl Fn(EndpointId) -> bool) {
-        self.entries.retain(|id, entry| entry.mode != Mode::Gone || needed(*id));
-        self.numbers.retain(|_, id| self.entries.contains_key(id));
+        let forgotten: Vec<EndpointId> = self.gone.iter().copied().filter(|id| !needed(*id)).collect();
+        for id in forgotten {
+            self.gone.remove(&id);
+            self.suspended.remove(&id);
+            if let Some(entry) = self.entries.remove(&id) {
+                self.numbers.remove(&entry.uid);
+            }
+        }
     }
 
     /// Takes news of the list in and words them for the module.
@@ -106,6 +136,7 @@
         if update.all {
             // What a whole list does not name is gone.
             self.entries.values_mut().for_each(|entry| entry.mode = Mode::Gone);
+            self.gone = self.entries.keys().copied().collect();
         }
         let entries = update.targets.iter().map(|target| self.entry(target)).collect();
         if update.all {
@@ -132,6 +163,10 @@
         let zone = ZoneId(place(&mut self.zones, &target.az));
         let kind = KindId(place(&mut self.kinds, &target.model).into());
         let (uid, destination) = (target.uid.clone(), DestinationId(target.pod_group));
+        match mode {
+            Mode::Gone => self.gone.insert(id),
+            Mode::Ready | Mode::Draining => self.gone.remove(&id),
+        };
         let is_suspended = self.entries.get(&id).is_some_and(|entry| entry.is_suspended);
         self.entries.insert(id, Entry { uid, zone, destination, address, mode, is_suspended });
         Endpoint { id, zone, kind, destination, mode, weight: target.capacity_hint }
@@ -151,3 +186,6 @@
     });
     u8::try_from(at).unwrap_or(u8::MAX)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gullcart-engine/src/engine.rs
+++ b/crates/gullcart-engine/src/engine.rs
@@ -128,7 +128,7 @@
     fn take_up(&mut self, now: Time, seed: u64, carried: Carried) {
         let Carried { courier, directory, out, shared, wake } = carried;
         self.courier = courier.resumed(self.settings.clone(), seed);
-        (self.directory, self.out, self.wake) = (directory, out, wake);
+        (self.directory, self.out, self.wake) = (directory.resumed(), out, wake);
         for (number, held) in &self.journal.image().held {
             let known = Known { number: *number, shared: shared.contains(&MessageId(*number)) };
             self.known.insert(held.taken.id.clone(), known);
--- a/crates/gullcart-journal/src/image.rs
+++ b/crates/gullcart-journal/src/image.rs
@@ -2,7 +2,7 @@
 
 use gullcart_message::{Taken, Target, Update, Verdict};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 
 /// When an attempt was sent (Unix milliseconds), and to which zone.
 pub type Sent = (u64, u8);
@@ -148,6 +148,14 @@
         }
     }
 
+    /// What is listed again is not a former id any more.
+    fn forget_former(&mut self, listed: &[Target]) {
+        if !self.former.is_empty() {
+            let listed: HashSet<&str> = listed.iter().map(|target| target.uid.as_str()).collect();
+            self.former.retain(|uid| !listed.contains(uid.as_str()));
+        }
+    }
+
     /// Messages that nothing is known of any more are passed over: their end was freed with its segment.
     pub(crate) fn apply(&mut self, record: Record) {
         match record {
@@ -172,8 +180,8 @@
                         self.remember(uid);
                     }
                 }
+                self.forget_former(&set);
                 for target in set {
-                    self.former.retain(|uid| *uid != target.uid);
                     self.destinations.insert(target.pod_group);
                     self.targets.insert(target.uid.clone(), target);
                 }
