Add the state machines of source, relay and subscriber

The vocabulary needs what acts on it. A publisher (in source and relay) feeds subscribers from a store that is indexed by position, each key once: what a slow subscriber has missed is read by its cursor, coalesced, and costs nothing per subscriber. Leases are granted by the source and handed on by relays, no more than is left of their own.

Messages changed: Subscribe has `history`, Welcome has `floor`, EpochBegan is new.

--- a/crates/gullcart-distribution/src/error.rs
+++ b/crates/gullcart-distribution/src/error.rs
@@ -54,6 +54,9 @@
         /// The epoch that came.
         found: Epoch,
     },
+    /// Changes of an epoch that was not announced.
+    #[error("epoch {0:?} was not announced")]
+    UnknownEpoch(Epoch),
     /// A change for a scope that is not subscribed to.
     #[error("{0:?} is not subscribed to")]
     NotSubscribed(Scope),
--- a/crates/gullcart-distribution/src/lib.rs
+++ b/crates/gullcart-distribution/src/lib.rs
@@ -28,11 +28,19 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod admission;
 pub mod codec;
 pub mod digest;
 pub mod error;
+pub mod guards;
+pub mod lease;
 pub mod limits;
 pub mod message;
 pub mod position;
+pub mod publisher;
+pub mod relay;
 pub mod scope;
+pub mod source;
+pub mod store;
+pub mod subscriber;
 pub mod time;
--- a/crates/gullcart-distribution/src/limits.rs
+++ b/crates/gullcart-distribution/src/limits.rs
@@ -87,3 +87,21 @@
 /// How long a relay keeps a scope that no subscriber wants: longer than any lease on it, and long enough for a subscriber
 /// that restarts.
 pub const SCOPE_LINGER: Duration = Duration::from_secs(30);
+
+/// Leases granted to one subscriber that are told apart: those of 2.5 s at five a second, and some to spare.
+pub const MAX_GRANTS: usize = 16;
+
+/// Frames to one subscriber whose changes are told apart while they are not in force: those of 2.5 s at twenty a second.
+pub const MAX_UNSETTLED_FRAMES: usize = 64;
+
+/// Renewals of one session that wait for an answer. One a fifth of a second within [`RENEW_TIMEOUT`].
+pub const MAX_RENEWALS_WAITING: usize = 16;
+
+/// Changes of a source that are not in force yet: 2.5 s at 20,000 a second.
+pub const MAX_PENDING_CHANGES: usize = 1 << 16;
+
+/// How long a relay gathers scopes that its subscribers want before it asks for them.
+pub const RESCOPE_DELAY: Duration = Duration::from_millis(50);
+
+/// How long a subscriber waits whose relay is not ready: a round trip upstream and the gathering of scopes.
+pub const NOT_READY_RETRY: Duration = Duration::from_millis(200);
--- a/crates/gullcart-distribution/src/message.rs
+++ b/crates/gullcart-distribution/src/message.rs
@@ -45,6 +45,8 @@
     Renewed(Renewed),
     /// To the subscriber: no new lease.
     NotRenewed(NotRenewed),
+    /// To the subscriber: the source has a new writer.
+    EpochBegan(EpochBegan),
 }
 
 /// Begins a session; an earlier session of the same connection ends.
@@ -56,6 +58,8 @@
     pub scopes: Vec<Scope>,
     /// Where to go on from, if the subscriber has state.
     pub resume: Option<Position>,
+    /// Whether removed keys are wanted, too: a relay needs them to let its own subscribers resume.
+    pub history: bool,
 }
 
 /// Changes the scopes of a session. The contents of added ones come by [`RequestRepair`].
@@ -127,6 +131,17 @@
     pub start: Start,
     /// The epochs of the history.
     pub lineage: Lineage,
+    /// Removed keys are known from here on; nobody can resume from an earlier position.
+    pub floor: Position,
+}
+
+/// Tells that the source has a new writer, before the first frame of its epoch.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EpochBegan {
+    /// The session.
+    pub session: SessionId,
+    /// The epochs of the history.
+    pub lineage: Lineage,
 }
 
 /// Why a session is refused or ended.
@@ -244,6 +259,7 @@
             Message::Frame(message) => message.session,
             Message::Renewed(message) => message.session,
             Message::NotRenewed(message) => message.session,
+            Message::EpochBegan(message) => message.session,
         }
     }
 
@@ -253,6 +269,7 @@
             Message::Subscribe(message) => message.scopes.len() <= MAX_SCOPES,
             Message::Rescope(message) => message.add.len() + message.remove.len() <= MAX_SCOPES,
             Message::Welcome(message) => message.lineage.is_well_formed(),
+            Message::EpochBegan(message) => message.lineage.is_well_formed(),
             Message::Refused(message) => message.retry_after() <= BACKOFF_MAX,
             Message::Frame(message) => message.is_well_formed(),
             Message::Renewed(message) => {
--- /dev/null
+++ b/crates/gullcart-distribution/src/publisher/demand.rs
@@ -0,0 +1,75 @@
+//! Which scopes the subscribers of a node want.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::SubscriberId;
+use crate::limits::{MAX_SCOPES, SCOPE_LINGER};
+use crate::scope::Scope;
+use crate::time::Instant;
+
+/// The scopes that are wanted: those in use, and for some time those that were asked for or used last.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Demand {
+    users: BTreeMap<Scope, BTreeSet<SubscriberId>>,
+    lingering: BTreeMap<Scope, Instant>,
+    changed: bool,
+}
+
+impl Demand {
+    /// Whether these scopes can be wanted beside those that are.
+    pub fn has_room_for(&self, scopes: &BTreeSet<Scope>) -> bool {
+        let added = scopes.iter().filter(|scope| !self.is_wanted(**scope)).count();
+        self.users.len() + self.lingering.len() + added <= MAX_SCOPES
+    }
+
+    fn is_wanted(&self, scope: Scope) -> bool {
+        self.users.contains_key(&scope) || self.lingering.contains_key(&scope)
+    }
+
+    /// A scope is asked for by someone who has to come again.
+    pub fn ask(&mut self, scope: Scope, now: Instant) {
+        if !self.users.contains_key(&scope) {
+            self.changed |= self.lingering.insert(scope, now + SCOPE_LINGER).is_none();
+        }
+    }
+
+    /// A subscriber uses a scope.
+    pub fn add(&mut self, scope: Scope, subscriber: SubscriberId) {
+        let was_wanted = self.lingering.remove(&scope).is_some() || self.users.contains_key(&scope);
+        self.changed |= !was_wanted;
+        self.users.entry(scope).or_default().insert(subscriber);
+    }
+
+    /// A subscriber uses a scope no longer.
+    pub fn remove(&mut self, scope: Scope, subscriber: SubscriberId, now: Instant) {
+        let Some(users) = self.users.get_mut(&scope) else {
+            return;
+        };
+        users.remove(&subscriber);
+        if users.is_empty() {
+            self.users.remove(&scope);
+            self.lingering.insert(scope, now + SCOPE_LINGER);
+        }
+    }
+
+    /// The subscribers that use a scope.
+    pub fn users(&self, scope: Scope) -> impl Iterator<Item = SubscriberId> + '_ {
+        self.users.get(&scope).into_iter().flatten().copied()
+    }
+
+    /// Whether scopes came to be wanted since the last call.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// When the next scope ceases to be wanted, unless it comes into use.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.lingering.values().min().copied()
+    }
+
+    /// The scopes that are wanted now.
+    pub fn wanted(&mut self, now: Instant) -> BTreeSet<Scope> {
+        self.lingering.retain(|_, until| now < *until);
+        self.users.keys().chain(self.lingering.keys()).copied().collect()
+    }
+}
--- /dev/null
+++ b/crates/gullcart-distribution/src/publisher/session.rs
@@ -0,0 +1,249 @@
+//! A subscriber's session, as the publisher sees it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::feed::Feed;
+use super::window::{Settlement, Window};
+use crate::digest::{BucketDigests, BucketSet};
+use crate::lease::{Grant, Grants};
+use crate::limits::{FRAME_BYTES, FRAME_INTERVAL};
+use crate::message::{
+    Frame, Message, NotRenewed, Part, Progress, RenewalId, Renewed, ScopeDigest, Sequence, SessionId,
+};
+use crate::position::Position;
+use crate::scope::Scope;
+use crate::store::{Collected, Query};
+use crate::time::Instant;
+
+/// A repair of which some frames were sent.
+#[derive(Clone, Debug)]
+struct RepairUnderWay {
+    scope: Scope,
+    buckets: BucketSet,
+    cursor: Position,
+    /// Removals are of use to the subscriber only if made after this.
+    removals_after: Position,
+}
+
+/// The state of one session.
+#[derive(Clone, Debug)]
+pub(super) struct Session {
+    pub id: SessionId,
+    pub scopes: BTreeSet<Scope>,
+    pub history: bool,
+    /// Whether an admitted snapshot is under way.
+    pub in_snapshot: bool,
+    /// Where the last frame or renewal ended.
+    pub sent: Position,
+    /// Changes after `sent` may wait.
+    pub dirty: bool,
+    /// The last frame was not a complete one.
+    pub mid_transfer: bool,
+    removals_after: Position,
+    last_sequence: Sequence,
+    pub window: Window,
+    pub settlement: Settlement,
+    pub grants: Grants,
+    repairs: BTreeMap<Scope, BucketDigests>,
+    repair: Option<RepairUnderWay>,
+    /// Frames with changes go out no earlier.
+    pub next_frame_at: Instant,
+}
+
+impl Session {
+    /// A session that goes on from `resume`, or begins with a snapshot.
+    pub fn new(
+        id: SessionId,
+        scopes: BTreeSet<Scope>,
+        history: bool,
+        resume: Option<Position>,
+        feed: Feed<'_>,
+    ) -> Self {
+        let removals_after = match resume {
+            Some(position) => position,
+            None if history => feed.store.floor(),
+            None => feed.head,
+        };
+        let sent = resume.unwrap_or(Position::ORIGIN);
+        Self {
+            id,
+            scopes,
+            history,
+            in_snapshot: resume.is_none(),
+            sent,
+            dirty: true,
+            // The first complete frame also ends what an earlier session may have left incomplete.
+            mid_transfer: true,
+            removals_after,
+            last_sequence: Sequence(0),
+            window: Window::default(),
+            settlement: Settlement::new(sent),
+            grants: Grants::default(),
+            repairs: BTreeMap::new(),
+            repair: None,
+            next_frame_at: Instant::default(),
+        }
+    }
+
+    /// Whether all removals are still known that the subscriber has not been sent.
+    pub fn has_all_removals(&self, feed: Feed<'_>) -> bool {
+        self.sent.max(self.removals_after) >= feed.store.floor()
+    }
+
+    /// Whether the session can go on when the state was replaced or has a new lineage.
+    pub fn can_go_on(&self, feed: Feed<'_>) -> bool {
+        self.has_all_removals(feed) && feed.lineage.contains(self.sent) && self.sent <= feed.head
+    }
+
+    /// Notes that changes after `head_before` wait.
+    pub fn mark_dirty(&mut self, head_before: Position) {
+        if !self.dirty && self.settlement.is_settled() {
+            self.settlement.pass(head_before);
+        }
+        self.dirty = true;
+    }
+
+    /// Up to where changes are in force at the subscriber and below it.
+    pub fn in_force(&self, now: Instant, head: Position) -> Position {
+        let Some(earliest_lease) = self.grants.earliest(now) else {
+            return head;
+        };
+        let idle = !self.dirty && self.settlement.is_settled();
+        let settled = if idle { head } else { self.settlement.position() };
+        settled.max(earliest_lease)
+    }
+
+    /// Takes in what the subscriber says of itself.
+    pub fn note_progress(&mut self, progress: Progress) {
+        self.window.acknowledge(progress.received);
+        self.settlement.acknowledge(progress.in_force);
+    }
+
+    /// Notes a repair that is asked for.
+    pub fn request_repair(&mut self, scope: Scope, digests: BucketDigests) {
+        self.repairs.insert(scope, digests);
+    }
+
+    /// Forgets the repair of a scope that is given up.
+    pub fn cancel_repair(&mut self, scope: Scope) {
+        self.repairs.remove(&scope);
+    }
+
+    /// The next frame, of changes or of a repair, if there is one to send.
+    pub fn next_frame(&mut self, now: Instant, feed: Feed<'_>) -> Option<Frame> {
+        if self.dirty {
+            let frame = self.next_changes(now, feed);
+            if frame.is_some() {
+                return frame;
+            }
+        }
+        self.next_repair(feed)
+    }
+
+    fn next_changes(&mut self, now: Instant, feed: Feed<'_>) -> Option<Frame> {
+        let collected = feed.store.collect(Query {
+            scopes: &self.scopes,
+            buckets: BucketSet::ALL,
+            after: self.sent,
+            removals_after: self.removals_after,
+            limit_bytes: FRAME_BYTES,
+        });
+        self.dirty = !collected.complete;
+        if collected.complete && collected.changes.is_empty() && !self.mid_transfer {
+            return None;
+        }
+        let upto = end_of(&collected, feed.head);
+        let after = std::mem::replace(&mut self.sent, upto);
+        self.mid_transfer = !collected.complete;
+        self.settlement.push(upto);
+        self.next_frame_at = now + FRAME_INTERVAL;
+        Some(self.frame(Part::Subscription, after, upto, collected))
+    }
+
+    /// A repair ends where the subscriber's state does, so it waits until that is current.
+    fn next_repair(&mut self, feed: Feed<'_>) -> Option<Frame> {
+        if self.dirty || self.mid_transfer {
+            return None;
+        }
+        let mut repair = match self.repair.take() {
+            Some(repair) => repair,
+            None => self.begin_repair(feed)?,
+        };
+        let scopes = BTreeSet::from([repair.scope]);
+        let collected = feed.store.collect(Query {
+            scopes: &scopes,
+            buckets: repair.buckets,
+            after: repair.cursor,
+            removals_after: repair.removals_after,
+            limit_bytes: FRAME_BYTES,
+        });
+        let upto = end_of(&collected, self.sent);
+        let part = Part::Buckets { scope: repair.scope, buckets: repair.buckets };
+        let after = std::mem::replace(&mut repair.cursor, upto);
+        if !collected.complete {
+            self.repair = Some(repair);
+        }
+        Some(self.frame(part, after, upto, collected))
+    }
+
+    fn begin_repair(&mut self, feed: Feed<'_>) -> Option<RepairUnderWay> {
+        let scope = self.repairs.keys().copied().find(|scope| feed.holds(*scope))?;
+        let digests = self.repairs.remove(&scope)?;
+        let buckets = BucketSet::differing(&digests, &feed.store.buckets(scope));
+        let removals_after = if self.history { Position::ORIGIN } else { feed.head };
+        Some(RepairUnderWay { scope, buckets, cursor: Position::ORIGIN, removals_after })
+    }
+
+    fn frame(&mut self, part: Part, after: Position, upto: Position, collected: Collected) -> Frame {
+        self.last_sequence = Sequence(self.last_sequence.0 + 1);
+        let frame = Frame {
+            session: self.id,
+            sequence: self.last_sequence,
+            part,
+            after,
+            upto,
+            complete: collected.complete,
+            changes: collected.changes,
+        };
+        self.window.push(self.last_sequence, collected.bytes);
+        frame
+    }
+
+    /// Answers a renewal. A lease is granted only if all changes were sent.
+    pub fn answer_renewal(&mut self, now: Instant, renewal: RenewalId, feed: Feed<'_>) -> Message {
+        let not_renewed = Message::NotRenewed(NotRenewed { session: self.id, renewal });
+        if self.dirty || self.mid_transfer {
+            return not_renewed;
+        }
+        let mut valid_for = crate::limits::LEASE;
+        let mut digests = Vec::new();
+        for scope in &self.scopes {
+            let Some(left) = feed.lease_left(*scope, now).filter(|_| feed.holds(*scope)) else {
+                continue;
+            };
+            valid_for = valid_for.min(left);
+            digests.push(ScopeDigest { scope: *scope, digest: feed.store.digest(*scope) });
+        }
+        if digests.is_empty() && !self.scopes.is_empty() {
+            return not_renewed;
+        }
+        self.grants.push(Grant::new(feed.head, now, valid_for), now);
+        let after = std::mem::replace(&mut self.sent, feed.head);
+        Message::Renewed(Renewed {
+            session: self.id,
+            renewal,
+            sequence: self.last_sequence,
+            after,
+            upto: feed.head,
+            valid_for_micros: u32::try_from(valid_for.as_micros()).unwrap_or(u32::MAX),
+            digests,
+        })
+    }
+}
+
+fn end_of(collected: &Collected, end_of_state: Position) -> Position {
+    match collected.changes.last() {
+        Some(change) if !collected.complete => change.position,
+        _ => end_of_state,
+    }
+}
--- /dev/null
+++ b/crates/gullcart-distribution/src/subscriber/session.rs
@@ -0,0 +1,89 @@
+//! A subscriber's session with its relay: what is expected next and what is waited for.
+
+use std::collections::{BTreeSet, VecDeque};
+
+use super::staging::StagedRepair;
+use crate::limits::{MAX_RENEWALS_WAITING, RENEW_TIMEOUT};
+use crate::message::{RenewalId, Sequence, SessionId};
+use crate::scope::Scope;
+use crate::time::Instant;
+
+/// A renewal that waits for its answer.
+#[derive(Clone, Copy, Debug)]
+struct Renewal {
+    id: RenewalId,
+    sent: Instant,
+}
+
+/// The state of one session.
+#[derive(Clone, Debug)]
+pub(super) struct Session {
+    /// Its number.
+    pub id: SessionId,
+    /// When it was begun.
+    pub begun: Instant,
+    /// The scopes that it was begun with.
+    pub subscribed: BTreeSet<Scope>,
+    /// Whether it was accepted.
+    pub accepted: bool,
+    /// The last frame that was taken in.
+    pub received: Sequence,
+    /// When the next renewal is due.
+    pub renew_at: Instant,
+    /// Buckets that are being replaced.
+    pub repair: Option<StagedRepair>,
+    /// Scopes whose repair has been asked for.
+    pub repairs_asked: BTreeSet<Scope>,
+    /// Scopes that were given up in this session; frames that were on their way may still have them.
+    pub given_up: BTreeSet<Scope>,
+    renewals: VecDeque<Renewal>,
+    next_renewal: RenewalId,
+}
+
+impl Session {
+    /// A session that is begun now.
+    pub fn new(id: SessionId, now: Instant, subscribed: BTreeSet<Scope>) -> Self {
+        Self {
+            id,
+            begun: now,
+            subscribed,
+            accepted: false,
+            received: Sequence(0),
+            renew_at: now,
+            repair: None,
+            repairs_asked: BTreeSet::new(),
+            given_up: BTreeSet::new(),
+            renewals: VecDeque::new(),
+            next_renewal: RenewalId(1),
+        }
+    }
+
+    /// Notes a renewal that is sent now. None may be sent while too many wait.
+    pub fn begin_renewal(&mut self, now: Instant) -> Option<RenewalId> {
+        if self.renewals.len() >= MAX_RENEWALS_WAITING {
+            return None;
+        }
+        let id = self.next_renewal;
+        self.next_renewal = RenewalId(id.0 + 1);
+        self.renewals.push_back(Renewal { id, sent: now });
+        Some(id)
+    }
+
+    /// When the answered renewal was sent. It and earlier ones are not waited for any more.
+    pub fn finish_renewal(&mut self, id: RenewalId) -> Option<Instant> {
+        let place = self.renewals.iter().position(|renewal| renewal.id == id)?;
+        let sent = self.renewals[place].sent;
+        self.renewals.drain(..=place);
+        Some(sent)
+    }
+
+    /// When the other side is given up on.
+    pub fn gives_up_at(&self) -> Option<Instant> {
+        let waiting_since = match self.renewals.front() {
+            Some(renewal) => Some(renewal.sent),
+            None if !self.accepted => Some(self.begun),
+            None => None,
+        };
+        waiting_since.map(|since| since + RENEW_TIMEOUT)
+    }
+}
--- a/crates/gullcart-distribution/tests/codec.rs
+++ b/crates/gullcart-distribution/tests/codec.rs
@@ -19,6 +19,12 @@
     ]
 }
 
+fn lineage() -> Lineage {
+    let mut lineage = Lineage::default();
+    assert!(lineage.begin(Epoch(1), Revision(0)));
+    lineage
+}
+
 fn digests() -> impl Strategy<Value = Digest> {
     (proptest::collection::vec(any::<u8>(), 0..40), any::<u64>()).prop_map(|(bytes, revision)| {
         let key = Key::new(bytes.clone()).unwrap();
@@ -68,7 +74,7 @@
 
 prop_compose! {
     fn controls()(
-        kind in 0..8,
+        kind in 0..9,
         session in any::<u64>().prop_map(SessionId),
         number in any::<u64>(),
         scopes in proptest::collection::vec(scopes(), 0..30),
@@ -79,16 +85,13 @@
         let progress = Progress { received: Sequence(number), in_force: position };
         let renewal = RenewalId(number);
         match kind {
-            0 => Message::Subscribe(Subscribe { session, scopes, resume: resume.then_some(position) }),
+            0 => Message::Subscribe(Subscribe { session, scopes, resume: resume.then_some(position), history: resume }),
             1 => Message::Rescope(Rescope { session, add: scopes.clone(), remove: scopes }),
             2 => Message::Renew(Renew { session, renewal, progress }),
             3 => Message::Acknowledge(Acknowledge { session, progress }),
             4 => Message::RequestRepair(RequestRepair { session, scope: Scope::Global, digests: [digest; 16] }),
-            5 => {
-                let mut lineage = Lineage::default();
-                lineage.begin(Epoch(1), Revision(0));
-                Message::Welcome(Welcome { session, start: Start::Snapshot, lineage })
-            }
+            5 => Message::Welcome(Welcome { session, start: Start::Snapshot, lineage: lineage(), floor: position }),
+            7 => Message::EpochBegan(EpochBegan { session, lineage: lineage() }),
             6 => Message::NotRenewed(NotRenewed { session, renewal }),
             _ => Message::Renewed(Renewed {
                 session,
@@ -194,7 +197,8 @@
 #[test]
 fn lists_over_the_limit_and_changes_out_of_order_are_refused() {
     let scopes = vec![Scope::Global; MAX_SCOPES + 1];
-    let subscribe = Message::Subscribe(Subscribe { session: SessionId(1), scopes, resume: None });
+    let subscribe =
+        Message::Subscribe(Subscribe { session: SessionId(1), scopes, resume: None, history: false });
     assert_eq!(decode(&encode(&subscribe).unwrap()), Err(CodecError::Malformed));
 
     let change = |revision| Change {
