--- a/crates/gullcart-distribution/src/digest.rs
+++ b/crates/gullcart-distribution/src/digest.rs
@@ -60,6 +60,21 @@
         Self((0..BUCKETS).filter(differs).fold(0, |bits, bucket| bits | 1 << bucket))
     }
 
+    /// The buckets without entries.
+    pub fn empty_in(digests: &BucketDigests) -> Self {
+        Self::differing(digests, &[Digest::default(); BUCKETS]).complement()
+    }
+
+    /// The buckets of either set.
+    pub fn union(self, other: BucketSet) -> Self {
+        Self(self.0 | other.0)
+    }
+
+    /// The buckets that are not in the set.
+    pub fn complement(self) -> Self {
+        Self(!self.0)
+    }
+
     /// Whether the set has this bucket.
     pub fn contains(self, bucket: usize) -> bool {
         self.0 & (1 << bucket) != 0
--- a/crates/gullcart-distribution/src/lease.rs
+++ b/crates/gullcart-distribution/src/lease.rs
@@ -1,9 +1,9 @@
 //! Leases: how long a subscriber may act on its state, and until when the side that granted them has to reckon with it.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::limits::{CLOCK_DRIFT_DIVISOR, MAX_GRANTS};
+use crate::limits::{CLOCK_DRIFT_DIVISOR, GRANT_SLOT};
 use crate::position::Position;
 use crate::scope::Scope;
 use crate::time::Instant;
@@ -49,40 +49,34 @@
     }
 }
 
-/// Leases that were granted and may not have run out; at most [`MAX_GRANTS`], joined on the safe side beyond that.
+/// Leases that were granted and may not have run out.
+///
+/// Those that run out within the same [`GRANT_SLOT`] count as one, with the earliest position and the latest end, so that there
+/// are never more than slots in a lease. No lease is reckoned with for longer than a slot too much.
 #[derive(Clone, Debug, Default)]
 pub struct Grants {
-    grants: VecDeque<Grant>,
+    by_slot: BTreeMap<u64, Grant>,
 }
 
 impl Grants {
-    /// Notes a grant. One that covers an earlier one makes it needless.
+    /// Notes a grant.
     pub fn push(&mut self, grant: Grant, now: Instant) {
         self.drop_expired(now);
-        while self
-            .grants
-            .back()
-            .is_some_and(|last| last.position >= grant.position && last.expires <= grant.expires)
-        {
-            self.grants.pop_back();
-        }
-        self.grants.push_back(grant);
-        if self.grants.len() > MAX_GRANTS {
-            self.join_oldest();
-        }
+        let slot = grant.expires.as_micros() / GRANT_SLOT.as_micros() as u64;
+        let joined = self.by_slot.entry(slot).or_insert(grant);
+        joined.position = joined.position.min(grant.position);
+        joined.expires = joined.expires.max(grant.expires);
     }
 
-    fn join_oldest(&mut self) {
-        let (Some(first), Some(second)) = (self.grants.pop_front(), self.grants.pop_front()) else {
-            return;
-        };
-        let position = first.position.min(second.position);
-        let expires = first.expires.max(second.expires);
-        self.grants.push_front(Grant { position, expires });
+    /// Takes over the grants to a holder that acts on nothing before `settled`.
+    pub fn absorb(&mut self, others: &Grants, settled: Position, now: Instant) {
+        for grant in others.running(now) {
+            self.push(Grant { position: grant.position.max(settled), ..*grant }, now);
+        }
     }
 
     fn drop_expired(&mut self, now: Instant) {
-        self.grants.retain(|grant| now < grant.expires);
+        self.by_slot.retain(|_, grant| now < grant.expires);
     }
 
     /// The earliest position that a holder may still act on; none if all have run out.
@@ -95,12 +89,7 @@
         self.running(now).map(|grant| grant.expires).min()
     }
 
-    /// When the last one runs out.
-    pub fn last_expiry(&self, now: Instant) -> Option<Instant> {
-        self.running(now).map(|grant| grant.expires).max()
-    }
-
     fn running(&self, now: Instant) -> impl Iterator<Item = &Grant> {
-        self.grants.iter().filter(move |grant| now < grant.expires)
+        self.by_slot.values().filter(move |grant| now < grant.expires)
     }
 }
--- a/crates/gullcart-distribution/src/limits.rs
+++ b/crates/gullcart-distribution/src/limits.rs
@@ -22,6 +22,10 @@
 /// another connection can save it.
 pub const RENEW_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// A relay that neither sends frames nor renews the lease for so long is given up, for another one may be current. Longer
+/// than the lease, so that a short break of the links above does not move a whole zone.
+pub const STALE_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Frames to one subscriber are at least this far apart; changes in between go together. A burst costs a subscriber at most
 /// twenty frames a second, and a change waits at most this long at each tier.
 pub const FRAME_INTERVAL: Duration = Duration::from_millis(50);
@@ -35,13 +39,13 @@
 /// Longest encoded message. It holds a full frame and the digests of [`MAX_SCOPES`].
 pub const MAX_MESSAGE_BYTES: usize = 64 * 1024;
 
-/// A frame is closed once its changes reach this. Small enough that a lease answer is not held up behind it: 16 KiB take
-/// 13 ms on 10 Mbit/s.
-pub const FRAME_BYTES: usize = 16 * 1024;
+/// A frame is closed before its changes exceed this, unless it is a single one. A link that takes less than a frame within
+/// [`RENEW_TIMEOUT`], 2.7 KB a second, can't be told from a broken one; smaller frames would cost more in headers.
+pub const FRAME_BYTES: usize = 4 * 1024;
 
-/// Bytes on the way to a subscriber and not acknowledged; more waits at the relay, by cursor. Four full frames, enough for
-/// 600 KB/s at a round trip of 100 ms.
-pub const WINDOW_BYTES: usize = 4 * FRAME_BYTES;
+/// Bytes on the way to a subscriber and not acknowledged; more waits at the relay, by cursor. It is enough for 600 KB a second
+/// at a round trip of 100 ms.
+pub const WINDOW_BYTES: usize = 64 * 1024;
 
 /// Frames on the way to a subscriber and not acknowledged.
 pub const WINDOW_FRAMES: usize = 16;
@@ -88,8 +92,9 @@
 /// that restarts.
 pub const SCOPE_LINGER: Duration = Duration::from_secs(30);
 
-/// Leases granted to one subscriber that are told apart: those of 2.5 s at five a second, and some to spare.
-pub const MAX_GRANTS: usize = 16;
+/// Leases that run out within the same span of this length are not told apart. A lease of 2.5 s has 26 of them, so that as many
+/// are kept at most; a change may be found in force later by this much.
+pub const GRANT_SLOT: Duration = Duration::from_millis(100);
 
 /// Frames to one subscriber whose changes are told apart while they are not in force: those of 2.5 s at twenty a second.
 pub const MAX_UNSETTLED_FRAMES: usize = 64;
--- a/crates/gullcart-distribution/src/publisher/in_force.rs
+++ b/crates/gullcart-distribution/src/publisher/in_force.rs
@@ -4,51 +4,10 @@
 
 use super::session::Session;
 use super::SubscriberId;
-use crate::lease::Grant;
+use crate::lease::Grants;
 use crate::position::Position;
 use crate::time::Instant;
 
-/// Leases of subscribers that have gone. Beyond this many, they are joined on the safe side.
-const MAX_GONE: usize = 64;
-
-/// Leases of subscribers that have gone and may still act.
-#[derive(Clone, Debug, Default)]
-pub(super) struct GoneHolders {
-    leases: Vec<Grant>,
-}
-
-impl GoneHolders {
-    /// Notes a lease that may run on.
-    pub fn push(&mut self, lease: Grant, now: Instant) {
-        self.leases.retain(|lease| now < lease.expires);
-        self.leases.push(lease);
-        if self.leases.len() > MAX_GONE {
-            self.join_all();
-        }
-    }
-
-    fn join_all(&mut self) {
-        let position = self.leases.iter().map(|lease| lease.position).min();
-        let expires = self.leases.iter().map(|lease| lease.expires).max();
-        self.leases.clear();
-        if let (Some(position), Some(expires)) = (position, expires) {
-            self.leases.push(Grant { position, expires });
-        }
-    }
-
-    fn earliest(&self, now: Instant) -> Option<Position> {
-        self.running(now).map(|lease| lease.position).min()
-    }
-
-    fn next_expiry(&self, now: Instant) -> Option<Instant> {
-        self.running(now).map(|lease| lease.expires).min()
-    }
-
-    fn running(&self, now: Instant) -> impl Iterator<Item = &Grant> {
-        self.leases.iter().filter(move |lease| now < lease.expires)
-    }
-}
-
 /// What kept changes from being in force when it was last looked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Blocker {
@@ -62,12 +21,13 @@
 pub(super) struct InForce {
     position: Position,
     blocker: Blocker,
-    pub gone: GoneHolders,
+    /// Leases of subscribers that have gone and may still act.
+    pub gone: Grants,
 }
 
 impl Default for InForce {
     fn default() -> Self {
-        Self { position: Position::ORIGIN, blocker: Blocker::Nobody, gone: GoneHolders::default() }
+        Self { position: Position::ORIGIN, blocker: Blocker::Nobody, gone: Grants::default() }
     }
 }
 
--- a/crates/gullcart-distribution/src/publisher/mod.rs
+++ b/crates/gullcart-distribution/src/publisher/mod.rs
@@ -324,10 +324,9 @@
         for scope in &session.scopes {
             self.demand.remove(*scope, subscriber, now);
         }
-        let expires = session.grants.last_expiry(now).filter(|_| self.guards.lease_of_the_gone);
-        if let Some(expires) = expires {
-            let position = session.in_force(now, feed.head);
-            self.in_force.gone.push(Grant { position, expires }, now);
+        if self.guards.lease_of_the_gone {
+            let settled = session.settled(feed.head);
+            self.in_force.gone.absorb(&session.grants, settled, now);
         }
     }
 
--- a/crates/gullcart-distribution/src/publisher/session.rs
+++ b/crates/gullcart-distribution/src/publisher/session.rs
@@ -108,9 +108,17 @@
         let Some(earliest_lease) = self.grants.earliest(now) else {
             return head;
         };
+        self.settled(head).max(earliest_lease)
+    }
+
+    /// Up to where the subscriber has acknowledged that changes are in force.
+    pub fn settled(&self, head: Position) -> Position {
         let idle = !self.dirty && self.settlement.is_settled();
-        let settled = if idle { head } else { self.settlement.position() };
-        settled.max(earliest_lease)
+        if idle {
+            head
+        } else {
+            self.settlement.position()
+        }
     }
 
     /// Takes in what the subscriber says of itself.
@@ -189,8 +197,13 @@
     fn begin_repair(&mut self, feed: Feed<'_>) -> Option<RepairUnderWay> {
         let scope = self.repairs.keys().copied().find(|scope| feed.holds(*scope))?;
         let digests = self.repairs.remove(&scope)?;
-        let buckets = BucketSet::differing(&digests, &feed.store.buckets(scope));
-        let removals_after = if self.history { Position::ORIGIN } else { feed.head };
+        let mut buckets = BucketSet::differing(&digests, &feed.store.buckets(scope));
+        let mut removals_after = feed.head;
+        if self.history {
+            // Where all keys were removed, digests do not differ, but the removals are needed.
+            buckets = buckets.union(BucketSet::empty_in(&digests));
+            removals_after = Position::ORIGIN;
+        }
         Some(RepairUnderWay { scope, buckets, cursor: Position::ORIGIN, removals_after })
     }
 
--- a/crates/gullcart-distribution/src/relay.rs
+++ b/crates/gullcart-distribution/src/relay.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// An attempt to connect upstream has failed; see [`Subscriber::reconnect_at`].
+    pub fn connect_failed(&mut self, now: Instant) {
+        self.upstream.connect_failed(now);
+    }
+
     /// A link is gone.
     pub fn disconnected(&mut self, now: Instant, peer: PeerId) {
         match peer {
--- a/crates/gullcart-distribution/src/source.rs
+++ b/crates/gullcart-distribution/src/source.rs
@@ -96,9 +96,10 @@
         Ok(())
     }
 
-    /// No lease is granted beyond this moment. Without a call the tenure has no end.
+    /// No lease is granted beyond this moment. A tenure only grows; before the first call it has no end, so that the first
+    /// call comes before any relay is connected.
     pub fn extend_tenure(&mut self, until: Instant) {
-        self.tenure_until = Some(until);
+        self.tenure_until = self.tenure_until.max(Some(until));
     }
 
     /// The epoch of the current writer.
@@ -129,6 +130,7 @@
         self.pending.push_back((position, now));
         let (publisher, feed) = self.publisher_and_feed();
         publisher.changed(now, &BTreeSet::from([scope]), head_before, feed);
+        self.in_force(now);
         Ok(position)
     }
 
@@ -154,7 +156,8 @@
         Ok(())
     }
 
-    /// The position up to which changes are in force everywhere.
+    /// The position up to which changes are in force everywhere. It is also found out in every other call, so that
+    /// [`Self::next_timeout`] knows whose lease is waited for.
     pub fn in_force(&mut self, now: Instant) -> Position {
         self.publisher.in_force(now, self.state.position)
     }
@@ -178,6 +181,7 @@
     pub fn disconnected(&mut self, now: Instant, subscriber: SubscriberId) {
         let (publisher, feed) = self.publisher_and_feed();
         publisher.disconnected(now, subscriber, feed);
+        self.in_force(now);
     }
 
     /// Takes a message from a relay in. After an error for which [`ProtocolError::ends_session`] is true the driver closes
@@ -189,7 +193,9 @@
         message: Message,
     ) -> Result<(), ProtocolError> {
         let (publisher, feed) = self.publisher_and_feed();
-        publisher.handle(now, from, message, feed)
+        let result = publisher.handle(now, from, message, feed);
+        self.in_force(now);
+        result
     }
 
     /// The next message, and for whom.
@@ -206,6 +212,7 @@
     pub fn on_timeout(&mut self, now: Instant) {
         let (publisher, feed) = self.publisher_and_feed();
         publisher.on_timeout(now, feed);
+        self.in_force(now);
     }
 
     fn publisher_and_feed(&mut self) -> (&mut Publisher, Feed<'_>) {
--- a/crates/gullcart-distribution/src/subscriber/frames.rs
+++ b/crates/gullcart-distribution/src/subscriber/frames.rs
@@ -84,6 +84,7 @@
         }
         if let Some(session) = &mut self.session {
             session.received = sequence;
+            session.last_progress = now;
         }
         self.send_acknowledge();
         Ok(())
--- a/crates/gullcart-distribution/src/subscriber/mod.rs
+++ b/crates/gullcart-distribution/src/subscriber/mod.rs
@@ -176,6 +176,11 @@
         }
     }
 
+    /// An attempt to connect has failed; [`Self::reconnect_at`] says when to try again.
+    pub fn connect_failed(&mut self, now: Instant) {
+        self.wait_before_reconnecting(now);
+    }
+
     /// When to connect again, while there is no link; to another relay, if there is one.
     pub fn reconnect_at(&self) -> Instant {
         self.reconnect_at
@@ -229,7 +234,7 @@
     pub fn next_timeout(&self) -> Option<Instant> {
         let session = self.session.as_ref()?;
         let renew_at = session.accepted.then_some(session.renew_at);
-        renew_at.into_iter().chain(session.gives_up_at()).min()
+        Some(renew_at.map_or(session.gives_up_at(), |at| at.min(session.gives_up_at())))
     }
 
     /// Sends what is due, and gives the session up if the relay has been silent for too long.
@@ -237,7 +242,7 @@
         let Some(session) = &mut self.session else {
             return;
         };
-        if session.gives_up_at().is_some_and(|at| at <= now) {
+        if session.gives_up_at() <= now {
             self.session = None;
             self.wait_before_reconnecting(now);
             return;
--- a/crates/gullcart-distribution/src/subscriber/renewal.rs
+++ b/crates/gullcart-distribution/src/subscriber/renewal.rs
@@ -31,6 +31,7 @@
         self.check_renewed(&renewed)?;
         let session = self.session.as_mut().ok_or(ProtocolError::OtherSession)?;
         let sent = session.finish_renewal(renewed.renewal).ok_or(ProtocolError::UnexpectedAnswer)?;
+        session.last_progress = now;
         let lease_begins = if self.guards.lease_from_sending { sent } else { now };
         self.position = renewed.upto;
         self.backoff.reset();
--- a/crates/gullcart-distribution/src/subscriber/session.rs
+++ b/crates/gullcart-distribution/src/subscriber/session.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, VecDeque};
 
 use super::staging::StagedRepair;
-use crate::limits::{MAX_RENEWALS_WAITING, RENEW_TIMEOUT};
+use crate::limits::{MAX_RENEWALS_WAITING, RENEW_TIMEOUT, STALE_TIMEOUT};
 use crate::message::{RenewalId, Sequence, SessionId};
 use crate::scope::Scope;
 use crate::time::Instant;
@@ -21,7 +21,9 @@
     /// Its number.
     pub id: SessionId,
     /// When it was begun.
-    pub begun: Instant,
+    begun: Instant,
+    /// When it last brought a frame or a lease.
+    pub last_progress: Instant,
     /// The scopes that it was begun with.
     pub subscribed: BTreeSet<Scope>,
     /// Whether it was accepted.
@@ -46,6 +48,7 @@
         Self {
             id,
             begun: now,
+            last_progress: now,
             subscribed,
             accepted: false,
             received: Sequence(0),
@@ -78,12 +81,15 @@
     }
 
     /// When the other side is given up on.
-    pub fn gives_up_at(&self) -> Option<Instant> {
-        let waiting_since = match self.renewals.front() {
+    pub fn gives_up_at(&self) -> Instant {
+        let unanswered_since = match self.renewals.front() {
             Some(renewal) => Some(renewal.sent),
             None if !self.accepted => Some(self.begun),
             None => None,
         };
-        waiting_since.map(|since| since + RENEW_TIMEOUT)
+        // Who still sends frames is not silent: an answer may wait behind them.
+        let unanswered = unanswered_since.map(|since| since.max(self.last_progress) + RENEW_TIMEOUT);
+        let stale = self.last_progress + STALE_TIMEOUT;
+        unanswered.map_or(stale, |at| at.min(stale))
     }
 }
