--- a/crates/gullcart-distribution/src/admission.rs
+++ b/crates/gullcart-distribution/src/admission.rs
@@ -41,10 +41,15 @@
             return Err(self.retry_after(now, random));
         }
         self.full_at = after_taking;
-        self.under_way += 1;
+        self.begin();
         Ok(())
     }
 
+    /// A snapshot begins.
+    pub fn begin(&mut self) {
+        self.under_way += 1;
+    }
+
     /// A snapshot has ended, sent or broken off.
     pub fn finish(&mut self) {
         self.under_way = self.under_way.saturating_sub(1);
--- a/crates/gullcart-distribution/src/publisher/mod.rs
+++ b/crates/gullcart-distribution/src/publisher/mod.rs
@@ -33,6 +33,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SubscriberId(pub u64);
 
+/// The most that there was at a time since the node began.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Peaks {
+    /// Bytes on the way to one subscriber.
+    pub window_bytes: usize,
+    /// Snapshots under way.
+    pub snapshots: usize,
+    /// Messages that waited for the driver.
+    pub output_messages: usize,
+}
+
 /// Feeds subscribers from a [`Feed`].
 #[derive(Clone, Debug)]
 pub(crate) struct Publisher {
@@ -44,6 +55,7 @@
     timers: BTreeSet<(Instant, SubscriberId)>,
     output: VecDeque<(SubscriberId, Message)>,
     output_per_peer: BTreeMap<SubscriberId, usize>,
+    peaks: Peaks,
     random: Rng,
     pub guards: Guards,
 }
@@ -59,6 +71,7 @@
             timers: BTreeSet::new(),
             output: VecDeque::new(),
             output_per_peer: BTreeMap::new(),
+            peaks: Peaks::default(),
             random: Rng::with_seed(seed),
             guards: Guards::ALL,
         }
@@ -171,11 +184,21 @@
             return Err((Reason::Behind, self.soon()));
         }
         let resume = resume.filter(|position| feed.can_resume(*position));
-        if resume.is_none() && self.guards.admission {
+        if resume.is_none() {
+            self.admit_snapshot(now)?;
+        }
+        Ok(resume)
+    }
+
+    fn admit_snapshot(&mut self, now: Instant) -> Result<(), (Reason, std::time::Duration)> {
+        if self.guards.admission {
             let admitted = self.admission.admit(now, &mut self.random);
             admitted.map_err(|retry_after| (Reason::SnapshotsBusy, retry_after))?;
+        } else {
+            self.admission.begin();
         }
-        Ok(resume)
+        self.peaks.snapshots = self.peaks.snapshots.max(self.admission.under_way());
+        Ok(())
     }
 
     fn soon(&mut self) -> std::time::Duration {
@@ -286,6 +309,7 @@
             let Some(frame) = session.next_frame(now, feed) else {
                 return;
             };
+            self.peaks.window_bytes = self.peaks.window_bytes.max(session.window.bytes());
             self.send(subscriber, Message::Frame(frame));
         }
     }
@@ -379,14 +403,9 @@
         self.sessions.len()
     }
 
-    /// Bytes that are on their way to one subscriber, at most.
-    pub fn largest_window(&self) -> usize {
-        self.sessions.values().map(|session| session.window.bytes()).max().unwrap_or(0)
-    }
-
-    /// Snapshots under way.
-    pub fn snapshots_under_way(&self) -> usize {
-        self.admission.under_way()
+    /// The most that there was at a time.
+    pub fn peaks(&self) -> Peaks {
+        self.peaks
     }
 
     /// A driver takes messages after each call. What it does not take is bounded: the window bounds frames, and answers
@@ -398,6 +417,7 @@
         }
         *count += 1;
         self.output.push_back((subscriber, message));
+        self.peaks.output_messages = self.peaks.output_messages.max(self.output.len());
     }
 }
 
--- a/crates/gullcart-distribution/src/relay.rs
+++ b/crates/gullcart-distribution/src/relay.rs
@@ -8,7 +8,7 @@
 use crate::message::Message;
 use crate::position::{Lineage, Position};
 use crate::publisher::feed::{Authority, Feed};
-use crate::publisher::{Publisher, SubscriberId};
+use crate::publisher::{Peaks, Publisher, SubscriberId};
 use crate::scope::Scope;
 use crate::subscriber::{Role, Subscriber};
 use crate::time::Instant;
@@ -164,14 +164,9 @@
         self.publisher.session_count()
     }
 
-    /// Bytes on their way to one subscriber, at most.
-    pub fn largest_window(&self) -> usize {
-        self.publisher.largest_window()
-    }
-
-    /// Snapshots under way.
-    pub fn snapshots_under_way(&self) -> usize {
-        self.publisher.snapshots_under_way()
+    /// The most that there was at a time.
+    pub fn peaks(&self) -> Peaks {
+        self.publisher.peaks()
     }
 
     fn after_upstream(&mut self, now: Instant, before: Before) {
--- a/crates/gullcart-distribution/tests/simulation/judge.rs
+++ b/crates/gullcart-distribution/tests/simulation/judge.rs
@@ -1,6 +1,6 @@
 //! Knows all that the source numbered, and looks whether the couriers keep to it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use gullcart_distribution::digest::Digest;
 use gullcart_distribution::position::Position;
@@ -74,15 +74,16 @@
         after.checked_sub(1).map_or(Digest::default(), |last| history[last].1)
     }
 
-    /// Looks whether a courier acts on what was replaced.
+    /// Looks whether a courier acts on what was replaced, in these scopes.
     pub fn check_acting(
         &mut self,
         name: impl std::fmt::Debug,
         courier: &Subscriber,
+        scopes: &BTreeSet<Scope>,
         now: Instant,
         global: u64,
     ) {
-        for scope in courier.scopes() {
+        for scope in scopes {
             let Acting::UnderRevision(position) = courier.acting(now, *scope) else {
                 continue;
             };
--- a/crates/gullcart-distribution/tests/simulation/mod.rs
+++ b/crates/gullcart-distribution/tests/simulation/mod.rs
@@ -459,7 +459,8 @@
         }
     }
 
-    fn sample(&mut self) {
+    /// Looks how many couriers may not act.
+    pub fn sample(&mut self) {
         let now = self.now;
         let not_current = |(_, node, courier): &(usize, &Node, &Subscriber)| {
             node.stopped_until <= now
@@ -564,16 +565,18 @@
         match &node.machine {
             Machine::Courier(courier) => {
                 let local = node.clock.local(now);
-                self.judge.check_acting(id, courier, local, now);
+                self.judge.check_acting(id, courier, courier.scopes(), local, now);
                 self.judge.check_state(id, courier, local, now);
             }
             Machine::Relay(relay) => {
-                if relay.largest_window() > WINDOW_BYTES + FRAME_BYTES + MAX_VALUE_BYTES {
-                    let detail = format!("{now} us: {id:?} {} bytes", relay.largest_window());
+                let peaks = relay.peaks();
+                if peaks.window_bytes > WINDOW_BYTES + FRAME_BYTES + MAX_VALUE_BYTES {
+                    let detail = format!("{now} us: {id:?} {} bytes", peaks.window_bytes);
                     self.judge.report(Violation::WindowExceeded, detail);
                 }
-                if relay.snapshots_under_way() > MAX_SNAPSHOTS_UNDER_WAY {
-                    self.judge.report(Violation::SnapshotsExceeded, format!("{now} us: {id:?}"));
+                if peaks.snapshots > MAX_SNAPSHOTS_UNDER_WAY {
+                    let detail = format!("{now} us: {id:?} {} snapshots", peaks.snapshots);
+                    self.judge.report(Violation::SnapshotsExceeded, detail);
                 }
             }
             Machine::Source(_) => self.check_in_force(id),
@@ -616,9 +619,8 @@
             let Machine::Courier(courier) = &node.machine else {
                 continue;
             };
-            if scopes.iter().any(|scope| courier.scopes().contains(scope)) {
-                self.judge.check_acting(id, courier, node.clock.local(now), now);
-            }
+            let concerned: BTreeSet<Scope> = scopes.intersection(courier.scopes()).copied().collect();
+            self.judge.check_acting(id, courier, &concerned, node.clock.local(now), now);
         }
     }
 
@@ -882,6 +884,11 @@
         self.after_call(to);
     }
 
+    /// Takes a node away, to see what it held.
+    pub fn take_node(&mut self, id: NodeId) -> Option<Node> {
+        self.nodes.remove(&id)
+    }
+
     // What has become of it.
 
     /// Whether every courier is current in every scope and has what the source has; else the first that has not.
