Confirm a lease by one digest over all scopes, and take up thousands of scopes quickly

At the full size nobody came into force: the source counted the scopes of all couriers against the limit of one relay, and a region's relay was told 2,000 digests five times a second (78 KB/s). A lease is now confirmed by one combined digest; those of single scopes are asked for when it does not fit. Scopes that have no content yet are left out by name. The window takes 256 frames, so that 2,000 small scopes are taken over in some round trips. Publisher and subscriber are cut into smaller modules.

--- a/crates/gullcart-distribution/src/digest.rs
+++ b/crates/gullcart-distribution/src/digest.rs
@@ -5,7 +5,7 @@
 
 use crate::limits::BUCKETS;
 use crate::position::Position;
-use crate::scope::{Key, Value};
+use crate::scope::{Key, Scope, Value};
 
 /// The digest of a set of entries. It does not depend on their order, and an entry goes in or out in constant time.
 ///
@@ -25,6 +25,16 @@
         Self(hasher.digest128().to_le_bytes())
     }
 
+    /// The digest of a scope as a part of several: it differs for the same entries in another scope.
+    pub fn of_scope(scope: Scope, digest: Digest) -> Self {
+        let (kind, number) = scope.as_numbers();
+        let mut hasher = Xxh3::new();
+        hasher.update(&[kind]);
+        hasher.update(&number.to_le_bytes());
+        hasher.update(&digest.0);
+        Self(hasher.digest128().to_le_bytes())
+    }
+
     /// Puts the set of `other` in.
     pub fn insert(&mut self, other: Digest) {
         let sum = u128::from_le_bytes(self.0).wrapping_add(u128::from_le_bytes(other.0));
--- a/crates/gullcart-distribution/src/error.rs
+++ b/crates/gullcart-distribution/src/error.rs
@@ -60,6 +60,9 @@
     /// A change for a scope that is not subscribed to.
     #[error("{0:?} is not subscribed to")]
     NotSubscribed(Scope),
+    /// The digest of all scopes does not fit. No lease is taken, and the digest of each is asked for; the session goes on.
+    #[error("the digest of all scopes does not fit")]
+    WrongCombinedDigest,
     /// A digest does not fit. The scope is not acted on, and its repair is asked for; the session goes on.
     #[error("the digest of {0:?} does not fit")]
     WrongDigest(Scope),
@@ -82,6 +85,7 @@
             ProtocolError::OtherSession
                 | ProtocolError::Repeated(_)
                 | ProtocolError::WrongDigest(_)
+                | ProtocolError::WrongCombinedDigest
                 | ProtocolError::UnexpectedAnswer
                 | ProtocolError::UnknownPeer
         )
--- a/crates/gullcart-distribution/src/limits.rs
+++ b/crates/gullcart-distribution/src/limits.rs
@@ -36,7 +36,7 @@
 /// Longest value: a list of endpoints with their settings; longer ones belong into several keys.
 pub const MAX_VALUE_BYTES: usize = 8 * 1024;
 
-/// Longest encoded message. It holds a full frame and the digests of [`MAX_SCOPES`].
+/// Longest encoded message. It holds a full frame, or the names of [`MAX_SCOPES`].
 pub const MAX_MESSAGE_BYTES: usize = 64 * 1024;
 
 /// A frame is closed before its changes exceed this, unless it is a single one. A link that takes less than a frame within
@@ -47,11 +47,20 @@
 /// at a round trip of 100 ms.
 pub const WINDOW_BYTES: usize = 64 * 1024;
 
-/// Frames on the way to a subscriber and not acknowledged.
-pub const WINDOW_FRAMES: usize = 16;
+/// Frames on the way to a subscriber and not acknowledged. Repairs of scopes that are empty or small go by frames, not bytes: a
+/// relay that takes over 2,000 scopes needs eight round trips.
+pub const WINDOW_FRAMES: usize = 256;
 
-/// Scopes in one subscription. A region of three zones with 180 shares of the destinations each has 550.
-pub const MAX_SCOPES: usize = 2_048;
+/// Scopes in one subscription, and over all subscribers of a relay. A region of three zones, each with 180 shares of the
+/// destinations and 480 couriers, has 2,000; twice that after taking over another region.
+pub const MAX_SCOPES: usize = 8_192;
+
+/// Scopes that are wanted of a source: those of 11,000 couriers and 4,100 shares of the destinations, and room for four times as
+/// many.
+pub const MAX_SOURCE_SCOPES: usize = 1 << 16;
+
+/// Digests of scopes in one message, so that it stays well below [`MAX_MESSAGE_BYTES`].
+pub const DIGESTS_PER_MESSAGE: usize = 1_024;
 
 /// Entries that a node holds over all its scopes. A region's share of two percent of 1.6 million destinations is 3,000; the
 /// settings of its couriers come on top.
@@ -66,9 +75,9 @@
 /// Buckets of a scope: the unit of repair. With 16 a spoilt entry costs a sixteenth of its scope.
 pub const BUCKETS: usize = 16;
 
-/// Messages that wait for the driver of a state machine, per peer. A driver takes them after each call; more than this means
-/// that it does not, and the session is closed.
-pub const MAX_OUTPUT_MESSAGES: usize = 64;
+/// Messages that wait for the driver of a state machine, per peer: a full window of frames and as many answers. A driver takes
+/// them after each call; more than this means that it does not.
+pub const MAX_OUTPUT_MESSAGES: usize = 2 * WINDOW_FRAMES;
 
 /// Subscribers of one relay: a zone has 480, and takes those of another one in.
 pub const MAX_PEERS: usize = 2_048;
--- a/crates/gullcart-distribution/src/message.rs
+++ b/crates/gullcart-distribution/src/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::digest::{BucketDigests, BucketSet, Digest};
-use crate::limits::{BACKOFF_MAX, LEASE, MAX_SCOPES};
+use crate::limits::{BACKOFF_MAX, DIGESTS_PER_MESSAGE, LEASE, MAX_SCOPES};
 use crate::position::{Lineage, Position};
 use crate::scope::{Change, Scope};
 
@@ -47,6 +47,10 @@
     NotRenewed(NotRenewed),
     /// To the subscriber: the source has a new writer.
     EpochBegan(EpochBegan),
+    /// To the relay: asks for the digest of each scope.
+    RequestDigests(RequestDigests),
+    /// To the subscriber: the digests of scopes.
+    ScopeDigests(ScopeDigests),
 }
 
 /// Begins a session; an earlier session of the same connection ends.
@@ -91,6 +95,15 @@
     pub renewal: RenewalId,
     /// What has been taken in.
     pub progress: Progress,
+    /// Scopes whose content is not here yet or is known to be wrong; the lease leaves them out.
+    pub without: Vec<Scope>,
+}
+
+/// Asks for the digest of each scope, after that of all did not fit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestDigests {
+    /// The session.
+    pub session: SessionId,
 }
 
 /// Tells what has been taken in.
@@ -109,8 +122,8 @@
     pub session: SessionId,
     /// The scope.
     pub scope: Scope,
-    /// What the subscriber has.
-    pub digests: BucketDigests,
+    /// What the subscriber has; none if it has nothing.
+    pub digests: Option<BucketDigests>,
 }
 
 /// How a session begins.
@@ -232,7 +245,20 @@
     pub upto: Position,
     /// How long the lease lasts from the moment the renewal was sent.
     pub valid_for_micros: u32,
-    /// Digests of the session's scopes at `upto`.
+    /// Scopes on which the relay has no lease itself; this one leaves them out.
+    pub not_leased: Vec<Scope>,
+    /// The digest of all scopes of the lease at `upto`; see [`Digest::of_scope`].
+    pub digest: Digest,
+}
+
+/// Digests of scopes, in answer to [`RequestDigests`]; there may be several of these messages.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ScopeDigests {
+    /// The session.
+    pub session: SessionId,
+    /// Where the subscriber's state ends when it comes to this message. The digests are of this position.
+    pub at: Position,
+    /// The digests; at most [`DIGESTS_PER_MESSAGE`].
     pub digests: Vec<ScopeDigest>,
 }
 
@@ -260,6 +286,8 @@
             Message::Renewed(message) => message.session,
             Message::NotRenewed(message) => message.session,
             Message::EpochBegan(message) => message.session,
+            Message::RequestDigests(message) => message.session,
+            Message::ScopeDigests(message) => message.session,
         }
     }
 
@@ -275,9 +303,14 @@
             Message::Renewed(message) => {
                 message.after <= message.upto
                     && message.valid_for() <= LEASE
-                    && message.digests.len() <= MAX_SCOPES
+                    && message.not_leased.len() <= MAX_SCOPES
             }
-            _ => true,
+            Message::Renew(message) => message.without.len() <= MAX_SCOPES,
+            Message::ScopeDigests(message) => message.digests.len() <= DIGESTS_PER_MESSAGE,
+            Message::Acknowledge(_)
+            | Message::RequestRepair(_)
+            | Message::NotRenewed(_)
+            | Message::RequestDigests(_) => true,
         }
     }
 }
--- a/crates/gullcart-distribution/src/publisher/demand.rs
+++ b/crates/gullcart-distribution/src/publisher/demand.rs
@@ -3,23 +3,29 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::SubscriberId;
-use crate::limits::{MAX_SCOPES, SCOPE_LINGER};
+use crate::limits::SCOPE_LINGER;
 use crate::scope::Scope;
 use crate::time::Instant;
 
 /// The scopes that are wanted: those in use, and for some time those that were asked for or used last.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Demand {
+    limit: usize,
     users: BTreeMap<Scope, BTreeSet<SubscriberId>>,
     lingering: BTreeMap<Scope, Instant>,
     changed: bool,
 }
 
 impl Demand {
+    /// Nothing is wanted yet, and at most `limit` scopes may be.
+    pub fn new(limit: usize) -> Self {
+        Self { limit, users: BTreeMap::new(), lingering: BTreeMap::new(), changed: false }
+    }
+
     /// Whether these scopes can be wanted beside those that are.
     pub fn has_room_for(&self, scopes: &BTreeSet<Scope>) -> bool {
         let added = scopes.iter().filter(|scope| !self.is_wanted(**scope)).count();
-        self.users.len() + self.lingering.len() + added <= MAX_SCOPES
+        self.users.len() + self.lingering.len() + added <= self.limit
     }
 
     fn is_wanted(&self, scope: Scope) -> bool {
--- a/crates/gullcart-distribution/src/publisher/mod.rs
+++ b/crates/gullcart-distribution/src/publisher/mod.rs
@@ -6,6 +6,8 @@
 mod demand;
 pub(crate) mod feed;
 mod in_force;
+mod requests;
+mod sending;
 mod session;
 mod window;
 
@@ -21,10 +23,8 @@
 use crate::error::ProtocolError;
 use crate::guards::Guards;
 use crate::lease::Grant;
-use crate::limits::{BACKOFF_MIN, MAX_OUTPUT_MESSAGES, MAX_PEERS, MAX_SCOPES, NOT_READY_RETRY};
-use crate::message::{
-    EpochBegan, Message, Reason, Refused, Renew, RequestRepair, Rescope, SessionId, Start, Subscribe, Welcome,
-};
+use crate::limits::{BACKOFF_MIN, MAX_OUTPUT_MESSAGES, NOT_READY_RETRY};
+use crate::message::{EpochBegan, Message, Reason, Refused, SessionId};
 use crate::position::Position;
 use crate::scope::Scope;
 use crate::time::Instant;
@@ -61,11 +61,12 @@
 }
 
 impl Publisher {
-    pub fn new(seed: u64) -> Self {
+    /// Subscribers of the node want at most `max_scopes` at a time.
+    pub fn new(seed: u64, max_scopes: usize) -> Self {
         Self {
             links: BTreeSet::new(),
             sessions: BTreeMap::new(),
-            demand: Demand::default(),
+            demand: Demand::new(max_scopes),
             in_force: InForce::default(),
             admission: SnapshotAdmission::default(),
             timers: BTreeSet::new(),
@@ -109,145 +110,6 @@
         result
     }
 
-    fn take_message(
-        &mut self,
-        now: Instant,
-        subscriber: SubscriberId,
-        message: Message,
-        feed: Feed<'_>,
-    ) -> Result<(), ProtocolError> {
-        if !self.links.contains(&subscriber) {
-            return Err(ProtocolError::UnknownPeer);
-        }
-        if !message.is_well_formed() {
-            return Err(ProtocolError::Malformed);
-        }
-        let session = match message {
-            Message::Subscribe(subscribe) => {
-                self.take_subscribe(now, subscriber, subscribe, feed);
-                return Ok(());
-            }
-            other => self.session_of(subscriber, other.session()).map(|session| (session, other))?,
-        };
-        match session {
-            (session, Message::Acknowledge(message)) => session.note_progress(message.progress),
-            (session, Message::Renew(message)) => {
-                session.note_progress(message.progress);
-                self.take_renew(now, subscriber, message, feed);
-                return Ok(());
-            }
-            (session, Message::RequestRepair(message)) => take_repair_request(session, message)?,
-            (_, Message::Rescope(message)) => self.take_rescope(now, subscriber, message, feed)?,
-            _ => return Err(ProtocolError::WrongDirection),
-        }
-        self.pump(now, subscriber, feed);
-        Ok(())
-    }
-
-    fn session_of(&mut self, subscriber: SubscriberId, id: SessionId) -> Result<&mut Session, ProtocolError> {
-        let session = self.sessions.get_mut(&subscriber).filter(|session| session.id == id);
-        session.ok_or(ProtocolError::OtherSession)
-    }
-
-    fn take_subscribe(&mut self, now: Instant, subscriber: SubscriberId, message: Subscribe, feed: Feed<'_>) {
-        self.end_session(now, subscriber, feed);
-        let scopes: BTreeSet<Scope> = message.scopes.into_iter().collect();
-        match self.begin(now, &scopes, message.resume, feed) {
-            Ok(resume) => {
-                let session = Session::new(message.session, scopes, message.history, resume, feed);
-                self.welcome(subscriber, &session, feed);
-                session.scopes.iter().for_each(|scope| self.demand.add(*scope, subscriber));
-                self.sessions.insert(subscriber, session);
-                self.pump(now, subscriber, feed);
-            }
-            Err((reason, retry_after)) => self.send_refused(subscriber, message.session, reason, retry_after),
-        }
-    }
-
-    /// Decides whether a session begins: from the position returned, or with a snapshot if there is none.
-    fn begin(
-        &mut self,
-        now: Instant,
-        scopes: &BTreeSet<Scope>,
-        resume: Option<Position>,
-        feed: Feed<'_>,
-    ) -> Result<Option<Position>, (Reason, std::time::Duration)> {
-        if self.sessions.len() >= MAX_PEERS || !self.demand.has_room_for(scopes) {
-            return Err((Reason::Full, self.soon()));
-        }
-        let is_ready = feed.lineage.latest().is_some() && scopes.iter().all(|scope| feed.holds(*scope));
-        if !is_ready {
-            scopes.iter().for_each(|scope| self.demand.ask(*scope, now));
-            return Err((Reason::NotReady, self.soon()));
-        }
-        if resume.is_some_and(|position| feed.is_behind(position)) {
-            return Err((Reason::Behind, self.soon()));
-        }
-        let resume = resume.filter(|position| feed.can_resume(*position));
-        if resume.is_none() {
-            self.admit_snapshot(now)?;
-        }
-        Ok(resume)
-    }
-
-    fn admit_snapshot(&mut self, now: Instant) -> Result<(), (Reason, std::time::Duration)> {
-        if self.guards.admission {
-            let admitted = self.admission.admit(now, &mut self.random);
-            admitted.map_err(|retry_after| (Reason::SnapshotsBusy, retry_after))?;
-        } else {
-            self.admission.begin();
-        }
-        self.peaks.snapshots = self.peaks.snapshots.max(self.admission.under_way());
-        Ok(())
-    }
-
-    fn soon(&mut self) -> std::time::Duration {
-        NOT_READY_RETRY + jitter(NOT_READY_RETRY, &mut self.random)
-    }
-
-    fn welcome(&mut self, subscriber: SubscriberId, session: &Session, feed: Feed<'_>) {
-        let start = if session.in_snapshot { Start::Snapshot } else { Start::Resume };
-        let floor = if session.history { feed.store.floor() } else { feed.head };
-        let lineage = feed.lineage.clone();
-        self.send(subscriber, Message::Welcome(Welcome { session: session.id, start, lineage, floor }));
-    }
-
-    fn take_renew(&mut self, now: Instant, subscriber: SubscriberId, message: Renew, feed: Feed<'_>) {
-        self.send_frames(now, subscriber, feed, Pace::AtOnce);
-        let Some(session) = self.sessions.get_mut(&subscriber) else {
-            return;
-        };
-        let answer = session.answer_renewal(now, message.renewal, feed);
-        self.send(subscriber, answer);
-        self.pump(now, subscriber, feed);
-    }
-
-    fn take_rescope(
-        &mut self,
-        now: Instant,
-        subscriber: SubscriberId,
-        message: Rescope,
-        feed: Feed<'_>,
-    ) -> Result<(), ProtocolError> {
-        let added: BTreeSet<Scope> = message.add.into_iter().collect();
-        let Some(session) = self.sessions.get_mut(&subscriber) else {
-            return Err(ProtocolError::OtherSession);
-        };
-        if session.scopes.len() + added.len() > MAX_SCOPES || !self.demand.has_room_for(&added) {
-            return Err(ProtocolError::Malformed);
-        }
-        for scope in &message.remove {
-            session.scopes.remove(scope);
-            session.cancel_repair(*scope);
-            self.demand.remove(*scope, subscriber, now);
-        }
-        session.scopes.extend(&added);
-        // What was passed over in the added scopes so far may lie behind the cursor.
-        session.mark_dirty(feed.head);
-        added.iter().for_each(|scope| self.demand.add(*scope, subscriber));
-        Ok(())
-    }
-
     /// The state has moved on from `head_before`, in these scopes.
     pub fn changed(&mut self, now: Instant, scopes: &BTreeSet<Scope>, head_before: Position, feed: Feed<'_>) {
         let concerned: BTreeSet<SubscriberId> =
@@ -277,43 +139,6 @@
         }
     }
 
-    /// Sends what may be sent to a subscriber and sets its timer for the rest.
-    fn pump(&mut self, now: Instant, subscriber: SubscriberId, feed: Feed<'_>) {
-        self.send_frames(now, subscriber, feed, Pace::Spaced);
-        let Some(session) = self.sessions.get_mut(&subscriber) else {
-            return;
-        };
-        if session.in_snapshot && !session.mid_transfer {
-            session.in_snapshot = false;
-            self.admission.finish();
-        }
-        if session.dirty && session.window.has_room() {
-            self.timers.insert((session.next_frame_at.max(now), subscriber));
-        }
-    }
-
-    fn send_frames(&mut self, now: Instant, subscriber: SubscriberId, feed: Feed<'_>, pace: Pace) {
-        let has_window = self.guards.window;
-        while let Some(session) = self.sessions.get_mut(&subscriber) {
-            let has_room = session.window.has_room() || !has_window;
-            let is_early = pace == Pace::Spaced && now < session.next_frame_at;
-            let must_wait = session.dirty && !session.mid_transfer && is_early;
-            if !has_room || must_wait {
-                return;
-            }
-            if !session.has_all_removals(feed) {
-                let id = session.id;
-                self.refuse(now, subscriber, id, Reason::Replaced, feed);
-                return;
-            }
-            let Some(frame) = session.next_frame(now, feed) else {
-                return;
-            };
-            self.peaks.window_bytes = self.peaks.window_bytes.max(session.window.bytes());
-            self.send(subscriber, Message::Frame(frame));
-        }
-    }
-
     fn refuse(
         &mut self,
         now: Instant,
@@ -420,20 +245,3 @@
         self.peaks.output_messages = self.peaks.output_messages.max(self.output.len());
     }
 }
-
-/// How frames follow on each other.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Pace {
-    /// As far as the window goes.
-    AtOnce,
-    /// Those with changes at least [`crate::limits::FRAME_INTERVAL`] apart.
-    Spaced,
-}
-
-fn take_repair_request(session: &mut Session, message: RequestRepair) -> Result<(), ProtocolError> {
-    if !session.scopes.contains(&message.scope) {
-        return Err(ProtocolError::NotSubscribed(message.scope));
-    }
-    session.request_repair(message.scope, message.digests);
-    Ok(())
-}
--- a/crates/gullcart-distribution/src/publisher/session.rs
+++ b/crates/gullcart-distribution/src/publisher/session.rs
@@ -1,14 +1,16 @@
 //! A subscriber's session, as the publisher sees it.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use super::feed::Feed;
 use super::window::{Settlement, Window};
-use crate::digest::{BucketDigests, BucketSet};
+use crate::digest::{BucketDigests, BucketSet, Digest};
 use crate::lease::{Grant, Grants};
-use crate::limits::{FRAME_BYTES, FRAME_INTERVAL};
+use crate::limits::{DIGESTS_PER_MESSAGE, FRAME_BYTES, FRAME_INTERVAL, LEASE};
 use crate::message::{
-    Frame, Message, NotRenewed, Part, Progress, RenewalId, Renewed, ScopeDigest, Sequence, SessionId,
+    Frame, Message, NotRenewed, Part, Progress, Renew, Renewed, ScopeDigest, ScopeDigests, Sequence,
+    SessionId,
 };
 use crate::position::Position;
 use crate::scope::Scope;
@@ -128,8 +130,8 @@
     }
 
     /// Notes a repair that is asked for.
-    pub fn request_repair(&mut self, scope: Scope, digests: BucketDigests) {
-        self.repairs.insert(scope, digests);
+    pub fn request_repair(&mut self, scope: Scope, digests: Option<BucketDigests>) {
+        self.repairs.insert(scope, digests.unwrap_or_default());
     }
 
     /// Forgets the repair of a scope that is given up.
@@ -223,35 +225,66 @@
     }
 
     /// Answers a renewal. A lease is granted only if all changes were sent.
-    pub fn answer_renewal(&mut self, now: Instant, renewal: RenewalId, feed: Feed<'_>) -> Message {
-        let not_renewed = Message::NotRenewed(NotRenewed { session: self.id, renewal });
-        if self.dirty || self.mid_transfer {
-            return not_renewed;
-        }
-        let mut valid_for = crate::limits::LEASE;
-        let mut digests = Vec::new();
-        for scope in &self.scopes {
-            let Some(left) = feed.lease_left(*scope, now).filter(|_| feed.holds(*scope)) else {
-                continue;
-            };
-            valid_for = valid_for.min(left);
-            digests.push(ScopeDigest { scope: *scope, digest: feed.store.digest(*scope) });
+    pub fn answer_renewal(&mut self, now: Instant, renew: &Renew, feed: Feed<'_>) -> Message {
+        let offer = self.offer(now, &renew.without, feed);
+        let is_current = !self.dirty && !self.mid_transfer;
+        if !is_current || (offer.leased == 0 && !offer.not_leased.is_empty()) {
+            return Message::NotRenewed(NotRenewed { session: self.id, renewal: renew.renewal });
         }
-        if digests.is_empty() && !self.scopes.is_empty() {
-            return not_renewed;
-        }
-        self.grants.push(Grant::new(feed.head, now, valid_for), now);
+        self.grants.push(Grant::new(feed.head, now, offer.valid_for), now);
         let after = std::mem::replace(&mut self.sent, feed.head);
         Message::Renewed(Renewed {
             session: self.id,
-            renewal,
+            renewal: renew.renewal,
             sequence: self.last_sequence,
             after,
             upto: feed.head,
-            valid_for_micros: u32::try_from(valid_for.as_micros()).unwrap_or(u32::MAX),
-            digests,
+            valid_for_micros: u32::try_from(offer.valid_for.as_micros()).unwrap_or(u32::MAX),
+            not_leased: offer.not_leased,
+            digest: offer.digest,
         })
     }
+
+    fn offer(&self, now: Instant, without: &[Scope], feed: Feed<'_>) -> LeaseOffer {
+        let without: BTreeSet<Scope> = without.iter().copied().collect();
+        let mut offer =
+            LeaseOffer { valid_for: LEASE, leased: 0, not_leased: Vec::new(), digest: Digest::default() };
+        for scope in self.scopes.difference(&without) {
+            match feed.lease_left(*scope, now).filter(|_| feed.holds(*scope)) {
+                Some(left) => {
+                    offer.leased += 1;
+                    offer.valid_for = offer.valid_for.min(left);
+                    offer.digest.insert(Digest::of_scope(*scope, feed.store.digest(*scope)));
+                }
+                None => offer.not_leased.push(*scope),
+            }
+        }
+        offer
+    }
+
+    /// The digests of all scopes that are here and sound; none while changes wait, as they could not be compared.
+    pub fn scope_digests(&self, feed: Feed<'_>) -> Vec<Message> {
+        let is_current = !self.dirty && !self.mid_transfer;
+        let listed = self.scopes.iter().filter(|scope| is_current && feed.holds(**scope));
+        let digests: Vec<ScopeDigest> =
+            listed.map(|scope| ScopeDigest { scope: *scope, digest: feed.store.digest(*scope) }).collect();
+        let message = |digests: &[ScopeDigest]| {
+            let digests = digests.to_vec();
+            Message::ScopeDigests(ScopeDigests { session: self.id, at: self.sent, digests })
+        };
+        if digests.is_empty() {
+            return vec![message(&[])];
+        }
+        digests.chunks(DIGESTS_PER_MESSAGE).map(message).collect()
+    }
+}
+
+/// What a lease can be granted on.
+struct LeaseOffer {
+    valid_for: Duration,
+    leased: usize,
+    not_leased: Vec<Scope>,
+    digest: Digest,
 }
 
 fn end_of(collected: &Collected, end_of_state: Position) -> Position {
--- a/crates/gullcart-distribution/src/relay.rs
+++ b/crates/gullcart-distribution/src/relay.rs
@@ -4,7 +4,7 @@
 
 use crate::error::ProtocolError;
 use crate::guards::Guards;
-use crate::limits::RESCOPE_DELAY;
+use crate::limits::{MAX_SCOPES, RESCOPE_DELAY};
 use crate::message::Message;
 use crate::position::{Lineage, Position};
 use crate::publisher::feed::{Authority, Feed};
@@ -54,7 +54,7 @@
     pub fn new(seed: u64) -> Self {
         Self {
             upstream: Subscriber::new(Role::Relay, [], seed),
-            publisher: Publisher::new(seed.wrapping_add(1)),
+            publisher: Publisher::new(seed.wrapping_add(1), MAX_SCOPES),
             rescope_at: None,
             guards: Guards::ALL,
         }
--- a/crates/gullcart-distribution/src/scope.rs
+++ b/crates/gullcart-distribution/src/scope.rs
@@ -21,6 +21,19 @@
     Courier(u32),
 }
 
+impl Scope {
+    /// Its kind and its number within the kind.
+    pub fn as_numbers(self) -> (u8, u32) {
+        match self {
+            Scope::Global => (0, 0),
+            Scope::Region(number) => (1, u32::from(number)),
+            Scope::Zone(number) => (2, u32::from(number)),
+            Scope::Destinations(number) => (3, number),
+            Scope::Courier(number) => (4, number),
+        }
+    }
+}
+
 /// A key or value is longer than is allowed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{length} bytes where at most {limit} are allowed")]
--- a/crates/gullcart-distribution/src/source.rs
+++ b/crates/gullcart-distribution/src/source.rs
@@ -6,7 +6,7 @@
 use crate::error::{ProtocolError, SourceError};
 use crate::guards::Guards;
 use crate::lease::Grant;
-use crate::limits::{LEASE, MAX_ENTRIES, MAX_PENDING_CHANGES};
+use crate::limits::{LEASE, MAX_ENTRIES, MAX_PENDING_CHANGES, MAX_SOURCE_SCOPES};
 use crate::message::Message;
 use crate::position::{Epoch, Lineage, Position, Revision};
 use crate::publisher::feed::{Authority, Feed};
@@ -64,7 +64,7 @@
     ///
     /// An earlier source may have granted leases until now, so nothing counts as in force before those have run out.
     pub fn new(now: Instant, state: SourceState, seed: u64) -> Self {
-        let mut publisher = Publisher::new(seed);
+        let mut publisher = Publisher::new(seed, MAX_SOURCE_SCOPES);
         publisher.assume_leases(Grant::new(Position::ORIGIN, now, LEASE), now);
         Self { state, tenure_until: None, pending: VecDeque::new(), publisher, guards: Guards::ALL }
     }
--- a/crates/gullcart-distribution/src/subscriber/frames.rs
+++ b/crates/gullcart-distribution/src/subscriber/frames.rs
@@ -123,7 +123,7 @@
     }
 
     fn may_come(&self, scope: Scope) -> bool {
-        let given_up = self.session.as_ref().is_some_and(|session| session.given_up.contains(&scope));
+        let given_up = self.session.as_ref().is_some_and(|session| session.has_given_up(scope));
         given_up || self.scopes.contains(&scope)
     }
 
@@ -226,7 +226,7 @@
         let Some(session) = &mut self.session else {
             return Err(ProtocolError::OtherSession);
         };
-        if !session.repairs_asked.contains(&scope) && !session.given_up.contains(&scope) {
+        if !session.repairs_asked.contains(&scope) && !session.has_given_up(scope) {
             return Err(ProtocolError::Malformed);
         }
         let mut repair = session.repair.take().unwrap_or_else(|| StagedRepair::new(scope, buckets));
--- a/crates/gullcart-distribution/src/subscriber/mod.rs
+++ b/crates/gullcart-distribution/src/subscriber/mod.rs
@@ -4,6 +4,7 @@
 
 mod frames;
 mod renewal;
+mod scopes;
 mod session;
 mod staging;
 
@@ -19,7 +20,7 @@
 use crate::guards::Guards;
 use crate::lease::Leases;
 use crate::limits::{MAX_OUTPUT_MESSAGES, RELAY_RENEW_INTERVAL, SUBSCRIBER_RENEW_INTERVAL};
-use crate::message::{Acknowledge, Message, Progress, RequestRepair, Rescope, SessionId, Subscribe};
+use crate::message::{Acknowledge, Message, Progress, SessionId, Subscribe};
 use crate::position::{Epoch, Lineage, Position};
 use crate::scope::Scope;
 use crate::store::Store;
@@ -214,6 +215,7 @@
             Message::Welcome(welcome) => self.take_welcome(now, welcome),
             Message::EpochBegan(began) => self.take_lineage(began.lineage),
             Message::Frame(frame) => self.take_frame(now, frame),
+            Message::ScopeDigests(digests) => self.take_digests(digests),
             Message::Renewed(renewed) => self.take_renewed(now, renewed),
             Message::NotRenewed(answer) => self.take_not_renewed(answer),
             Message::Refused(refused) => {
@@ -252,35 +254,6 @@
         }
     }
 
-    /// Subscribes to more scopes and gives others up. Those added are not current until their content has come.
-    pub fn rescope(&mut self, add: &BTreeSet<Scope>, remove: &BTreeSet<Scope>) {
-        let add: Vec<Scope> = add.difference(&self.scopes).copied().collect();
-        let remove: Vec<Scope> = remove.intersection(&self.scopes).copied().collect();
-        if add.is_empty() && remove.is_empty() {
-            return;
-        }
-        for scope in &remove {
-            self.forget(*scope);
-        }
-        self.scopes.extend(&add);
-        let Some(session) = &mut self.session else {
-            return;
-        };
-        session.given_up.extend(&remove);
-        let session_id = session.id;
-        self.send(Message::Rescope(Rescope { session: session_id, add: add.clone(), remove }));
-        for scope in add {
-            self.request_repair(scope);
-        }
-    }
-
-    fn forget(&mut self, scope: Scope) {
-        self.scopes.remove(&scope);
-        self.held.remove(&scope);
-        self.leases.give_up(scope);
-        self.store.remove_scope(scope);
-    }
-
     /// The scopes that were touched since the last call, for a relay to feed its own subscribers.
     pub(crate) fn take_touched(&mut self) -> BTreeSet<Scope> {
         std::mem::take(&mut self.touched)
@@ -314,20 +287,6 @@
         }
     }
 
-    /// Asks for a scope's repair; returns false if it has been asked for already.
-    fn request_repair(&mut self, scope: Scope) -> bool {
-        let Some(session) = &mut self.session else {
-            return false;
-        };
-        if !session.repairs_asked.insert(scope) {
-            return false;
-        }
-        let digests = self.store.buckets(scope);
-        let request = RequestRepair { session: session.id, scope, digests };
-        self.send(Message::RequestRepair(request));
-        true
-    }
-
     fn wait_before_reconnecting(&mut self, now: Instant) {
         self.reconnect_at = now + self.backoff.next_wait(&mut self.random);
     }
--- a/crates/gullcart-distribution/src/subscriber/renewal.rs
+++ b/crates/gullcart-distribution/src/subscriber/renewal.rs
@@ -1,8 +1,14 @@
 //! How a subscriber renews its leases, and what it does when a digest does not fit.
 
+use std::collections::BTreeSet;
+
+use super::session::Renewal;
 use super::Subscriber;
+use crate::digest::Digest;
 use crate::error::ProtocolError;
-use crate::message::{Message, NotRenewed, Renew, Renewed, ScopeDigest, Sequence};
+use crate::message::{
+    Message, NotRenewed, Renew, Renewed, RequestDigests, ScopeDigest, ScopeDigests, Sequence,
+};
 use crate::scope::Scope;
 use crate::time::Instant;
 
@@ -10,14 +16,16 @@
     pub(super) fn send_renewal(&mut self, now: Instant) {
         let interval = self.renew_interval();
         let progress = self.progress();
+        let scopes: BTreeSet<Scope> = self.scopes.intersection(&self.held).copied().collect();
+        let without: Vec<Scope> = self.scopes.difference(&self.held).copied().collect();
         let Some(session) = &mut self.session else {
             return;
         };
         session.renew_at = now + interval;
-        let Some(renewal) = session.begin_renewal(now) else {
+        let Some(renewal) = session.begin_renewal(now, scopes) else {
             return;
         };
-        let renew = Renew { session: session.id, renewal, progress };
+        let renew = Renew { session: session.id, renewal, progress, without };
         self.send(Message::Renew(renew));
     }
 
@@ -30,24 +38,66 @@
     pub(super) fn take_renewed(&mut self, now: Instant, renewed: Renewed) -> Result<(), ProtocolError> {
         self.check_renewed(&renewed)?;
         let session = self.session.as_mut().ok_or(ProtocolError::OtherSession)?;
-        let sent = session.finish_renewal(renewed.renewal).ok_or(ProtocolError::UnexpectedAnswer)?;
+        let renewal = session.finish_renewal(renewed.renewal).ok_or(ProtocolError::UnexpectedAnswer)?;
         session.last_progress = now;
-        let lease_begins = if self.guards.lease_from_sending { sent } else { now };
         self.position = renewed.upto;
         self.backoff.reset();
-        let mut wrong = None;
-        for listed in &renewed.digests {
-            if !self.scopes.contains(&listed.scope) {
-                continue;
-            }
-            if self.is_sound(listed) {
-                self.held.insert(listed.scope);
-                self.leases.renew(listed.scope, lease_begins, renewed.valid_for());
-            } else if self.distrust(listed.scope) {
-                wrong = wrong.or(Some(listed.scope));
-            }
+        self.take_leases(now, renewal, renewed)
+    }
+
+    /// Takes the lease on all scopes for which it was asked, if their digest fits.
+    fn take_leases(&mut self, now: Instant, renewal: Renewal, renewed: Renewed) -> Result<(), ProtocolError> {
+        let some_given_up = !renewal.scopes.is_subset(&self.scopes);
+        if some_given_up {
+            // Their content is gone, and the digest can't be compared; the next renewal is without them.
+            return Ok(());
+        }
+        let not_leased: BTreeSet<Scope> = renewed.not_leased.iter().copied().collect();
+        let leased: Vec<Scope> = renewal.scopes.difference(&not_leased).copied().collect();
+        if self.guards.digest_check && self.combined_digest(&leased) != renewed.digest {
+            self.request_digests();
+            return Err(ProtocolError::WrongCombinedDigest);
+        }
+        let begins = if self.guards.lease_from_sending { renewal.sent } else { now };
+        for scope in leased {
+            self.leases.renew(scope, begins, renewed.valid_for());
+        }
+        Ok(())
+    }
+
+    fn combined_digest(&self, scopes: &[Scope]) -> Digest {
+        let mut combined = Digest::default();
+        for scope in scopes {
+            combined.insert(Digest::of_scope(*scope, self.store.digest(*scope)));
         }
-        wrong.map_or(Ok(()), |scope| Err(ProtocolError::WrongDigest(scope)))
+        combined
+    }
+
+    fn request_digests(&mut self) {
+        let Some(session) = &mut self.session else {
+            return;
+        };
+        if !std::mem::replace(&mut session.digests_asked, true) {
+            let request = RequestDigests { session: session.id };
+            self.send(Message::RequestDigests(request));
+        }
+    }
+
+    /// Finds the scopes that differ and has them repaired.
+    pub(super) fn take_digests(&mut self, message: ScopeDigests) -> Result<(), ProtocolError> {
+        let session = self.session.as_mut().ok_or(ProtocolError::OtherSession)?;
+        session.digests_asked = false;
+        if message.at != self.position || self.staged.is_some() {
+            return Ok(());
+        }
+        let differs = |listed: &&ScopeDigest| {
+            self.held.contains(&listed.scope) && self.store.digest(listed.scope) != listed.digest
+        };
+        let wrong: Vec<Scope> = message.digests.iter().filter(differs).map(|listed| listed.scope).collect();
+        for scope in &wrong {
+            self.distrust(*scope);
+        }
+        wrong.first().map_or(Ok(()), |scope| Err(ProtocolError::WrongDigest(*scope)))
     }
 
     /// Checks everything before anything is changed.
@@ -74,15 +124,10 @@
         Ok(())
     }
 
-    /// Whether a scope is as the relay has it.
-    fn is_sound(&self, listed: &ScopeDigest) -> bool {
-        !self.guards.digest_check || self.store.digest(listed.scope) == listed.digest
-    }
-
-    /// The scope is acted on no longer until its repair is in. Returns false if that has been asked for already.
-    fn distrust(&mut self, scope: Scope) -> bool {
+    /// The scope is acted on no longer until its repair is in.
+    fn distrust(&mut self, scope: Scope) {
         self.held.remove(&scope);
         self.leases.give_up(scope);
-        self.request_repair(scope)
+        self.request_repair(scope);
     }
 }
--- a/crates/gullcart-distribution/src/subscriber/session.rs
+++ b/crates/gullcart-distribution/src/subscriber/session.rs
@@ -9,10 +9,13 @@
 use crate::time::Instant;
 
 /// A renewal that waits for its answer.
-#[derive(Clone, Copy, Debug)]
-struct Renewal {
+#[derive(Clone, Debug)]
+pub(super) struct Renewal {
     id: RenewalId,
-    sent: Instant,
+    /// When it was sent.
+    pub sent: Instant,
+    /// The scopes that the lease is asked for.
+    pub scopes: BTreeSet<Scope>,
 }
 
 /// The state of one session.
@@ -37,7 +40,11 @@
     /// Scopes whose repair has been asked for.
     pub repairs_asked: BTreeSet<Scope>,
     /// Scopes that were given up in this session; frames that were on their way may still have them.
-    pub given_up: BTreeSet<Scope>,
+    given_up: BTreeSet<Scope>,
+    /// The answer to this renewal comes behind all frames with scopes that were given up.
+    given_up_until: RenewalId,
+    /// Whether the digests of all scopes have been asked for.
+    pub digests_asked: bool,
     renewals: VecDeque<Renewal>,
     next_renewal: RenewalId,
 }
@@ -56,28 +63,42 @@
             repair: None,
             repairs_asked: BTreeSet::new(),
             given_up: BTreeSet::new(),
+            given_up_until: RenewalId(0),
+            digests_asked: false,
             renewals: VecDeque::new(),
             next_renewal: RenewalId(1),
         }
     }
 
     /// Notes a renewal that is sent now. None may be sent while too many wait.
-    pub fn begin_renewal(&mut self, now: Instant) -> Option<RenewalId> {
+    pub fn begin_renewal(&mut self, now: Instant, scopes: BTreeSet<Scope>) -> Option<RenewalId> {
         if self.renewals.len() >= MAX_RENEWALS_WAITING {
             return None;
         }
         let id = self.next_renewal;
         self.next_renewal = RenewalId(id.0 + 1);
-        self.renewals.push_back(Renewal { id, sent: now });
+        self.renewals.push_back(Renewal { id, sent: now, scopes });
         Some(id)
     }
 
-    /// When the answered renewal was sent. It and earlier ones are not waited for any more.
-    pub fn finish_renewal(&mut self, id: RenewalId) -> Option<Instant> {
+    /// The renewal that is answered. It and earlier ones are not waited for any more.
+    pub fn finish_renewal(&mut self, id: RenewalId) -> Option<Renewal> {
         let place = self.renewals.iter().position(|renewal| renewal.id == id)?;
-        let sent = self.renewals[place].sent;
-        self.renewals.drain(..=place);
-        Some(sent)
+        if id >= self.given_up_until {
+            self.given_up.clear();
+        }
+        self.renewals.drain(..=place).next_back()
+    }
+
+    /// Notes scopes that are given up now.
+    pub fn give_up(&mut self, scopes: &[Scope]) {
+        self.given_up.extend(scopes);
+        self.given_up_until = self.next_renewal;
+    }
+
+    /// Whether a scope was given up, and frames that were on their way may still have it.
+    pub fn has_given_up(&self, scope: Scope) -> bool {
+        self.given_up.contains(&scope)
     }
 
     /// When the other side is given up on.
--- a/crates/gullcart-distribution/tests/codec.rs
+++ b/crates/gullcart-distribution/tests/codec.rs
@@ -3,7 +3,9 @@
 use gullcart_distribution::codec::{decode, encode, encode_framed, StreamDecoder, LENGTH_BYTES, VERSION};
 use gullcart_distribution::digest::{BucketSet, Digest};
 use gullcart_distribution::error::CodecError;
-use gullcart_distribution::limits::{MAX_KEY_BYTES, MAX_MESSAGE_BYTES, MAX_SCOPES, MAX_VALUE_BYTES};
+use gullcart_distribution::limits::{
+    DIGESTS_PER_MESSAGE, MAX_KEY_BYTES, MAX_MESSAGE_BYTES, MAX_SCOPES, MAX_VALUE_BYTES,
+};
 use gullcart_distribution::message::*;
 use gullcart_distribution::position::{Epoch, Lineage, Position, Revision};
 use gullcart_distribution::scope::{Change, Key, Scope, Value};
@@ -74,7 +76,7 @@
 
 prop_compose! {
     fn controls()(
-        kind in 0..9,
+        kind in 0..11,
         session in any::<u64>().prop_map(SessionId),
         number in any::<u64>(),
         scopes in proptest::collection::vec(scopes(), 0..30),
@@ -87,11 +89,17 @@
         match kind {
             0 => Message::Subscribe(Subscribe { session, scopes, resume: resume.then_some(position), history: resume }),
             1 => Message::Rescope(Rescope { session, add: scopes.clone(), remove: scopes }),
-            2 => Message::Renew(Renew { session, renewal, progress }),
+            2 => Message::Renew(Renew { session, renewal, progress, without: scopes }),
             3 => Message::Acknowledge(Acknowledge { session, progress }),
-            4 => Message::RequestRepair(RequestRepair { session, scope: Scope::Global, digests: [digest; 16] }),
+            4 => Message::RequestRepair(RequestRepair { session, scope: Scope::Global, digests: resume.then_some([digest; 16]) }),
             5 => Message::Welcome(Welcome { session, start: Start::Snapshot, lineage: lineage(), floor: position }),
             7 => Message::EpochBegan(EpochBegan { session, lineage: lineage() }),
+            8 => Message::RequestDigests(RequestDigests { session }),
+            9 => Message::ScopeDigests(ScopeDigests {
+                session,
+                at: position,
+                digests: scopes.into_iter().map(|scope| ScopeDigest { scope, digest }).collect(),
+            }),
             6 => Message::NotRenewed(NotRenewed { session, renewal }),
             _ => Message::Renewed(Renewed {
                 session,
@@ -100,7 +108,8 @@
                 after: position,
                 upto: position,
                 valid_for_micros: 1_000_000,
-                digests: scopes.into_iter().map(|scope| ScopeDigest { scope, digest }).collect(),
+                not_leased: scopes,
+                digest,
             }),
         }
     }
@@ -220,17 +229,34 @@
 }
 
 #[test]
-fn the_digests_of_all_scopes_fit_into_a_message() {
+fn the_longest_lists_fit_into_a_message() {
     let digest = Digest::default();
-    let scope_digest = |number| ScopeDigest { scope: Scope::Destinations(u32::MAX - number), digest };
+    let scope = |number: usize| Scope::Destinations(u32::MAX - number as u32);
+    let position = Position::new(u64::MAX, u64::MAX);
+    let digests = Message::ScopeDigests(ScopeDigests {
+        session: SessionId(u64::MAX),
+        at: position,
+        digests: (0..DIGESTS_PER_MESSAGE)
+            .map(|number| ScopeDigest { scope: scope(number), digest })
+            .collect(),
+    });
+    assert!(encode(&digests).is_ok());
     let renewed = Message::Renewed(Renewed {
         session: SessionId(u64::MAX),
         renewal: RenewalId(u64::MAX),
         sequence: Sequence(u64::MAX),
-        after: Position::new(u64::MAX, u64::MAX),
-        upto: Position::new(u64::MAX, u64::MAX),
-        valid_for_micros: 1,
-        digests: (0..MAX_SCOPES as u32).map(scope_digest).collect(),
+        after: position,
+        upto: position,
+        valid_for_micros: u32::MAX,
+        not_leased: (0..MAX_SCOPES).map(scope).collect(),
+        digest,
     });
     assert!(encode(&renewed).is_ok());
+    let subscribe = Message::Subscribe(Subscribe {
+        session: SessionId(u64::MAX),
+        scopes: (0..MAX_SCOPES).map(scope).collect(),
+        resume: Some(position),
+        history: true,
+    });
+    assert!(encode(&subscribe).is_ok());
 }
