Check properties over generated courses, and ask again for repairs that do not come

Generated courses of a small topology (proptest: changes, bursts, cuts, crashes, stops, slow readers, spoilt entries, new writers, lost, doubled and reordered messages) found a session that waited for ever for a repair whose request was lost. Requests are repeated after 2 s without an answer; a repair that comes unasked is taken, as it is checked like any other.

--- a/crates/gullcart-distribution/src/limits.rs
+++ b/crates/gullcart-distribution/src/limits.rs
@@ -22,6 +22,9 @@
 /// another connection can save it.
 pub const RENEW_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Repairs and digests that were asked for are asked for again when nothing of them has come for so long.
+pub const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// A relay that neither sends frames nor renews the lease for so long is given up, for another one may be current. Longer
 /// than the lease, so that a short break of the links above does not move a whole zone.
 pub const STALE_TIMEOUT: Duration = Duration::from_secs(4);
--- a/crates/gullcart-distribution/src/subscriber/frames.rs
+++ b/crates/gullcart-distribution/src/subscriber/frames.rs
@@ -226,9 +226,7 @@
         let Some(session) = &mut self.session else {
             return Err(ProtocolError::OtherSession);
         };
-        if !session.repairs_asked.contains(&scope) && !session.has_given_up(scope) {
-            return Err(ProtocolError::Malformed);
-        }
+        session.missing_since = None;
         let mut repair = session.repair.take().unwrap_or_else(|| StagedRepair::new(scope, buckets));
         if !repair.is_followed_by(&frame) {
             return Err(ProtocolError::Gap { expected: self.position, found: frame.after });
--- a/crates/gullcart-distribution/src/subscriber/mod.rs
+++ b/crates/gullcart-distribution/src/subscriber/mod.rs
@@ -250,6 +250,7 @@
             return;
         }
         if session.accepted && session.renew_at <= now {
+            self.repeat_requests(now);
             self.send_renewal(now);
         }
     }
--- a/crates/gullcart-distribution/src/subscriber/renewal.rs
+++ b/crates/gullcart-distribution/src/subscriber/renewal.rs
@@ -73,7 +73,7 @@
         combined
     }
 
-    fn request_digests(&mut self) {
+    pub(super) fn request_digests(&mut self) {
         let Some(session) = &mut self.session else {
             return;
         };
--- a/crates/gullcart-distribution/src/subscriber/scopes.rs
+++ b/crates/gullcart-distribution/src/subscriber/scopes.rs
@@ -5,6 +5,7 @@
 use super::Subscriber;
 use crate::message::{Message, RequestRepair, Rescope};
 use crate::scope::Scope;
+use crate::time::Instant;
 
 impl Subscriber {
     /// Subscribes to more scopes and gives others up. Those added are not current until their content has come.
@@ -36,6 +37,25 @@
         self.store.remove_scope(scope);
     }
 
+    /// Asks again for what has not come in time, as a request may have been lost.
+    pub(super) fn repeat_requests(&mut self, now: Instant) {
+        let Some(session) = &mut self.session else {
+            return;
+        };
+        if !session.takes_too_long(now) {
+            return;
+        }
+        session.missing_since = Some(now);
+        let repairs = std::mem::take(&mut session.repairs_asked);
+        let digests_asked = std::mem::take(&mut session.digests_asked);
+        for scope in repairs {
+            self.request_repair(scope);
+        }
+        if digests_asked {
+            self.request_digests();
+        }
+    }
+
     /// Asks for a scope's repair; returns false if it has been asked for already.
     pub(super) fn request_repair(&mut self, scope: Scope) -> bool {
         let Some(session) = &mut self.session else {
--- a/crates/gullcart-distribution/src/subscriber/session.rs
+++ b/crates/gullcart-distribution/src/subscriber/session.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, VecDeque};
 
 use super::staging::StagedRepair;
-use crate::limits::{MAX_RENEWALS_WAITING, RENEW_TIMEOUT, STALE_TIMEOUT};
+use crate::limits::{MAX_RENEWALS_WAITING, RENEW_TIMEOUT, REQUEST_TIMEOUT, STALE_TIMEOUT};
 use crate::message::{RenewalId, Sequence, SessionId};
 use crate::scope::Scope;
 use crate::time::Instant;
@@ -45,6 +45,8 @@
     given_up_until: RenewalId,
     /// Whether the digests of all scopes have been asked for.
     pub digests_asked: bool,
+    /// When it was first seen that something asked for has not come.
+    pub missing_since: Option<Instant>,
     renewals: VecDeque<Renewal>,
     next_renewal: RenewalId,
 }
@@ -65,6 +67,7 @@
             given_up: BTreeSet::new(),
             given_up_until: RenewalId(0),
             digests_asked: false,
+            missing_since: None,
             renewals: VecDeque::new(),
             next_renewal: RenewalId(1),
         }
@@ -101,6 +104,17 @@
         self.given_up.contains(&scope)
     }
 
+    /// Whether what was asked for has to be asked for again.
+    pub fn takes_too_long(&mut self, now: Instant) -> bool {
+        let waits = self.digests_asked || !self.repairs_asked.is_empty();
+        if !waits {
+            self.missing_since = None;
+            return false;
+        }
+        let since = *self.missing_since.get_or_insert(now);
+        now.since(since) >= REQUEST_TIMEOUT
+    }
+
     /// When the other side is given up on.
     pub fn gives_up_at(&self) -> Instant {
         let unanswered_since = match self.renewals.front() {
--- a/crates/gullcart-distribution/tests/simulation/judge.rs
+++ b/crates/gullcart-distribution/tests/simulation/judge.rs
@@ -33,6 +33,8 @@
     history: BTreeMap<Scope, Vec<(Position, Digest)>>,
     /// The last change of a scope that is in force.
     in_force: BTreeMap<Scope, Position>,
+    /// The last change of all that is in force.
+    last_in_force: Position,
     /// Scopes in which an entry was spoilt, and until when that may go unnoticed.
     spoilt: BTreeMap<Scope, u64>,
     pub violations: BTreeMap<Violation, usize>,
@@ -63,6 +65,7 @@
     /// A change is in force.
     pub fn in_force(&mut self, scope: Scope, position: Position, micros: u64) {
         self.in_force.insert(scope, position);
+        self.last_in_force = self.last_in_force.max(position);
         self.in_force_micros.push(micros);
     }
 
@@ -83,6 +86,9 @@
         now: Instant,
         global: u64,
     ) {
+        if courier.position() >= self.last_in_force {
+            return;
+        }
         for scope in scopes {
             let Acting::UnderRevision(position) = courier.acting(now, *scope) else {
                 continue;
--- a/crates/gullcart-distribution/tests/simulation/node.rs
+++ b/crates/gullcart-distribution/tests/simulation/node.rs
@@ -4,6 +4,7 @@
 
 use gullcart_distribution::error::ProtocolError;
 use gullcart_distribution::message::Message;
+use gullcart_distribution::position::Position;
 use gullcart_distribution::publisher::SubscriberId;
 use gullcart_distribution::relay::{PeerId, Relay};
 use gullcart_distribution::source::Source;
@@ -108,6 +109,8 @@
     /// A connection is being made.
     pub is_connecting: bool,
     pub traffic: Traffic,
+    /// The position at which the judge compared its state last.
+    pub compared_at: Position,
 }
 
 impl Node {
@@ -124,6 +127,7 @@
             timer_at: None,
             is_connecting: false,
             traffic: Traffic::default(),
+            compared_at: Position::ORIGIN,
         }
     }
 
--- a/crates/gullcart-distribution/tests/simulation/plan.rs
+++ b/crates/gullcart-distribution/tests/simulation/plan.rs
@@ -43,6 +43,8 @@
     /// Clocks run fast or slow by up to so many parts in a million.
     pub clock_ppm: i64,
     pub guards: Guards,
+    /// Whether states are compared after each call, and not only when their position has moved.
+    pub compares_always: bool,
 }
 
 impl Plan {
@@ -69,6 +71,7 @@
             faults: MessageFaults::default(),
             clock_ppm: 400,
             guards: Guards::ALL,
+            compares_always: false,
         }
     }
 
@@ -85,6 +88,7 @@
             region_entries: 5,
             zone_entries: 5,
             down_per_share: 3,
+            compares_always: true,
             ..Self::full(seed)
         }
     }
