--- a/crates/gullcart-distribution/examples/virtual_fleet.rs
+++ b/crates/gullcart-distribution/examples/virtual_fleet.rs
@@ -316,6 +316,10 @@
     let plan = if has("--small") { Plan::small(seed) } else { Plan::full(seed) };
     let named: Vec<&Scenario> = SCENARIOS.iter().filter(|scenario| has(scenario.name)).collect();
     let chosen = if named.is_empty() { SCENARIOS.iter().collect() } else { named };
+    // Before the run, as the tree may move on meanwhile.
+    let commit = output_of("git", &["rev-parse", "HEAD"]);
+    let changed_files = output_of("git", &["status", "--porcelain"]);
+    let date = output_of("date", &["-u", "+%FT%TZ"]);
     let mut results = Vec::new();
     for scenario in chosen {
         let result = run(scenario, plan.clone());
@@ -328,11 +332,11 @@
         let command = "cargo run --release -p gullcart-distribution --example virtual_fleet --";
         let record = json!({
             "command": format!("{command} {}", arguments.join(" ")),
-            "commit": output_of("git", &["rev-parse", "HEAD"]),
-            "changed_files": output_of("git", &["status", "--porcelain"]),
-            "date": output_of("date", &["-u", "+%FT%TZ"]),
+            "commit": commit,
+            "changed_files": changed_files,
+            "date": date,
             "processors": std::thread::available_parallelism().map_or(0, |count| count.get()),
-            "load_average": std::fs::read_to_string("/proc/loadavg").unwrap_or_default().trim(),
+            "load_average_at_the_end": std::fs::read_to_string("/proc/loadavg").unwrap_or_default().trim(),
             "plan": plan.to_json(),
             "constants": constants(),
             "budget": {
--- a/crates/gullcart-distribution/tests/properties.rs
+++ b/crates/gullcart-distribution/tests/properties.rs
@@ -140,7 +140,7 @@
         let faults = MessageFaults { loss: rate, duplicate: rate, reorder: rate };
         let mut fleet = Fleet::new(plan(seed, faults));
         fleet.run_for(Duration::from_secs(8));
-        let mut positions = vec![Position::ORIGIN; COURIERS];
+        let mut positions = [Position::ORIGIN; COURIERS];
         for step in &steps {
             take(&mut fleet, *step);
             check_bounds(&fleet)?;
