Release scopes that are wanted no longer together, and leave a relay that gives no lease

A zone of 480 that came back left its relay without a lease 30 s later, for 6 s: the scopes that its couriers had asked for elsewhere were given up one by one, and no renewal that is under way while a scope is given up brings a lease. They are now given up at multiples of 5 s. Couriers also stayed with that relay because frames still came; only a lease or a part of a state counts now.

--- a/crates/gullcart-distribution/src/limits.rs
+++ b/crates/gullcart-distribution/src/limits.rs
@@ -25,7 +25,7 @@
 /// Repairs and digests that were asked for are asked for again when nothing of them has come for so long.
 pub const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// A relay that neither sends frames nor renews the lease for so long is given up, for another one may be current. Longer
+/// A relay that neither renews the lease nor sends parts of a state for so long is given up, for another one may be current. Longer
 /// than the lease, so that a short break of the links above does not move a whole zone.
 pub const STALE_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -104,6 +104,10 @@
 /// that restarts.
 pub const SCOPE_LINGER: Duration = Duration::from_secs(30);
 
+/// Scopes are given up together at multiples of this. A renewal that is under way meanwhile brings no lease, so that this must
+/// be rare; singly, those of a zone that came back kept its relay without a lease for seconds.
+pub const SCOPE_RELEASE_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Leases that run out within the same span of this length are not told apart. A lease of 2.5 s has 26 of them, so that as many
 /// are kept at most; a change may be found in force later by this much.
 pub const GRANT_SLOT: Duration = Duration::from_millis(100);
--- a/crates/gullcart-distribution/src/publisher/demand.rs
+++ b/crates/gullcart-distribution/src/publisher/demand.rs
@@ -3,10 +3,17 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::SubscriberId;
-use crate::limits::SCOPE_LINGER;
+use crate::limits::{SCOPE_LINGER, SCOPE_RELEASE_INTERVAL};
 use crate::scope::Scope;
 use crate::time::Instant;
 
+/// When a scope that is used no longer from now on ceases to be wanted: after [`SCOPE_LINGER`], together with others.
+fn released_at(now: Instant) -> Instant {
+    let interval = SCOPE_RELEASE_INTERVAL.as_micros() as u64;
+    let earliest = (now + SCOPE_LINGER).as_micros();
+    Instant::from_micros(earliest.div_ceil(interval) * interval)
+}
+
 /// The scopes that are wanted: those in use, and for some time those that were asked for or used last.
 #[derive(Clone, Debug)]
 pub(super) struct Demand {
@@ -35,7 +42,7 @@
     /// A scope is asked for by someone who has to come again.
     pub fn ask(&mut self, scope: Scope, now: Instant) {
         if !self.users.contains_key(&scope) {
-            self.changed |= self.lingering.insert(scope, now + SCOPE_LINGER).is_none();
+            self.changed |= self.lingering.insert(scope, released_at(now)).is_none();
         }
     }
 
@@ -54,7 +61,7 @@
         users.remove(&subscriber);
         if users.is_empty() {
             self.users.remove(&scope);
-            self.lingering.insert(scope, now + SCOPE_LINGER);
+            self.lingering.insert(scope, released_at(now));
         }
     }
 
--- a/crates/gullcart-distribution/src/subscriber/frames.rs
+++ b/crates/gullcart-distribution/src/subscriber/frames.rs
@@ -77,14 +77,18 @@
         self.check_sequence(frame.sequence)?;
         self.check_scopes(&frame)?;
         self.check_frame_epoch(&frame)?;
-        let sequence = frame.sequence;
+        let (sequence, complete) = (frame.sequence, frame.complete);
         match frame.part {
             Part::Subscription => self.take_changes(now, frame)?,
             Part::Buckets { scope, buckets } => self.take_repair(scope, buckets, frame)?,
         }
         if let Some(session) = &mut self.session {
             session.received = sequence;
-            session.last_progress = now;
+            if complete {
+                session.note_heard(now);
+            } else {
+                session.note_progress(now);
+            }
         }
         self.send_acknowledge();
         Ok(())
--- a/crates/gullcart-distribution/src/subscriber/mod.rs
+++ b/crates/gullcart-distribution/src/subscriber/mod.rs
@@ -217,7 +217,7 @@
             Message::Frame(frame) => self.take_frame(now, frame),
             Message::ScopeDigests(digests) => self.take_digests(digests),
             Message::Renewed(renewed) => self.take_renewed(now, renewed),
-            Message::NotRenewed(answer) => self.take_not_renewed(answer),
+            Message::NotRenewed(answer) => self.take_not_renewed(now, answer),
             Message::Refused(refused) => {
                 self.session = None;
                 self.reconnect_at = now + refused.retry_after();
--- a/crates/gullcart-distribution/src/subscriber/renewal.rs
+++ b/crates/gullcart-distribution/src/subscriber/renewal.rs
@@ -29,8 +29,9 @@
         self.send(Message::Renew(renew));
     }
 
-    pub(super) fn take_not_renewed(&mut self, answer: NotRenewed) -> Result<(), ProtocolError> {
+    pub(super) fn take_not_renewed(&mut self, now: Instant, answer: NotRenewed) -> Result<(), ProtocolError> {
         let session = self.session.as_mut().ok_or(ProtocolError::OtherSession)?;
+        session.note_heard(now);
         session.finish_renewal(answer.renewal).ok_or(ProtocolError::UnexpectedAnswer)?;
         Ok(())
     }
@@ -39,7 +40,7 @@
         self.check_renewed(&renewed)?;
         let session = self.session.as_mut().ok_or(ProtocolError::OtherSession)?;
         let renewal = session.finish_renewal(renewed.renewal).ok_or(ProtocolError::UnexpectedAnswer)?;
-        session.last_progress = now;
+        session.note_progress(now);
         self.position = renewed.upto;
         self.backoff.reset();
         self.take_leases(now, renewal, renewed)
--- a/crates/gullcart-distribution/src/subscriber/session.rs
+++ b/crates/gullcart-distribution/src/subscriber/session.rs
@@ -25,8 +25,10 @@
     pub id: SessionId,
     /// When it was begun.
     begun: Instant,
-    /// When it last brought a frame or a lease.
-    pub last_progress: Instant,
+    /// When it last brought a frame or an answer.
+    last_heard: Instant,
+    /// When it last brought a lease, or a part of a state that is not complete yet.
+    last_progress: Instant,
     /// The scopes that it was begun with.
     pub subscribed: BTreeSet<Scope>,
     /// Whether it was accepted.
@@ -57,6 +59,7 @@
         Self {
             id,
             begun: now,
+            last_heard: now,
             last_progress: now,
             subscribed,
             accepted: false,
@@ -104,6 +107,17 @@
         self.given_up.contains(&scope)
     }
 
+    /// Notes that the relay is there.
+    pub fn note_heard(&mut self, now: Instant) {
+        self.last_heard = now;
+    }
+
+    /// Notes that the relay brings the subscriber further.
+    pub fn note_progress(&mut self, now: Instant) {
+        self.last_heard = now;
+        self.last_progress = now;
+    }
+
     /// Whether what was asked for has to be asked for again.
     pub fn takes_too_long(&mut self, now: Instant) -> bool {
         let waits = self.digests_asked || !self.repairs_asked.is_empty();
@@ -123,7 +137,7 @@
             None => None,
         };
         // Who still sends frames is not silent: an answer may wait behind them.
-        let unanswered = unanswered_since.map(|since| since.max(self.last_progress) + RENEW_TIMEOUT);
+        let unanswered = unanswered_since.map(|since| since.max(self.last_heard) + RENEW_TIMEOUT);
         let stale = self.last_progress + STALE_TIMEOUT;
         unanswered.map_or(stale, |at| at.min(stale))
     }
