--- a/crates/gullcart-distribution/src/lease.rs
+++ b/crates/gullcart-distribution/src/lease.rs
@@ -75,6 +75,16 @@
         }
     }
 
+    /// How many are told apart.
+    pub fn len(&self) -> usize {
+        self.by_slot.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.by_slot.is_empty()
+    }
+
     fn drop_expired(&mut self, now: Instant) {
         self.by_slot.retain(|_, grant| now < grant.expires);
     }
