--- a/crates/cloverstile/examples/turn_cost.rs
+++ b/crates/cloverstile/examples/turn_cost.rs
@@ -37,7 +37,7 @@
         let now = Time::ZERO + Duration::from_secs(10_000);
         let mut courier = Courier::new(settings, 7);
         let endpoint = |destination: u32| Endpoint {
-            id: EndpointId(u32::from(destination)),
+            id: EndpointId(destination),
             zone: ZoneId(0),
             kind: KindId(0),
             destination: DestinationId(destination),
@@ -129,7 +129,7 @@
     }
     println!("destinations in an outage that wait, with 4 messages each: ns a turn");
     for destinations in [10, 100, 1_000, 10_000] {
-        let messages = 4 * u32::from(destinations);
+        let messages = 4 * destinations;
         let mut bench = Bench::new(destinations, messages, false, Some(Outcome::ConnectFailed));
         bench.out_of_service();
         println!("{destinations:>10} {:>12}", bench.nanoseconds_a_turn());
