--- a/crates/cloverstile/src/books.rs
+++ b/crates/cloverstile/src/books.rs
@@ -65,6 +65,13 @@
 /// What may be sent next: by which route to which endpoint, which message, at what value.
 pub type Candidate = (RouteId, EndpointId, MessageId, f64);
 
+/// A destination that a call may go to now, with the calls there and the value of its candidate.
+pub struct Ready {
+    pub to: DestinationId,
+    pub calls: usize,
+    pub value: f64,
+}
+
 #[derive(Serialize, Deserialize)]
 pub struct Address {
     pub entry: Endpoint,
@@ -186,6 +193,11 @@
 }
 
 impl Route {
+    /// Whether it has an outage to remember.
+    pub fn is_troubled(&self) -> bool {
+        self.evidence > 0 || self.spell.is_some() || self.returned.is_some()
+    }
+
     /// Whether this courier tries it for all others now.
     pub fn tries_for_all(&self, now: Time) -> bool {
         matches!(self.trials, Trials::Held(until) if now < until)
--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -6,6 +6,7 @@
 //! inside group, window and attempt limit, after a full-jitter exponential gap. All else guards that path.
 
 use crate::books::*;
+use crate::due::DueDestinations;
 use crate::interface::*;
 use crate::ready::Queues;
 use serde::{Deserialize, Serialize};
@@ -14,6 +15,7 @@
 use std::time::Duration;
 
 mod carried;
+mod looking;
 mod placing;
 mod standing;
 #[cfg(test)]
@@ -131,6 +133,8 @@
     /// Messages not answered, by destination. Rebuilt from `messages` in a hand-over.
     #[serde(skip)]
     queues: Queues,
+    #[serde(skip)]
+    due: DueDestinations,
     messages: BTreeMap<MessageId, Message>,
     /// Messages taken so far.
     arrivals: u64,
@@ -167,6 +171,7 @@
 
     /// Records one event. Call [`Courier::decide`] after the last one of a batch.
     pub fn handle(&mut self, now: Time, event: Event) {
+        self.touch_all_of(&event);
         match event {
             Event::Listed(listing) => self.on_listing(now, listing),
             Event::Suspended(id) => {
@@ -200,8 +205,8 @@
 
     /// What is to be remembered of outages over a restart.
     pub fn outages(&self) -> impl Iterator<Item = Outage> + '_ {
-        let noted = |route: &Route| route.evidence > 0 || route.spell.is_some() || route.returned.is_some();
-        self.routes.iter().filter(move |(_, route)| noted(route)).map(|(id, route)| Outage {
+        let routes = self.due.troubled().flat_map(|to| self.routes.range(routes_of(to)));
+        routes.filter(|(_, route)| route.is_troubled()).map(|(id, route)| Outage {
             destination: id.0,
             endpoint: id.1,
             since: route.spell.as_ref().map_or(route.last_answer, |spell| spell.began),
@@ -776,22 +781,21 @@
     /// to the one whose best message is worth most for its time. `next` tells when to look again.
     fn send_ready(&mut self, now: Time, next: &mut Option<Time>) {
         self.place_outdated(now);
-        let mut ready: Vec<(DestinationId, f64)> = Vec::new();
+        let mut ready: Vec<Ready> = Vec::new();
         if self.slots_free() > 0 {
-            for to in self.queues.iter().map(|(to, _)| to).collect::<Vec<_>>() {
-                ready.extend(self.candidate(now, to, next).map(|(.., value)| (to, value)));
+            for to in self.due.at(now) {
+                ready.extend(self.look(now, to, next));
             }
+            earliest(next, self.due.next());
         }
         while self.slots_free() > 0 {
-            let order = |a: &(DestinationId, f64), b: &(DestinationId, f64)| {
-                self.calls_to(a.0).cmp(&self.calls_to(b.0)).then(b.1.total_cmp(&a.1))
-            };
+            let order = |a: &Ready, b: &Ready| a.calls.cmp(&b.calls).then(b.value.total_cmp(&a.value));
             let Some(place) = (0..ready.len()).min_by(|a, b| order(&ready[*a], &ready[*b])) else { break };
             // Slots have gone since: what was free may not be so now.
-            let (to, _) = ready.swap_remove(place);
+            let to = ready.swap_remove(place).to;
             let Some((route, endpoint, message, _)) = self.candidate(now, to, next) else { continue };
             self.send_call(now, route, endpoint, message);
-            ready.extend(self.candidate(now, to, next).map(|(.., value)| (to, value)));
+            ready.extend(self.ready(now, to, next));
         }
     }
 
@@ -1116,8 +1120,9 @@
             message.closed = true;
             self.open -= 1;
             self.deadlines.remove(&(message.taken.deadline, id));
-            self.queues.place(message.taken.destination, id, None);
-            self.queues.leave(message.taken.destination);
+            let to = message.taken.destination;
+            self.place(now, id);
+            self.queues.leave(to);
         }
         self.forget_if_over(now, id);
     }
--- a/crates/cloverstile/src/choice/carried.rs
+++ b/crates/cloverstile/src/choice/carried.rs
@@ -10,6 +10,7 @@
         let rng = fastrand::Rng::with_seed(seed);
         let mut courier = Courier { settings, rng, closing: None, ..self };
         courier.rebuild_queues();
+        courier.touch_everything();
         courier
     }
 
--- a/crates/cloverstile/src/choice/placing.rs
+++ b/crates/cloverstile/src/choice/placing.rs
@@ -16,7 +16,9 @@
     pub(super) fn place(&mut self, now: Time, id: MessageId) {
         let Some(message) = self.messages.get(&id) else { return };
         let placement = self.placement(now, message);
-        self.queues.place(message.taken.destination, id, placement);
+        let to = message.taken.destination;
+        self.queues.place(to, id, placement);
+        self.due.touch(to);
     }
 
     /// Files the message anew whose turn it is among those of a key.
--- a/crates/cloverstile/src/choice/standing.rs
+++ b/crates/cloverstile/src/choice/standing.rs
@@ -74,7 +74,8 @@
     /// Destinations that are held to be out, by calls that failed.
     pub fn outings(&self) -> impl Iterator<Item = DestinationId> + '_ {
         let out = |route: &Route| route.spell.as_ref().is_some_and(|spell| spell.failed);
-        self.routes.iter().filter(move |(id, route)| id.1.is_none() && out(route)).map(|(id, _)| id.0)
+        let is_out = move |to: &DestinationId| self.routes.get(&RouteId(*to, None)).is_some_and(out);
+        self.due.troubled().filter(is_out)
     }
 
     /// How it stands with one destination; none where that is no route.
--- a/crates/cloverstile/src/lib.rs
+++ b/crates/cloverstile/src/lib.rs
@@ -30,6 +30,7 @@
 
 mod books;
 mod choice;
+mod due;
 mod interface;
 mod ready;
 mod settings;
