--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -808,6 +808,8 @@
     /// The best message of a destination that may be sent now, by which route and endpoint, and its worth for
     /// the time that a slot is taken; if none, `next` tells when that may be.
     fn candidate(&mut self, now: Time, to: DestinationId, next: &mut Option<Time>) -> Option<Candidate> {
+        #[cfg(test)]
+        tests::note_examined();
         for route in self.routes.range(routes_of(to)).map(|(id, _)| *id).collect::<Vec<_>>() {
             let free = self.route_free_at(now, route);
             if free.is_none_or(|at| at > now) {
--- a/crates/cloverstile/src/choice/tests.rs
+++ b/crates/cloverstile/src/choice/tests.rs
@@ -9,7 +9,7 @@
     static EXAMINED: Cell<u64> = const { Cell::new(0) };
 }
 
-/// A message's class was looked at, as whoever asks what it is worth or when it may be sent has to.
+/// A message's class was looked at, as whoever asks what it is worth or when it may be sent has to; or a destination.
 pub(super) fn note_examined() {
     EXAMINED.with(|count| count.set(count.get() + 1));
 }
@@ -89,8 +89,8 @@
 }
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
-    let accept = (0u8..4, 1u16..3, 0u64..4, 0usize..8, 0u32..2, proptest::bool::weighted(0.1));
-    let restore = (0u8..4, 1u16..3, 0u64..4, 0u32..4, proptest::option::of(0u64..3000));
+    let accept = (0u8..4, 1u16..5, 0u64..4, 0usize..8, 0u32..2, proptest::bool::weighted(0.1));
+    let restore = (0u8..4, 1u16..5, 0u64..4, 0u32..4, proptest::option::of(0u64..3000));
     let step = prop_oneof![
         4 => (0u64..300).prop_map(Step::Pass),
         6 => (0usize..64, 0usize..10, -3i64..4)
@@ -135,15 +135,16 @@
     let decay = prop_oneof![Just(Decay::Line), Just(Decay::Halves)];
     let over_share_worth = prop_oneof![Just(0.0), Just(0.1), Just(1.0)];
     let classes = proptest::collection::vec(class(), 4);
-    (classes, decay, over_share_worth, any::<bool>(), 0u64..3).prop_map(
-        |(classes, decay, over_share_worth, answers_take_time, settle)| Settings {
+    let call_slots = prop_oneof![Just(4usize), Just(16usize)];
+    (classes, decay, over_share_worth, any::<bool>(), 0u64..3, call_slots).prop_map(
+        |(classes, decay, over_share_worth, answers_take_time, settle, call_slots)| Settings {
             classes,
             decay,
             over_share_worth,
             answers_take_time,
             tenants: vec![Tenant { quota: 3.0 }],
             kinds: vec![Kind { batch: 1, own_limits: false }, Kind { batch: 3, own_limits: false }],
-            call_slots: 4,
+            call_slots,
             send_cap: 5,
             couriers: 1,
             rules: Rules { order_settle: ms(settle * 150), ..Settings::default().rules },
@@ -190,7 +191,7 @@
     fn new(settings: Settings) -> Self {
         let now = Time::ZERO + Duration::from_secs(100);
         let mut courier = Courier::new(settings, 3);
-        courier.handle(now, listing(2, 4.0));
+        courier.handle(now, listing(4, 4.0));
         Play { courier, now, accepted: 0 }
     }
 
@@ -300,7 +301,7 @@
             Some(Spell { next_risk: later, ..Spell::default() }),
             Some(Spell { only_fit: true, ..Spell::default() }),
         ];
-        for route in [RouteId(DestinationId(1), None), RouteId(DestinationId(2), None)] {
+        for route in (1..=4).map(|to| RouteId(DestinationId(to), None)) {
             self.compare_route(route);
             let Some(known) = self.courier.routes.get_mut(&route) else { continue };
             let before = known.spell.take();
@@ -426,3 +427,75 @@
         assert!(many <= 2 * few, "{many} looks at each message of 20000, {few} of 1000");
     }
 }
+
+/// Actions of a play in which each turn looks at every destination, or only at those that are due.
+fn actions(settings: &Settings, steps: &[Step], looks_at_all: bool) -> Vec<Action> {
+    let mut play = Play::new(settings.clone());
+    let mut actions = Vec::new();
+    let after = (0..200).map(|_| Step::Pass(45));
+    for step in steps.iter().cloned().chain(after) {
+        play.step(step);
+        if looks_at_all {
+            play.courier.touch_everything();
+        }
+        play.courier.decide(play.now, &mut actions);
+    }
+    actions
+}
+
+#[test]
+fn a_look_that_is_left_out_would_have_decided_nothing() {
+    let config = Config { cases: 1500, failure_persistence: None, ..Config::default() };
+    let mut runner = TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[19; 32]));
+    let check = |(settings, steps): (Settings, Vec<Step>)| {
+        prop_assert_eq!(actions(&settings, &steps, false), actions(&settings, &steps, true));
+        Ok(())
+    };
+    runner.run(&(settings(), steps()), check).unwrap();
+}
+
+/// Looks and messages examined in a turn with a message for one destination, while many are out and wait for their trials.
+fn examined_with_waiting(destinations: u16) -> u64 {
+    const TURNS: u32 = 50;
+    let settings =
+        Settings { call_slots: 64, most_held: 100_000, answers_take_time: true, ..Settings::default() };
+    let mut now = Time::ZERO + Duration::from_secs(100);
+    let mut play = Play { courier: Courier::new(settings, 3), now, accepted: 0 };
+    play.courier.handle(now, listing(destinations, 50.0));
+    for destination in 1..=destinations {
+        let outage = Outage {
+            destination: DestinationId(destination),
+            endpoint: None,
+            since: now,
+            evidence: SPELL_AFTER,
+            lost: Some(true),
+            returned: None,
+            share: 1.0,
+        };
+        play.courier.handle(now, Event::Recalled(outage));
+        let taken = play.taken(0, destination, 0, 0, 0);
+        play.courier.handle(now, Event::Accept(taken));
+    }
+    play.courier.decide(now, &mut Vec::new());
+    // All messages are filed anew once they have an age.
+    now = now + ms(1);
+    play.courier.decide(now, &mut Vec::new());
+    let examined = examined_by(|| {
+        for _ in 0..TURNS {
+            now = now + Duration::from_micros(10);
+            let taken = play.taken(0, 1, 0, 0, 0);
+            play.courier.handle(now, Event::Accept(taken));
+            play.courier.decide(now, &mut Vec::new());
+        }
+    });
+    examined / u64::from(TURNS)
+}
+
+#[test]
+fn the_work_of_a_turn_does_not_grow_with_the_destinations_that_wait() {
+    let few = examined_with_waiting(10);
+    for destinations in [100, 1_000, 10_000] {
+        let many = examined_with_waiting(destinations);
+        assert!(many <= 2 * few + 20, "{many} looks a turn with {destinations} waiting, {few} with 10");
+    }
+}
