Hear lists of up to 64 MiB

A list, or a change, of more than 4 MiB was given up as damage: from about 27,000 endpoints on, at 150 bytes each, a whole list was never heard, and the courier went on with the one it had.

The bound is 64 MiB now, which has room for 400,000 endpoints. It stays a bound, so that an agent that never ends a list does not take all memory; larger fleets need a list that is read as it comes, which this does not do.

--- a/crates/gullcart/src/update_stream.rs
+++ b/crates/gullcart/src/update_stream.rs
@@ -3,8 +3,8 @@
 use gullcart_message::Update;
 use thiserror::Error;
 
-/// A list, or a change of it, that is longer is damage.
-pub const LONGEST_LIST: usize = 4 << 20;
+/// A list, or a change of it, that is longer is damage. An entry takes about 150 bytes: 400,000 endpoints have room.
+pub const LONGEST_LIST: usize = 64 << 20;
 
 #[derive(Debug, Error)]
 pub enum StreamError {
--- a/crates/gullcart/tests/sizes.rs
+++ b/crates/gullcart/tests/sizes.rs
@@ -4,6 +4,7 @@
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_gullcart");
 const MANY: usize = 1024;
+const VERY_MANY: usize = 32_000;
 /// KiB that an endpoint more may take.
 const MOST_FOR_ONE: u64 = 3;
 /// A destination among the many.
@@ -57,6 +58,23 @@
     world.no_call();
 }
 
+/// A change, and then a whole list, of more than 4 MiB are heard: lists were once given up there.
+#[test]
+fn a_list_of_thirty_thousand_endpoints_is_heard() {
+    // The journal holds the list, of about 80 bytes for each endpoint, and writes it anew beside that.
+    let world = World::new(PROGRAM, 1, 64.0);
+    let (courier, mut ids) = (world.start(), 0);
+    world.tell_many(2, VERY_MANY, "SERVING");
+    courier.log_until("rev=2");
+    until_served(&world, &courier, &mut ids);
+    let agent = world.agent_with_many(9, VERY_MANY, "DRAINING");
+    world.configure(&agent);
+    courier.hang_up();
+    courier.log_until("rev=9");
+    assert_eq!(courier.client().enqueue("waits", "0", "salary", ONE, b"x"), "+OK");
+    world.no_call();
+}
+
 /// What a daemon needs grows with what there is, and stays small. The figures are printed.
 #[test]
 fn a_daemon_needs_little_at_any_size() {
