--- a/crates/cloverstile/tests/properties.rs
+++ b/crates/cloverstile/tests/properties.rs
@@ -251,7 +251,7 @@
 fn interleaved_couriers_act_as_alone() {
     let run = |bench: &mut Bench, step: u32| {
         bench.now = bench.now + ms(40);
-        bench.accept(step, 2, 1 + (step % 3) as u32, None);
+        bench.accept(step, 2, 1 + step % 3, None);
         let actions = bench.decide();
         for action in &actions {
             if let Action::Route { message, endpoint, .. } = action {
--- a/crates/gullcart-engine/tests/listing_cost.rs
+++ b/crates/gullcart-engine/tests/listing_cost.rs
@@ -33,7 +33,7 @@
         let begun = Instant::now();
         courier.handle(EPOCH, Input::Listed(change));
         let took = begun.elapsed();
-        if rev % TURN_EVERY == 0 {
+        if rev.is_multiple_of(TURN_EVERY) {
             courier.turn(EPOCH).unwrap();
         }
         took
