Bound a list by the memory, and touch only what a change names

Two things found on reading the joined parts. The bound is a sixteenth of limits.memory_mb now, 4 MiB at least as before; endpoints take more than sixteen times their text once they are held, so that no list that the memory can hold is refused. And a change of the list marked every destination for a look, which is linear in what is told; it marks the destinations that its endpoints had and will have. A note of an outage is compared with the notes of its own destination, where each turn compared it with all (the square of the outages).

--- a/crates/cloverstile/src/choice/looking.rs
+++ b/crates/cloverstile/src/choice/looking.rs
@@ -3,13 +3,14 @@
 
 use super::Courier;
 use crate::books::{earliest, routes_of, Ready, Route};
-use crate::interface::{DestinationId, EndpointId, Event, MessageId, Time};
+use crate::interface::{DestinationId, EndpointId, Event, Listing, MessageId, Time};
 
 impl Courier {
     /// Notes which destinations an event is about.
     pub(super) fn touch_all_of(&mut self, event: &Event) {
         match event {
-            Event::Listed(_) | Event::Closing(_) => self.touch_everything(),
+            Event::Listed(listing) => self.touch_listing(listing),
+            Event::Closing(_) => self.touch_everything(),
             Event::Suspended(id) | Event::Reinstated(id) => self.touch_endpoint(*id),
             Event::Accept(taken) => self.due.touch(taken.destination),
             Event::Restored(restored) => self.due.touch(restored.taken.destination),
@@ -29,6 +30,20 @@
         self.queues.iter().for_each(|(to, _)| self.due.touch(to));
     }
 
+    /// A change bears on the destinations that its endpoints had and will have, a whole list on all of them.
+    fn touch_listing(&mut self, listing: &Listing) {
+        match listing {
+            Listing::Failed => {}
+            Listing::Whole(_) => self.touch_everything(),
+            Listing::Changes(entries) => {
+                for entry in entries {
+                    self.touch_endpoint(entry.id);
+                    self.due.touch(entry.destination);
+                }
+            }
+        }
+    }
+
     fn touch_endpoint(&mut self, id: EndpointId) {
         if let Some(address) = self.addresses.get(&id) {
             self.due.touch(address.entry.destination);
--- a/crates/gullcart-journal/src/image.rs
+++ b/crates/gullcart-journal/src/image.rs
@@ -243,8 +243,11 @@
 
     /// Whether these are the outages that are remembered.
     pub(crate) fn has_outages(&self, notes: &[OutageNote]) -> bool {
+        // Asked after every turn: no walk over all that is known for each note.
         let is_known = |note: &OutageNote| {
-            self.outages.values().any(|known| known.destination == note.destination && known == note)
+            let known = self.outages.range((note.destination, None)..);
+            let mut of_destination = known.take_while(|(place, _)| place.0 == note.destination);
+            of_destination.any(|(_, known)| known == note)
         };
         notes.len() == self.outages.len() && notes.iter().all(is_known)
     }
--- a/crates/gullcart-scale/src/daemon/site.rs
+++ b/crates/gullcart-scale/src/daemon/site.rs
@@ -22,7 +22,7 @@
 /// Calls that a daemon may have out.
 const CALL_SLOTS: u32 = 64;
 const SOCKETS: u32 = 2048;
-const MEMORY_MB: f64 = 192.0;
+const MEMORY_MB: f64 = 1024.0;
 const DISK_MB: f64 = 4000.0;
 /// Read at once from a file's end.
 const BLOCK: u64 = 64 << 10;
--- a/crates/gullcart/src/discovery.rs
+++ b/crates/gullcart/src/discovery.rs
@@ -16,7 +16,7 @@
 use tokio::time::{timeout, timeout_at, Instant};
 use tracing::{error, info, warn};
 
-use crate::update_stream::{Piece, StreamError, UpdateStream, LONGEST_LIST};
+use crate::update_stream::{LongestList, Piece, StreamError, UpdateStream};
 use crate::vocabulary::Inputs;
 
 /// How long the agent may take to answer a batch of notices before it is told on a new connection: it answers at once, a notice
@@ -47,8 +47,8 @@
     List(#[from] serde_json::Error),
     #[error("{0}")]
     Stream(#[from] StreamError),
-    #[error("broken off, or longer than {LONGEST_LIST} bytes")]
-    Long,
+    #[error("broken off, or longer than {0} bytes")]
+    Long(usize),
 }
 
 type Connection = SendRequest<Full<Bytes>>;
@@ -65,14 +65,20 @@
 pub type Agent = watch::Receiver<String>;
 
 /// Watches the list from the last version on. Ends never: what breaks is begun anew when `calls` says.
-pub async fn watch(mut agent: Agent, mut rev: u64, mut calls: CallsForLists, driver: Inputs) {
+pub async fn watch(
+    mut agent: Agent,
+    mut rev: u64,
+    mut calls: CallsForLists,
+    driver: Inputs,
+    longest: LongestList,
+) {
     let mut down = false;
     // Another agent may know another list: it is asked for the whole of it first.
     let mut whole = timeout(calls.first(), agent.changed()).await.is_ok();
     loop {
         let address = agent.borrow_and_update().clone();
         let (begun, mut lasts) = (Instant::now(), false);
-        let watching = watch_once(&address, &mut whole, &mut rev, &driver, &mut down, &mut lasts);
+        let watching = watch_once(&address, longest, &mut whole, &mut rev, &driver, &mut down, &mut lasts);
         let result = tokio::select! {
             result = watching => result,
             changed = agent.changed() => {
@@ -99,6 +105,7 @@
 
 async fn watch_once(
     agent: &str,
+    longest: LongestList,
     whole: &mut bool,
     rev: &mut u64,
     driver: &Inputs,
@@ -109,7 +116,7 @@
     let mut connection = timeout_at(by, connect(agent)).await??;
     if *whole {
         let request = Request::get("/v1/endpoints").header("Host", agent).body(Full::default())?;
-        let list = timeout_at(by, fetch(&mut connection, request)).await??;
+        let list = timeout_at(by, fetch(&mut connection, request, longest)).await??;
         // An agent that has heard less than the one before must not take back a drain.
         if list.rev >= *rev {
             let told = list.rev;
@@ -130,7 +137,7 @@
         return Err(AgentError::Status(response.status()));
     }
     let mut body = response.into_body();
-    let mut stream = UpdateStream::default();
+    let mut stream = UpdateStream::new(longest);
     // Whole lines alone say that the watch lasts: bytes without an end may come for ever.
     let mut heard = Instant::now();
     while let Some(part) = timeout_at(heard + SILENCE, body.frame()).await? {
@@ -165,13 +172,17 @@
 }
 
 /// The whole list.
-async fn fetch(connection: &mut Connection, request: Request<Full<Bytes>>) -> Result<Update, AgentError> {
+async fn fetch(
+    connection: &mut Connection,
+    request: Request<Full<Bytes>>,
+    longest: LongestList,
+) -> Result<Update, AgentError> {
     let response = connection.send_request(request).await?;
     if response.status() != StatusCode::OK {
         return Err(AgentError::Status(response.status()));
     }
-    let body = Limited::new(response.into_body(), LONGEST_LIST).collect().await;
-    Ok(serde_json::from_slice(&body.map_err(|_| AgentError::Long)?.to_bytes())?)
+    let body = Limited::new(response.into_body(), longest.0).collect().await;
+    Ok(serde_json::from_slice(&body.map_err(|_| AgentError::Long(longest.0))?.to_bytes())?)
 }
 
 fn line(notice: &Notice) -> String {
--- a/crates/gullcart/src/service.rs
+++ b/crates/gullcart/src/service.rs
@@ -23,6 +23,7 @@
 use crate::driver::{self, Clock, Driver, End, Ends, Stopped};
 use crate::group::Place;
 use crate::places::ClientLimits;
+use crate::update_stream::LongestList;
 use crate::upgrade::{self, Arrived, Asked};
 use crate::vocabulary::{Inputs, Told};
 
@@ -224,6 +225,7 @@
             rev,
             calls,
             inputs.clone(),
+            LongestList::for_memory(config.limits.memory_mb),
         )));
         let chance = fastrand::Rng::with_seed(seed ^ NOTICE_SEED);
         tasks.push(tokio::task::spawn_local(discovery::notices(
--- a/crates/gullcart/src/update_stream.rs
+++ b/crates/gullcart/src/update_stream.rs
@@ -3,8 +3,24 @@
 use gullcart_message::Update;
 use thiserror::Error;
 
-/// A list, or a change of it, that is longer is damage. An entry takes about 150 bytes: 400,000 endpoints have room.
-pub const LONGEST_LIST: usize = 64 << 20;
+/// Bytes that a list may have at any limit of memory.
+const LEAST_LONGEST: usize = 4 << 20;
+/// Part of the memory that a list's text may take. An endpoint that is held takes more than this many times the 150 bytes
+/// or so that tell of it, so that all endpoints that fit into the memory can be told of.
+const MEMORY_OVER_LIST: f64 = 16.0;
+const BYTES_PER_MB: f64 = 1e6;
+
+/// How many bytes a list, or a change of it, may have. One that is longer is damage: an agent that never ends one must
+/// not take all memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LongestList(pub usize);
+
+impl LongestList {
+    /// The bound for a courier with so much memory.
+    pub fn for_memory(memory_mb: f64) -> Self {
+        LongestList(LEAST_LONGEST.max((memory_mb * BYTES_PER_MB / MEMORY_OVER_LIST) as usize))
+    }
+}
 
 #[derive(Debug, Error)]
 pub enum StreamError {
@@ -12,8 +28,8 @@
     Json(#[from] serde_json::Error),
     #[error("something else than a change stands between two of them")]
     Stray,
-    #[error("longer than {LONGEST_LIST} bytes")]
-    Long,
+    #[error("longer than {0} bytes")]
+    Long(usize),
 }
 
 /// What came whole.
@@ -26,8 +42,8 @@
 }
 
 /// Cuts a stream into pieces. Each byte is looked at once, in whatever parts they come.
-#[derive(Default)]
 pub struct UpdateStream {
+    longest: LongestList,
     /// What came of the change that is not whole yet, or was not looked at.
     buffer: Vec<u8>,
     /// How much of it was looked at.
@@ -39,6 +55,18 @@
 }
 
 impl UpdateStream {
+    /// A stream of which nothing has come.
+    pub fn new(longest: LongestList) -> Self {
+        UpdateStream {
+            longest,
+            buffer: Vec::new(),
+            scanned: 0,
+            depth: 0,
+            in_string: false,
+            is_escaped: false,
+        }
+    }
+
     /// More bytes have come. What is too long for a change is an error once it is asked for.
     pub fn feed(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
@@ -76,8 +104,8 @@
                 _ => return Err(StreamError::Stray),
             }
         }
-        if self.buffer.len() > LONGEST_LIST {
-            return Err(StreamError::Long);
+        if self.buffer.len() > self.longest.0 {
+            return Err(StreamError::Long(self.longest.0));
         }
         Ok(None)
     }
--- a/crates/gullcart/src/update_stream/tests.rs
+++ b/crates/gullcart/src/update_stream/tests.rs
@@ -1,6 +1,8 @@
 use super::*;
 use proptest::prelude::*;
 
+const LONGEST: LongestList = LongestList(4 << 20);
+
 const CHANGE: &str = r#"{"rev":7,"all":false,"targets":[{"uid":"s-{\"1}","endpoint":"127.0.0.1:1","az":"a\\","model":"m","pod_group":1,"state":"SERVING","capacity_hint":1.0,"boot_ms":0}]}"#;
 
 fn indented() -> String {
@@ -10,7 +12,7 @@
 
 /// All pieces of a stream that comes in parts of some size, and the error that ends it.
 fn pieces(bytes: &[u8], size: usize) -> (Vec<Piece>, Option<String>) {
-    let mut stream = UpdateStream::default();
+    let mut stream = UpdateStream::new(LONGEST);
     let mut pieces = Vec::new();
     for part in bytes.chunks(size.max(1)) {
         stream.feed(part);
@@ -50,11 +52,11 @@
 /// One without an end is bounded, and is not looked through again with each part that comes.
 #[test]
 fn a_change_without_end_is_given_up_at_its_bound() {
-    let mut stream = UpdateStream::default();
+    let mut stream = UpdateStream::new(LONGEST);
     stream.feed(b"{\"rev\":7,\"targets\":[\"");
     let mut fed = 0;
     let error = loop {
-        assert!(fed <= LONGEST_LIST + 64, "it is without bound");
+        assert!(fed <= LONGEST.0 + 64, "it is without bound");
         stream.feed(b"xxxxxxxx");
         fed += 8;
         match stream.next() {
@@ -62,7 +64,15 @@
             other => break other,
         }
     };
-    assert!(matches!(error, Err(StreamError::Long)), "{error:?}");
+    assert!(matches!(error, Err(StreamError::Long(bytes)) if bytes == LONGEST.0), "{error:?}");
+}
+
+/// 4 MiB as ever where memory is short, and a sixteenth of it where there is more.
+#[test]
+fn the_bound_grows_with_the_memory() {
+    assert_eq!(LongestList::for_memory(8.0), LongestList(4 << 20));
+    assert_eq!(LongestList::for_memory(64.0), LongestList(4 << 20));
+    assert_eq!(LongestList::for_memory(1_600.0), LongestList(100_000_000));
 }
 
 proptest! {
