--- a/crates/gullcart-scale/src/daemon/endpoints.rs
+++ b/crates/gullcart-scale/src/daemon/endpoints.rs
@@ -65,7 +65,7 @@
     let whole = bench.cost_of(1, &mut |bench, _| bench.tell_whole_list(EndpointState::Serving));
     match whole {
         Ok(sampled) => collector.time("whole list without news", size, sampled),
-        Err(error) => return collector.not_reached("whole list without news", size, error),
+        Err(error) => collector.not_reached("whole list without news", size, error)?,
     }
     collector.bytes("resident memory after all", size, bench.daemon.resident_bytes()?);
     collector.bytes("peak memory", size, bench.daemon.peak_resident_bytes()?);
--- a/crates/gullcartctl/src/scale.rs
+++ b/crates/gullcartctl/src/scale.rs
@@ -85,7 +85,7 @@
 }
 
 const ENDPOINTS: Kind =
-    Kind { name: "endpoints", sizes: &[100, 1_000, 10_000, 50_000], measure: endpoints::measure };
+    Kind { name: "endpoints", sizes: &[100, 1_000, 10_000, 50_000, 200_000], measure: endpoints::measure };
 const HELD: Kind = Kind { name: "held", sizes: &[1_000, 10_000, 50_000, 100_000], measure: held::measure };
 const WAITING: Kind = Kind { name: "waiting", sizes: &[10, 100, 1_000, 10_000], measure: waiting::measure };
 const CHANGES: Kind =
