--- a/crates/gullcartctl/tests/scale.rs
+++ b/crates/gullcartctl/tests/scale.rs
@@ -196,6 +196,8 @@
     assert!(Command::new("/bin/sh").args(["-c", &words]).status().unwrap().success());
     let status = run.wait().unwrap();
     until("the daemon has ended", || daemons_of(run.id()) == 0);
+    // What a killed run leaves: its folder.
+    let _ = std::fs::remove_dir_all(std::env::temp_dir().join(format!("gullcart-scale-{}-0", run.id())));
     status.code()
 }
 
