--- a/crates/gullcart-distribution/src/subscriber/mod.rs
+++ b/crates/gullcart-distribution/src/subscriber/mod.rs
@@ -3,6 +3,7 @@
 //! A courier uses it directly; a relay has one for its upstream side.
 
 mod frames;
+mod progress;
 mod renewal;
 mod scopes;
 mod session;
@@ -20,7 +21,7 @@
 use crate::guards::Guards;
 use crate::lease::Leases;
 use crate::limits::{MAX_OUTPUT_MESSAGES, RELAY_RENEW_INTERVAL, SUBSCRIBER_RENEW_INTERVAL};
-use crate::message::{Acknowledge, Message, Progress, SessionId, Subscribe};
+use crate::message::{Message, SessionId, Subscribe};
 use crate::position::{Epoch, Lineage, Position};
 use crate::scope::Scope;
 use crate::store::Store;
@@ -260,34 +261,6 @@
         std::mem::take(&mut self.touched)
     }
 
-    /// Tells the relay above that changes are in force below, if it was not told yet.
-    pub(crate) fn report_in_force(&mut self, position: Position) {
-        if position <= self.in_force {
-            return;
-        }
-        self.in_force = position;
-        self.send_acknowledge();
-    }
-
-    fn progress(&self) -> Progress {
-        let received = self.session.as_ref().map(|session| session.received).unwrap_or_default();
-        let in_force = match self.role {
-            Role::Edge => self.position,
-            Role::Relay => self.in_force,
-        };
-        Progress { received, in_force }
-    }
-
-    fn send_acknowledge(&mut self) {
-        let Some(session) = &self.session else {
-            return;
-        };
-        if session.accepted {
-            let acknowledge = Acknowledge { session: session.id, progress: self.progress() };
-            self.send(Message::Acknowledge(acknowledge));
-        }
-    }
-
     fn wait_before_reconnecting(&mut self, now: Instant) {
         self.reconnect_at = now + self.backoff.next_wait(&mut self.random);
     }
--- a/crates/gullcart-distribution/tests/properties.rs
+++ b/crates/gullcart-distribution/tests/properties.rs
@@ -111,6 +111,11 @@
     }
 }
 
+/// How many courses are tried; `PROPTEST_CASES` asks for more.
+fn cases() -> u32 {
+    std::env::var("PROPTEST_CASES").ok().and_then(|cases| cases.parse().ok()).unwrap_or(96)
+}
+
 /// Nothing waits beyond its bound, and no position goes back while a courier lives.
 fn check_bounds(fleet: &Fleet) -> Result<(), TestCaseError> {
     for (id, node) in fleet.nodes() {
@@ -126,7 +131,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 96, max_shrink_iters: 400, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: cases(), max_shrink_iters: 400, ..ProptestConfig::default() })]
 
     /// The judge compares each courier after each of its calls with what the source had at that position, and looks that
     /// nobody acts on what a change in force has replaced; see `simulation/judge.rs`.
--- a/crates/gullcart-distribution/tests/source.rs
+++ b/crates/gullcart-distribution/tests/source.rs
@@ -4,7 +4,7 @@
 
 use gullcart_distribution::digest::Digest;
 use gullcart_distribution::error::SourceError;
-use gullcart_distribution::limits::{CLOCK_DRIFT_DIVISOR, LEASE};
+use gullcart_distribution::limits::{CLOCK_DRIFT_DIVISOR, LEASE, MAX_TOMBSTONES};
 use gullcart_distribution::message::*;
 use gullcart_distribution::position::{Epoch, Position, Revision};
 use gullcart_distribution::publisher::SubscriberId;
@@ -167,3 +167,93 @@
     };
     assert_eq!(renewed.digest, Digest::default());
 }
+
+#[test]
+fn a_subscriber_that_missed_removals_which_are_forgotten_has_to_begin_anew() {
+    let mut source = with_relay();
+    while source.poll_output().is_some() {}
+    for number in 0..MAX_TOMBSTONES as u64 + 5_000 {
+        // The relay acknowledges nothing, so that changes are in force when its lease has run out.
+        let now = if number < 60_000 { after(100) } else { after(3_000) };
+        while source.poll_in_force(now).is_some() {}
+        let key = Key::new(number.to_le_bytes().to_vec()).unwrap();
+        source.change(now, Epoch(1), Edit { scope: Scope::Global, key, value: None }).unwrap();
+    }
+    let sent = std::iter::from_fn(|| source.poll_output()).count() as u64;
+    assert!(sent < 100, "the window holds back what is not acknowledged");
+    let progress = progress(&source, sent + 1);
+    let acknowledge = Acknowledge { session: SESSION, progress };
+    source.handle(after(3_100), RELAY, Message::Acknowledge(acknowledge)).unwrap();
+    let (_, next) = source.poll_output().expect("an answer");
+    assert!(matches!(next, Message::Refused(Refused { reason: Reason::Replaced, .. })));
+}
+
+/// What a source answers to a subscription that goes on from `resume`.
+fn subscribed(source: &mut Source, resume: Position) -> Vec<Message> {
+    source.connected(RELAY);
+    let scopes = vec![Scope::Global];
+    let subscribe = Subscribe { session: SESSION, scopes, resume: Some(resume), history: true };
+    source.handle(START, RELAY, Message::Subscribe(subscribe)).unwrap();
+    std::iter::from_fn(|| source.poll_output()).map(|(_, message)| message).collect()
+}
+
+/// A source whose second writer took over two changes of the first.
+fn with_second_writer() -> Source {
+    let mut source = source();
+    source.change(START, Epoch(1), edit("1")).unwrap();
+    source.change(START, Epoch(1), edit("2")).unwrap();
+    source.begin_epoch(START, Epoch(2)).unwrap();
+    source.change(START, Epoch(2), edit("3")).unwrap();
+    source
+}
+
+fn start_of(answers: &[Message]) -> Option<Start> {
+    match answers.first() {
+        Some(Message::Welcome(welcome)) => Some(welcome.start),
+        _ => None,
+    }
+}
+
+#[test]
+fn a_subscriber_goes_on_from_where_it_was() {
+    let answers = subscribed(&mut with_second_writer(), Position::new(1, 2));
+    assert_eq!(start_of(&answers), Some(Start::Resume));
+    let Some(Message::Frame(frame)) = answers.get(1) else {
+        panic!("{answers:?}");
+    };
+    assert_eq!((frame.after, frame.upto, frame.complete), (Position::new(1, 2), Position::new(2, 3), true));
+    assert_eq!(frame.changes.len(), 1);
+}
+
+#[test]
+fn a_subscriber_that_misses_nothing_is_told_that_its_state_is_complete() {
+    let answers = subscribed(&mut with_second_writer(), Position::new(2, 3));
+    assert_eq!(start_of(&answers), Some(Start::Resume));
+    let complete = |message: &Message| matches!(message, Message::Frame(frame) if frame.complete && frame.changes.is_empty());
+    assert!(answers.get(1).is_some_and(complete), "{answers:?}");
+}
+
+#[test]
+fn a_subscriber_with_changes_that_were_not_taken_over_needs_a_snapshot() {
+    let answers = subscribed(&mut with_second_writer(), Position::new(1, 3));
+    assert_eq!(start_of(&answers), Some(Start::Snapshot));
+}
+
+#[test]
+fn a_subscriber_that_is_ahead_is_refused() {
+    for ahead in [Position::new(2, 4), Position::new(3, 1)] {
+        let answers = subscribed(&mut with_second_writer(), ahead);
+        let behind = |message: &Message| matches!(message, Message::Refused(refused) if refused.reason == Reason::Behind);
+        assert!(answers.len() == 1 && behind(&answers[0]), "{answers:?}");
+    }
+}
+
+#[test]
+fn a_change_that_concerns_nobody_is_not_held_up_by_a_later_one() {
+    let mut source = with_relay();
+    let elsewhere = Edit { scope: Scope::Zone(1), ..edit("1") };
+    let first = source.change(after(100), Epoch(1), elsewhere).unwrap();
+    source.change(after(100), Epoch(1), edit("1")).unwrap();
+    assert_eq!(source.poll_in_force(after(101)).map(|found| found.position), Some(first));
+    assert_eq!(source.poll_in_force(after(101)), None);
+}
