--- a/crates/gullcart-distribution/src/lib.rs
+++ b/crates/gullcart-distribution/src/lib.rs
@@ -23,7 +23,7 @@
 //!   tree below it.
 //!
 //! Every answer given after a change has been numbered requires that change, so each change is in force at most
-//! [`limits::LEASE`] plus drift after it was numbered, whatever is lost, slow, stopped or cut off.
+//! [`limits::LEASE`], plus drift and [`limits::GRANT_SLOT`], after it was numbered, whatever is lost, slow, stopped or cut off.
 //! `docs/design/distribution.md` has the alternatives that were weighed.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
