Run fleets of hollow couriers over sockets, with faults

The distribution is a state machine that was tried in virtual time; this puts it on TCP in processes of their own: one source, relays of regions and zones, and couriers by the hundreds, in a tree that a layout describes. The drivers decide nothing. Links have bounded buffers; a peer that does not read is closed, and beyond 1,024 waiting messages a node's links are not read.

All processes share CLOCK_MONOTONIC, so the time from a change to its being in force is measured directly: at each courier the moment at which its engine had it, or its lease ran out before. Beside it stands when the source knew; a source that knew too early breaks a promise, as does a change later than 3 s, one never known, and a courier that missed one.

--- a/crates/gullcart-hollow/src/fleet.rs
+++ b/crates/gullcart-hollow/src/fleet.rs
@@ -38,6 +38,9 @@
         /// What they may.
         limit: u64,
     },
+    /// A relay that was to be killed amid snapshots sent none.
+    #[error("the relay to be killed began no snapshot")]
+    NoSnapshot,
     /// Somebody wants it to end.
     #[error("interrupted")]
     Interrupted,
--- a/crates/gullcart-hollow/src/lib.rs
+++ b/crates/gullcart-hollow/src/lib.rs
@@ -5,15 +5,34 @@
 //! them, and ends them; they do what its commands say ([`control`]).
 #![forbid(unsafe_code)]
 
+pub mod command;
 pub mod control;
 pub mod courier;
+mod couriers_node;
 mod fleet;
+mod hollow;
+mod in_force;
+pub mod layout;
 mod limits;
+mod link;
+
 pub mod machine;
+mod phase;
 mod process;
+mod relays_node;
+mod run;
+mod scenario;
 mod serve;
+mod source_node;
+mod station;
+mod tree;
+mod verdict;
 
 pub use fleet::{Endings, Fleet, FleetError, ProcessIndex};
 pub use limits::{Demand, Excess, Limits, MEMORY_DIVISOR, MOST_PROCESSES, OWN_DESCRIPTORS};
 pub use process::{Launch, Process, ProcessError};
+pub use run::{run, RunError, RunPlan, RunResult, ScenarioFailure};
+pub use scenario::{Scenario, Spans};
 pub use serve::{serve, ServeError};
+pub use tree::Spread;
+pub use verdict::{broken_promises, Broken, FORBIDDEN};
--- a/crates/gullcart-hollow/src/machine.rs
+++ b/crates/gullcart-hollow/src/machine.rs
@@ -51,7 +51,7 @@
 }
 
 /// A point of `CLOCK_MONOTONIC`, which all processes of a machine share.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Monotonic(pub u64);
 
 impl Monotonic {
@@ -126,3 +126,28 @@
     let kib: Option<u64> = number.and_then(|number| number.parse().ok());
     kib.map(|kib| kib * KIB).ok_or(MachineError::Missing { path: path.to_owned(), field: name })
 }
+
+impl Monotonic {
+    /// The same point as the distribution counts time.
+    pub fn to_distribution(self) -> gullcart_distribution::time::Instant {
+        gullcart_distribution::time::Instant::from_micros(self.0 / 1000)
+    }
+
+    /// A point of the distribution's time.
+    pub fn of_distribution(instant: gullcart_distribution::time::Instant) -> Self {
+        Monotonic(instant.as_micros() * 1000)
+    }
+}
+
+/// The present, as the distribution counts time.
+pub fn distribution_now() -> gullcart_distribution::time::Instant {
+    Monotonic::now().to_distribution()
+}
+
+/// Sleeps until a point of the distribution's time; for ever if there is none.
+pub async fn sleep_until(wanted: Option<gullcart_distribution::time::Instant>) {
+    match wanted {
+        Some(wanted) => tokio::time::sleep(wanted.since(distribution_now())).await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/gullcart-hollow/src/serve.rs
+++ b/crates/gullcart-hollow/src/serve.rs
@@ -2,7 +2,11 @@
 
 use crate::control::{Command, Cost, Probe, Report, Usage};
 use crate::courier::{target, CourierError, CourierSettings, HollowEngine};
-use crate::machine::{self, MachineError};
+use crate::couriers_node::CouriersNode;
+use crate::link::LinkShared;
+use crate::machine::{self, MachineError, Monotonic};
+use crate::relays_node::RelaysNode;
+use crate::source_node::{SourceNode, SourceNodeError};
 use gullcart_message::Update;
 use rustix::process::{getpid, set_parent_process_death_signal, Signal};
 use std::io;
@@ -27,6 +31,12 @@
     /// A courier cannot run.
     #[error(transparent)]
     Courier(#[from] CourierError),
+    /// The source cannot run.
+    #[error(transparent)]
+    Source(#[from] SourceNodeError),
+    /// The command is for a process of another role.
+    #[error("the command is for a process of another role")]
+    Role,
 }
 
 /// Serves as a process of the fleet until standard input closes.
@@ -61,9 +71,22 @@
     Ok(())
 }
 
+/// What the process is.
+#[derive(Default)]
+enum Role {
+    /// Not told yet.
+    #[default]
+    Unknown,
+    Source(SourceNode),
+    Relays(RelaysNode),
+    Couriers(Box<CouriersNode>),
+}
+
 /// What the process holds between commands.
 #[derive(Default)]
 struct Node {
+    role: Role,
+    shared: LinkShared,
     probed: Vec<HollowEngine>,
 }
 
@@ -71,7 +94,67 @@
     async fn carry_out(&mut self, command: Command) -> Result<Report, ServeError> {
         match command {
             Command::Probe(probe) => self.probe(probe).map(Report::Probed),
-            Command::Usage => Ok(Report::Usage(Usage { processor: machine::processor_time() })),
+            Command::Source(plan) => {
+                let source = SourceNode::start(plan, self.shared.clone()).await?;
+                let addresses = vec![source.address()];
+                self.role = Role::Source(source);
+                Ok(Report::Listening(addresses))
+            }
+            Command::Relays(plans) => {
+                let relays = RelaysNode::start(plans, self.shared.clone()).await?;
+                let addresses = relays.addresses();
+                self.role = Role::Relays(relays);
+                Ok(Report::Listening(addresses))
+            }
+            Command::Couriers(plan) => {
+                self.role = Role::Couriers(Box::new(CouriersNode::start(plan, self.shared.clone())?));
+                Ok(Report::Done)
+            }
+            Command::Usage => self.usage().map(Report::Usage),
+            Command::Status => self.status(),
+            Command::Collect => self.collect(),
+            command => self.act(command).await.map(|()| Report::Done),
+        }
+    }
+
+    /// Carries out what belongs to one role and has nothing to tell.
+    async fn act(&mut self, command: Command) -> Result<(), ServeError> {
+        match (&mut self.role, command) {
+            (Role::Source(source), Command::Publish(publication)) => source.publish(publication),
+            (Role::Relays(relays), Command::StopRelay(relay)) => relays.stop_relay(relay),
+            (Role::Relays(relays), Command::StartRelay(relay)) => relays.start_relay(relay).await?,
+            (Role::Relays(relays), Command::CutUpstream(is_cut)) => relays.cut_upstream(is_cut),
+            (Role::Couriers(node), Command::StopCouriers(couriers)) => node.stop_couriers(couriers),
+            (Role::Couriers(node), Command::StartCouriers(couriers)) => node.start_couriers(couriers)?,
+            (Role::Couriers(node), Command::SlowCourier(courier)) => node.slow_courier(courier)?,
+            _ => return Err(ServeError::Role),
+        }
+        Ok(())
+    }
+
+    fn usage(&self) -> Result<Usage, ServeError> {
+        Ok(Usage {
+            at: Monotonic::now(),
+            processor: machine::processor_time(),
+            traffic: self.shared.traffic(),
+            resident: machine::resident(getpid())?,
+        })
+    }
+
+    fn status(&self) -> Result<Report, ServeError> {
+        match &self.role {
+            Role::Unknown => Err(ServeError::Role),
+            Role::Source(source) => Ok(Report::SourceStatus(source.status())),
+            Role::Relays(relays) => Ok(Report::RelaysStatus(relays.status())),
+            Role::Couriers(couriers) => Ok(Report::CouriersStatus(couriers.status())),
+        }
+    }
+
+    fn collect(&self) -> Result<Report, ServeError> {
+        match &self.role {
+            Role::Source(source) => Ok(Report::Published(source.collect())),
+            Role::Couriers(couriers) => Ok(Report::Advanced(couriers.collect())),
+            Role::Unknown | Role::Relays(_) => Err(ServeError::Role),
         }
     }
 
