--- a/crates/gullcart-hollow/src/control.rs
+++ b/crates/gullcart-hollow/src/control.rs
@@ -4,6 +4,7 @@
 use crate::layout::{CourierIndex, EntryIndex, Layout, ZoneIndex};
 use crate::link::Traffic;
 use crate::machine::{Monotonic, Resident};
+use crate::structures::{StructureCosts, StructurePlan};
 use gullcart_distribution::scope::Scope;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -15,6 +16,8 @@
 pub enum Command {
     /// Builds hollow couriers without sockets and reports what one of them takes.
     Probe(Probe),
+    /// Builds data structures by destinations and reports what they take.
+    Structures(StructurePlan),
     /// Becomes the source.
     Source(SourcePlan),
     /// Runs relays.
@@ -52,6 +55,8 @@
     Done,
     /// Answers [`Command::Probe`].
     Probed(Cost),
+    /// Answers [`Command::Structures`].
+    Structures(StructureCosts),
     /// Answers [`Command::Source`] and [`Command::Relays`]: where they listen.
     Listening(Vec<SocketAddr>),
     /// Answers [`Command::Usage`].
--- a/crates/gullcart-hollow/src/layout.rs
+++ b/crates/gullcart-hollow/src/layout.rs
@@ -8,8 +8,8 @@
 use std::ops::Range;
 use thiserror::Error;
 
-/// Shares of the destinations in one zone.
-const SHARES_PER_ZONE: u32 = 180;
+/// Shares of the destinations in one zone, unless it is said otherwise.
+pub const SHARES_PER_ZONE: u32 = 180;
 /// Shares that one courier serves.
 const SHARES_PER_COURIER: u32 = 5;
 /// Couriers that serve the same shares.
@@ -37,7 +37,7 @@
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 pub enum LayoutError {
     /// Something of it is not there at all.
-    #[error("a fleet has at least one region, one zone in each, and one courier in each zone")]
+    #[error("a fleet has at least one region, one zone in each, one courier and one share in each zone")]
     Empty,
 }
 
@@ -66,13 +66,23 @@
 impl Layout {
     /// A fleet of so many couriers in so many zones of so many regions.
     pub fn new(couriers: u32, zones: u16, regions: u16) -> Result<Self, LayoutError> {
-        if regions == 0 || zones < regions || couriers < u32::from(zones) {
+        Self::with_shares(couriers, zones, regions, SHARES_PER_ZONE)
+    }
+
+    /// The same, with no more shares of the destinations in each zone than so many.
+    pub fn with_shares(
+        couriers: u32,
+        zones: u16,
+        regions: u16,
+        most_shares: u32,
+    ) -> Result<Self, LayoutError> {
+        if regions == 0 || zones < regions || couriers < u32::from(zones) || most_shares == 0 {
             return Err(LayoutError::Empty);
         }
         let couriers_per_zone = couriers.div_ceil(u32::from(zones));
         let groups = couriers_per_zone.div_ceil(COURIERS_PER_GROUP);
         // Small fleets serve fewer shares, so that each share has its couriers.
-        let shares_per_zone = SHARES_PER_ZONE.min(groups * SHARES_PER_COURIER);
+        let shares_per_zone = most_shares.min(groups * SHARES_PER_COURIER);
         Ok(Layout { couriers, zones, regions, shares_per_zone })
     }
 
@@ -91,6 +101,11 @@
         self.regions
     }
 
+    /// How many shares of the destinations a zone has.
+    pub fn shares_per_zone(&self) -> u32 {
+        self.shares_per_zone
+    }
+
     /// The couriers of a zone.
     pub fn couriers_of(&self, zone: ZoneIndex) -> Range<u32> {
         let begin =
--- a/crates/gullcart-hollow/src/lib.rs
+++ b/crates/gullcart-hollow/src/lib.rs
@@ -25,6 +25,7 @@
 mod serve;
 mod source_node;
 mod station;
+pub mod structures;
 mod tree;
 mod verdict;
 
--- a/crates/gullcart-hollow/src/machine.rs
+++ b/crates/gullcart-hollow/src/machine.rs
@@ -9,6 +9,7 @@
 
 const MEMINFO: &str = "/proc/meminfo";
 const CPUINFO: &str = "/proc/cpuinfo";
+const LOADAVG: &str = "/proc/loadavg";
 const KIB: u64 = 1024;
 
 /// Why the kernel's word cannot be had.
@@ -100,6 +101,12 @@
     getrlimit(Resource::Nofile).current
 }
 
+/// How busy this machine was over the last one, five and fifteen minutes.
+pub fn load_average() -> Result<String, MachineError> {
+    let text = read(Path::new(LOADAVG))?;
+    Ok(text.split_whitespace().take(3).collect::<Vec<_>>().join(" "))
+}
+
 /// This machine as a record names it.
 pub fn describe() -> Result<gullcart_scale::Machine, MachineError> {
     let path = Path::new(CPUINFO);
--- a/crates/gullcart-hollow/src/process.rs
+++ b/crates/gullcart-hollow/src/process.rs
@@ -15,7 +15,7 @@
 /// The longest line that a process may write.
 const MOST_LINE_BYTES: u64 = 32 << 20;
 /// A process that has not answered a command by then is held to be lost.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(60);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(180);
 
 /// How processes of the fleet are started: a program that serves as one when it is given these arguments.
 #[derive(Clone, Debug)]
--- a/crates/gullcart-hollow/src/run.rs
+++ b/crates/gullcart-hollow/src/run.rs
@@ -1,5 +1,6 @@
 //! A run: a fleet of one size, and scenarios that are played on it one after the other.
 
+use crate::control::{Command, Report};
 use crate::fleet::{Endings, Fleet, FleetError};
 use crate::layout::Layout;
 use crate::limits::{Demand, Limits};
@@ -7,6 +8,7 @@
 use crate::phase::{figure, settle, PhaseError};
 use crate::process::Launch;
 use crate::scenario::{Scenario, Spans};
+use crate::structures::{StructureCosts, StructurePlan};
 use crate::tree::{probe_engine, Spread, Tree};
 use gullcart_scale::Figure;
 use thiserror::Error;
@@ -16,6 +18,9 @@
 /// What the probe of an engine's memory may take.
 const PROBE_BYTES: u64 = 512 << 20;
 
+/// What a destination takes in the structures at most, as was seen.
+const DESTINATION_BYTES: u64 = 2 << 10;
+
 /// What is run.
 #[derive(Clone, Debug)]
 pub struct RunPlan {
@@ -101,6 +106,23 @@
     Ok(bytes)
 }
 
+/// Measures data structures in a process of their own.
+pub async fn measure_structures(launch: &Launch, plan: StructurePlan) -> Result<StructureCosts, RunError> {
+    let memory = u64::from(plan.destinations) * DESTINATION_BYTES + PROBE_BYTES;
+    let demand = Demand { memory, processes: 2, connections: 0 };
+    let fleet = Fleet::admit(launch.clone(), Limits::of_machine()?, &demand).map_err(FleetError::from)?;
+    let work = async |fleet: &mut Fleet| {
+        let index = fleet.start("structures")?;
+        let process = fleet.process(index);
+        match process.call(&Command::Structures(plan)).await? {
+            Report::Structures(costs) => Ok(costs),
+            _ => Err(FleetError::from(process.unexpected())),
+        }
+    };
+    let (costs, _) = fleet.run(work).await?;
+    Ok(costs)
+}
+
 /// Plays all scenarios. What was measured before one that fails is kept.
 async fn play_all(
     fleet: &mut Fleet,
--- a/crates/gullcart-hollow/src/serve.rs
+++ b/crates/gullcart-hollow/src/serve.rs
@@ -7,6 +7,7 @@
 use crate::machine::{self, MachineError, Monotonic};
 use crate::relays_node::RelaysNode;
 use crate::source_node::{SourceNode, SourceNodeError};
+use crate::structures::{self, StructureError};
 use gullcart_message::Update;
 use rustix::process::{getpid, set_parent_process_death_signal, Signal};
 use std::io;
@@ -34,6 +35,9 @@
     /// The source cannot run.
     #[error(transparent)]
     Source(#[from] SourceNodeError),
+    /// Data structures cannot be measured.
+    #[error(transparent)]
+    Structures(#[from] StructureError),
     /// The command is for a process of another role.
     #[error("the command is for a process of another role")]
     Role,
@@ -94,6 +98,7 @@
     async fn carry_out(&mut self, command: Command) -> Result<Report, ServeError> {
         match command {
             Command::Probe(probe) => self.probe(probe).map(Report::Probed),
+            Command::Structures(plan) => Ok(Report::Structures(structures::measure(&plan)?)),
             Command::Source(plan) => {
                 let source = SourceNode::start(plan, self.shared.clone()).await?;
                 let addresses = vec![source.address()];
