--- a/crates/gullcart-hollow/src/run.rs
+++ b/crates/gullcart-hollow/src/run.rs
@@ -131,7 +131,9 @@
 ) -> Result<Option<ScenarioFailure>, RunError> {
     let begun = machine::Monotonic::now();
     let mut tree = Tree::start(fleet, plan.layout, plan.spread, plan.seed).await?;
-    settle(&mut tree, plan.layout.couriers()).await?;
+    if let Err(error) = settle(&mut tree, plan.layout.couriers()).await {
+        return Ok(Some(ScenarioFailure { scenario: "start", reason: error.to_string() }));
+    }
     let took = machine::Monotonic::now().since(begun).as_secs_f64() * 1e3;
     figures.push(figure("all_current_after_start".to_owned(), "ms", took));
     eprintln!("{} couriers are current after {took:.0} ms", plan.layout.couriers());
--- a/crates/gullcart-hollow/src/structures.rs
+++ b/crates/gullcart-hollow/src/structures.rs
@@ -124,6 +124,10 @@
         self.entries().div_ceil(self.entries_per_share())
     }
 
+    fn all_scopes(&self) -> Vec<Scope> {
+        (0..self.shares()).map(Scope::Destinations).collect()
+    }
+
     /// The scopes of the first zone.
     fn zone_scopes(&self) -> Vec<Scope> {
         (0..self.shares().div_ceil(self.zones)).map(Scope::Destinations).collect()
@@ -210,27 +214,25 @@
         samples.push(begun.elapsed());
     }
     let entries = store.entry_count() as u64;
-    let digest = time_digest(plan, &store);
+    let digest = time_digest(&plan.all_scopes(), &store);
     Ok(StructureCost { destinations: plan.destinations, entries, change: median(samples), digest, ..cost })
 }
 
 /// How long it takes to work the digest of a share out from its entries, which a node never does as it keeps it up to date.
-fn time_digest(plan: &StructurePlan, store: &Store) -> Duration {
-    let shares = plan.shares().min(SAMPLES);
-    let time = |share: u32| {
-        let scope = Scope::Destinations(share);
+fn time_digest(scopes: &[Scope], store: &Store) -> Duration {
+    let time = |scope: &Scope| {
         let begun = std::time::Instant::now();
         let mut digest = Digest::default();
-        if let Some(state) = store.scope(scope) {
+        if let Some(state) = store.scope(*scope) {
             for (key, entry) in state.entries() {
                 digest.insert(Digest::of_entry(key, &entry.value, entry.position));
             }
         }
         let took = begun.elapsed();
-        assert_eq!(digest, store.digest(scope), "the digest of {scope:?} that is kept");
+        assert_eq!(digest, store.digest(*scope), "the digest of {scope:?} that is kept");
         took
     };
-    median((0..shares).map(time).collect())
+    median(scopes.iter().take(SAMPLES as usize).map(time).collect())
 }
 
 fn measure_source(plan: &StructurePlan, source: &mut Source) -> Result<StructureCost, StructureError> {
@@ -255,7 +257,7 @@
         samples.push(begun.elapsed());
     }
     let entries = source.store().entry_count() as u64;
-    let digest = time_digest(plan, source.store());
+    let digest = time_digest(&plan.all_scopes(), source.store());
     Ok(StructureCost { destinations: plan.destinations, entries, change: median(samples), digest, ..cost })
 }
 
@@ -350,7 +352,7 @@
         chain.step()?;
         samples.push(time_relayed_change(plan, &mut chain, in_zone, 3 + sample)?);
     }
-    let digest = time_digest(plan, chain.relay.upstream().store());
+    let digest = time_digest(&scopes, chain.relay.upstream().store());
     let destinations = u32::try_from(entries).unwrap_or(u32::MAX).saturating_mul(plan.per_entry);
     Ok(StructureCost { destinations, entries, change: median(samples), digest, ..cost })
 }
