--- a/crates/gullcart-distribution/src/relay.rs
+++ b/crates/gullcart-distribution/src/relay.rs
@@ -4,11 +4,11 @@
 
 use crate::error::ProtocolError;
 use crate::guards::Guards;
-use crate::limits::RESCOPE_DELAY;
+use crate::limits::{MAX_SCOPES, RESCOPE_DELAY};
 use crate::message::Message;
 use crate::position::{Lineage, Position};
 use crate::publisher::feed::{Authority, Feed};
-use crate::publisher::{Publisher, SubscriberId};
+use crate::publisher::{Peaks, Publisher, SubscriberId};
 use crate::scope::Scope;
 use crate::subscriber::{Role, Subscriber};
 use crate::time::Instant;
@@ -54,7 +54,7 @@
     pub fn new(seed: u64) -> Self {
         Self {
             upstream: Subscriber::new(Role::Relay, [], seed),
-            publisher: Publisher::new(seed.wrapping_add(1)),
+            publisher: Publisher::new(seed.wrapping_add(1), MAX_SCOPES),
             rescope_at: None,
             guards: Guards::ALL,
         }
@@ -164,14 +164,9 @@
         self.publisher.session_count()
     }
 
-    /// Bytes on their way to one subscriber, at most.
-    pub fn largest_window(&self) -> usize {
-        self.publisher.largest_window()
-    }
-
-    /// Snapshots under way.
-    pub fn snapshots_under_way(&self) -> usize {
-        self.publisher.snapshots_under_way()
+    /// The most that there was at a time.
+    pub fn peaks(&self) -> Peaks {
+        self.publisher.peaks()
     }
 
     fn after_upstream(&mut self, now: Instant, before: Before) {
