Give couriers scopes of their own, and count how sessions of hollow couriers end

At the full size a region's relay asks for 2,000 scopes at once, more than the driver let wait, so that it never came up: the driver takes as many messages as the state machine may give. A failed connect is told as that, which spaces tries out.

--- a/crates/gullcart-hollow/src/control.rs
+++ b/crates/gullcart-hollow/src/control.rs
@@ -187,14 +187,27 @@
 /// Where the relays of a process stand.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelaysStatus {
-    /// Sessions with their subscribers.
+    /// Sessions with their subscribers, all together.
     pub sessions: usize,
-    /// Snapshots under way.
-    pub snapshots: usize,
-    /// Entries that they hold.
+    /// Entries that they hold, all together.
     pub entries: usize,
+    /// The most snapshots that were under way at a relay at one time.
+    pub most_snapshots: usize,
     /// The largest window of a subscriber, in bytes.
     pub largest_window: usize,
+    /// The most messages that waited for the driver of a relay.
+    pub most_output: usize,
+}
+
+impl RelaysStatus {
+    /// Adds those of another process.
+    pub fn add(&mut self, other: &RelaysStatus) {
+        self.sessions += other.sessions;
+        self.entries += other.entries;
+        self.most_snapshots = self.most_snapshots.max(other.most_snapshots);
+        self.largest_window = self.largest_window.max(other.largest_window);
+        self.most_output = self.most_output.max(other.most_output);
+    }
 }
 
 /// Where the couriers of a process stand.
--- a/crates/gullcart-hollow/src/hollow.rs
+++ b/crates/gullcart-hollow/src/hollow.rs
@@ -78,16 +78,26 @@
     }
 }
 
-/// What has become of a courier's sessions.
+/// What has become of sessions.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SessionCounts {
     /// Links that were made.
     pub links: u64,
-    /// Sessions that were refused for this time.
+    /// Links that could not be made.
+    pub unreachable: u64,
+    /// Links that the relay closed, or that broke.
+    pub broken: u64,
+    /// Links that were given up as the relay did not answer in time.
+    pub silent: u64,
+    /// Sessions that were refused as too many snapshots were under way.
+    pub busy: u64,
+    /// Sessions that were refused as the relay was not ready.
+    pub not_ready: u64,
+    /// Sessions that were refused as the relay's limits are reached.
+    pub full: u64,
+    /// Sessions that were refused or ended for another reason.
     pub refused: u64,
-    /// Sessions that were refused as the node's limits are reached.
-    pub refused_full: u64,
-    /// Other breaks of the protocol.
+    /// Messages that broke the protocol.
     pub errors: u64,
 }
 
@@ -95,10 +105,37 @@
     /// Adds those of another courier.
     pub fn add(&mut self, other: &SessionCounts) {
         self.links += other.links;
+        self.unreachable += other.unreachable;
+        self.broken += other.broken;
+        self.silent += other.silent;
+        self.busy += other.busy;
+        self.not_ready += other.not_ready;
+        self.full += other.full;
         self.refused += other.refused;
-        self.refused_full += other.refused_full;
         self.errors += other.errors;
     }
+
+    fn note(&mut self, error: ProtocolError) {
+        match error {
+            ProtocolError::Refused(Reason::SnapshotsBusy) => self.busy += 1,
+            ProtocolError::Refused(Reason::NotReady) => self.not_ready += 1,
+            ProtocolError::Refused(Reason::Full) => self.full += 1,
+            ProtocolError::Refused(_) => self.refused += 1,
+            _ => self.errors += 1,
+        }
+    }
+}
+
+impl std::fmt::Display for SessionCounts {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let SessionCounts { links, unreachable, broken, silent, busy, not_ready, full, refused, errors } =
+            self;
+        write!(
+            formatter,
+            "{links} links, {unreachable} unreachable, {broken} broken, {silent} silent; {busy} refused as busy, \
+             {not_ready} as not ready, {full} as full, {refused} otherwise; {errors} errors"
+        )
+    }
 }
 
 /// What a courier holds.
@@ -165,6 +202,7 @@
         let now = distribution_now();
         if self.subscriber.next_timeout().is_some_and(|at| at <= now) {
             self.subscriber.on_timeout(now);
+            self.counts.silent += u64::from(self.subscriber.wants_close());
         }
         if self.engine.next_turn().is_some_and(|left| left.is_zero()) {
             self.engine.turn()?;
@@ -175,11 +213,8 @@
     fn handle(&mut self, message: Message) -> Result<(), HollowError> {
         let now = distribution_now();
         let before = self.subscriber.position();
-        match self.subscriber.handle(now, message) {
-            Ok(()) => {}
-            Err(ProtocolError::Refused(Reason::Full)) => self.counts.refused_full += 1,
-            Err(ProtocolError::Refused(_)) => self.counts.refused += 1,
-            Err(_) => self.counts.errors += 1,
+        if let Err(error) = self.subscriber.handle(now, message) {
+            self.counts.note(error);
         }
         if self.subscriber.position() != before {
             self.take_changes(before)?;
@@ -259,15 +294,17 @@
             Ok(mut link) => {
                 courier.borrow_mut().counts.links += 1;
                 courier.borrow_mut().subscriber.connected(distribution_now());
-                if let Err(SessionEnd::Failed(error)) = serve_link(&courier, &mut link).await {
-                    return error;
+                match serve_link(&courier, &mut link).await {
+                    Ok(()) => {}
+                    Err(SessionEnd::Link) => courier.borrow_mut().counts.broken += 1,
+                    Err(SessionEnd::Failed(error)) => return error,
                 }
                 courier.borrow_mut().subscriber.disconnected(distribution_now());
             }
-            // The back-off is the subscriber's: to it this is a link that broke at once.
+            // When to try again is the subscriber's to say.
             Err(_) => {
-                courier.borrow_mut().subscriber.connected(distribution_now());
-                courier.borrow_mut().subscriber.disconnected(distribution_now());
+                courier.borrow_mut().counts.unreachable += 1;
+                courier.borrow_mut().subscriber.connect_failed(distribution_now());
             }
         }
     }
--- a/crates/gullcart-hollow/src/layout.rs
+++ b/crates/gullcart-hollow/src/layout.rs
@@ -144,7 +144,7 @@
         let zone = self.zone_of(courier);
         let settings = [Scope::Global, Scope::Region(self.region_of(zone).0), Scope::Zone(zone.0)];
         let shares = self.shares_of(courier).map(Scope::Destinations);
-        settings.into_iter().chain(shares).collect()
+        settings.into_iter().chain(shares).chain([Scope::Courier(courier.0)]).collect()
     }
 
     /// Whether a courier subscribes to a scope.
@@ -155,7 +155,7 @@
             Scope::Region(region) => region == self.region_of(zone).0,
             Scope::Zone(number) => number == zone.0,
             Scope::Destinations(share) => self.shares_of(courier).any(|own| own == share),
-            Scope::Courier(_) => false,
+            Scope::Courier(own) => own == courier.0,
         }
     }
 
@@ -164,7 +164,8 @@
         let candidates = match scope {
             Scope::Zone(zone) => self.couriers_of(ZoneIndex(zone)),
             Scope::Destinations(share) => self.couriers_of(ZoneIndex((share / self.shares_per_zone) as u16)),
-            _ => 0..self.couriers,
+            Scope::Courier(courier) => courier..courier + 1,
+            Scope::Global | Scope::Region(_) => 0..self.couriers,
         };
         candidates.map(CourierIndex).filter(move |courier| self.subscribes(*courier, scope))
     }
@@ -174,7 +175,8 @@
         let regions = (0..self.regions).map(Scope::Region);
         let zones = (0..self.zones).map(Scope::Zone);
         let shares = (0..u32::from(self.zones) * self.shares_per_zone).map(Scope::Destinations);
-        [Scope::Global].into_iter().chain(regions).chain(zones).chain(shares).collect()
+        let couriers = (0..self.couriers).map(Scope::Courier);
+        [Scope::Global].into_iter().chain(regions).chain(zones).chain(shares).chain(couriers).collect()
     }
 
     /// The entries of a scope.
--- a/crates/gullcart-hollow/src/phase.rs
+++ b/crates/gullcart-hollow/src/phase.rs
@@ -2,6 +2,7 @@
 
 use crate::control::{Publication, SourceStatus, Usage};
 use crate::fleet::FleetError;
+use crate::hollow::SessionCounts;
 use crate::in_force::{percentile, InForceTimes};
 use crate::layout::CourierIndex;
 use crate::link::Traffic;
@@ -29,8 +30,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error(
     "{current} of {running} couriers are current, the least at revision {least_revision}; the source has revision \
-     {revision}, of which {in_force} are in force; {planned} changes are still to be made; {full} sessions were refused \
-     as limits are reached"
+     {revision}, of which {in_force} are in force; {planned} changes are still to be made; sessions: {sessions}"
 )]
 pub struct Standing {
     /// Couriers that run.
@@ -45,8 +45,8 @@
     pub in_force: u64,
     /// Changes that are still to be made.
     pub planned: u32,
-    /// Sessions that were refused as limits are reached.
-    pub full: u64,
+    /// What has become of sessions.
+    pub sessions: SessionCounts,
 }
 
 impl Standing {
@@ -71,7 +71,7 @@
         revision,
         in_force,
         planned,
-        full: couriers.sessions.refused_full,
+        sessions: couriers.sessions,
     })
 }
 
--- a/crates/gullcart-hollow/src/relays_node.rs
+++ b/crates/gullcart-hollow/src/relays_node.rs
@@ -62,10 +62,12 @@
         for station in self.stations.iter().flatten() {
             station.inspect(|machine| {
                 if let Machine::Relay(relay) = machine {
+                    let peaks = relay.peaks();
                     status.sessions += relay.session_count();
-                    status.snapshots += relay.snapshots_under_way();
                     status.entries += relay.upstream().store().entry_count();
-                    status.largest_window = status.largest_window.max(relay.largest_window());
+                    status.most_snapshots = status.most_snapshots.max(peaks.snapshots);
+                    status.largest_window = status.largest_window.max(peaks.window_bytes);
+                    status.most_output = status.most_output.max(peaks.output_messages);
                 }
             });
         }
--- a/crates/gullcart-hollow/src/run.rs
+++ b/crates/gullcart-hollow/src/run.rs
@@ -136,7 +136,8 @@
     }
     let took = machine::Monotonic::now().since(begun).as_secs_f64() * 1e3;
     figures.push(figure("all_current_after_start".to_owned(), "ms", took));
-    eprintln!("{} couriers are current after {took:.0} ms", plan.layout.couriers());
+    let sessions = tree.couriers_status().await?.sessions;
+    eprintln!("{} couriers are current after {took:.0} ms; {sessions}", plan.layout.couriers());
     let mut failure = None;
     for scenario in &plan.scenarios {
         eprintln!("playing {}", scenario.name());
@@ -150,6 +151,17 @@
             }
         }
     }
+    let sessions = tree.couriers_status().await?.sessions;
+    eprintln!("in the end {sessions}");
+    let relays = tree.zone_relays_status().await?;
+    let counts = [
+        ("zone_relays_sessions", "sessions", relays.sessions),
+        ("zone_relays_entries", "entries", relays.entries),
+        ("zone_relay_most_snapshots", "snapshots", relays.most_snapshots),
+        ("zone_relay_largest_window", "bytes", relays.largest_window),
+        ("zone_relay_most_output", "messages", relays.most_output),
+    ];
+    figures.extend(counts.map(|(name, unit, count)| figure(name.to_owned(), unit, count as f64)));
     figures.push(figure("peak_memory".to_owned(), "bytes", tree.peak_memory() as f64));
     Ok(failure)
 }
--- a/crates/gullcart-hollow/src/scenario.rs
+++ b/crates/gullcart-hollow/src/scenario.rs
@@ -4,7 +4,7 @@
 use crate::fleet::FleetError;
 use crate::layout::{CourierIndex, ZoneIndex};
 use crate::phase::{
-    collect_times, discard_earlier, figure, measure, settle, time_figures, wait_until_current, Phase,
+    collect_times, discard_earlier, figure, look, measure, settle, time_figures, wait_until_current, Phase,
     PhaseError,
 };
 use crate::tree::{Tree, LOOK_INTERVAL};
@@ -223,15 +223,15 @@
     Ok(())
 }
 
-/// Has all couriers of the zone begin anew, and kills their relay once it has begun to send snapshots and before all
-/// are served.
+/// Has all couriers of the zone begin anew, and kills their relay once some of them have been served and others have not.
 async fn kill_relay_amid_snapshots(tree: &mut Tree<'_>, couriers: Range<u32>) -> Result<(), PhaseError> {
+    let others = tree.layout().couriers() - couriers.len() as u32;
     tree.stop_couriers(couriers.clone()).await?;
     tree.start_couriers(couriers).await?;
     let begun = Instant::now();
     loop {
-        let relay = tree.zone_relay_status(FAULTY_ZONE).await?;
-        if relay.snapshots > 0 || relay.sessions > 0 {
+        let standing = look(tree).await?;
+        if standing.current > others {
             return Ok(tree.kill_zone_relay(FAULTY_ZONE).await?);
         }
         if begun.elapsed() > LATEST_SNAPSHOT {
--- a/crates/gullcart-hollow/src/station.rs
+++ b/crates/gullcart-hollow/src/station.rs
@@ -3,6 +3,7 @@
 use crate::link::{Link, LinkError, LinkShared, ReadPace};
 use crate::machine::{distribution_now, sleep_until};
 use gullcart_distribution::error::ProtocolError;
+use gullcart_distribution::limits::{MAX_OUTPUT_MESSAGES, MAX_SCOPES};
 use gullcart_distribution::message::Message;
 use gullcart_distribution::publisher::SubscriberId;
 use gullcart_distribution::relay::{PeerId, Relay};
@@ -19,8 +20,10 @@
 
 /// Messages that wait for a node, over all of its links. Beyond them the links are not read.
 const MOST_INCOMING: usize = 1024;
-/// Messages that wait for one link. A peer that lets more wait than its window has closed itself out.
-const MOST_OUTGOING: usize = 256;
+/// Messages that wait for a subscriber. One that lets more wait than its window has closed itself out.
+const MOST_TO_SUBSCRIBER: usize = 2 * MAX_OUTPUT_MESSAGES;
+/// Messages that wait for the upstream. A relay that takes scopes on asks for each of them at once.
+const MOST_TO_UPSTREAM: usize = MAX_OUTPUT_MESSAGES + MAX_SCOPES;
 
 /// The state machine of a node that feeds others.
 pub enum Machine {
@@ -39,6 +42,12 @@
         }
     }
 
+    fn connect_failed(&mut self, now: Instant) {
+        if let Machine::Relay(relay) = self {
+            relay.connect_failed(now);
+        }
+    }
+
     fn disconnected(&mut self, now: Instant, peer: PeerId) {
         match (self, peer) {
             (Machine::Source(source), PeerId::Subscriber(subscriber)) => source.disconnected(now, subscriber),
@@ -182,6 +191,9 @@
 
 /// The driver's end of a link.
 struct LinkHandle {
+    /// The state machine knows of it.
+    is_connected: bool,
+    /// None before it is connected, and once it is to write what waits and end.
     outgoing: Option<mpsc::Sender<Message>>,
     task: JoinHandle<()>,
 }
@@ -229,11 +241,11 @@
         let link = self.new_link();
         let peer = PeerId::Subscriber(SubscriberId(link.0));
         self.machine.borrow_mut().connected(distribution_now(), peer);
-        let (outgoing, queue) = mpsc::channel(MOST_OUTGOING);
+        let (outgoing, queue) = mpsc::channel(MOST_TO_SUBSCRIBER);
         let task =
             LinkTask { link, peer, events: self.events.clone(), shared: self.shared.clone(), is_cut: None };
         let task = spawn_local(task.serve(stream, queue));
-        self.links.insert(link, LinkHandle { outgoing: Some(outgoing), task });
+        self.links.insert(link, LinkHandle { is_connected: true, outgoing: Some(outgoing), task });
     }
 
     fn connect_upstream(&mut self) {
@@ -244,7 +256,7 @@
         let (events, shared) = (self.events.clone(), self.shared.clone());
         let task = LinkTask { link, peer: PeerId::Upstream, events, shared, is_cut };
         let task = spawn_local(task.connect(address));
-        self.links.insert(link, LinkHandle { outgoing: None, task });
+        self.links.insert(link, LinkHandle { is_connected: false, outgoing: None, task });
         self.upstream_link = Some(link);
     }
 
@@ -259,6 +271,7 @@
         let Some(handle) = self.links.get_mut(&link) else { return };
         match what {
             LinkNews::Connected(outgoing) => {
+                handle.is_connected = true;
                 handle.outgoing = Some(outgoing);
                 self.machine.borrow_mut().connected(distribution_now(), peer);
             }
@@ -282,18 +295,21 @@
     }
 
     fn close(&mut self, link: LinkId, peer: PeerId) {
-        if self.links.remove(&link).is_none() {
-            return;
-        }
+        let Some(handle) = self.links.remove(&link) else { return };
         if self.upstream_link == Some(link) {
             self.upstream_link = None;
         }
-        self.machine.borrow_mut().disconnected(distribution_now(), peer);
+        let mut machine = self.machine.borrow_mut();
+        if handle.is_connected {
+            machine.disconnected(distribution_now(), peer);
+        } else {
+            machine.connect_failed(distribution_now());
+        }
     }
 
     fn close_upstream_if_wanted(&mut self) {
         let Some(link) = self.upstream_link else { return };
-        let is_connected = self.links.get(&link).is_some_and(|handle| handle.outgoing.is_some());
+        let is_connected = self.links.get(&link).is_some_and(|handle| handle.is_connected);
         if is_connected && self.machine.borrow().wants_upstream_close() {
             self.close(link, PeerId::Upstream);
         }
@@ -335,7 +351,7 @@
             self.tell(LinkNews::Closed).await;
             return;
         };
-        let (outgoing, queue) = mpsc::channel(MOST_OUTGOING);
+        let (outgoing, queue) = mpsc::channel(MOST_TO_UPSTREAM);
         self.tell(LinkNews::Connected(outgoing)).await;
         self.serve(stream, queue).await;
     }
--- a/crates/gullcart-hollow/src/tree.rs
+++ b/crates/gullcart-hollow/src/tree.rs
@@ -216,13 +216,17 @@
         Ok(all)
     }
 
-    /// Where the relay of a zone stands, with those that share its process.
-    pub async fn zone_relay_status(&mut self, zone: ZoneIndex) -> Result<RelaysStatus, FleetError> {
-        let process = self.fleet.process(self.zones.places[usize::from(zone.0)].process);
-        match process.call(&Command::Status).await? {
-            Report::RelaysStatus(status) => Ok(status),
-            _ => Err(process.unexpected().into()),
+    /// Where the relays of zones stand.
+    pub async fn zone_relays_status(&mut self) -> Result<RelaysStatus, FleetError> {
+        let mut all = RelaysStatus::default();
+        for index in self.zones.processes.clone() {
+            let process = self.fleet.process(index);
+            match process.call(&Command::Status).await? {
+                Report::RelaysStatus(status) => all.add(&status),
+                _ => return Err(process.unexpected().into()),
+            }
         }
+        Ok(all)
     }
 
     /// The changes that the source made since the last time.
