--- a/crates/gullcart-distribution/src/subscriber/frames.rs
+++ b/crates/gullcart-distribution/src/subscriber/frames.rs
@@ -77,14 +77,18 @@
         self.check_sequence(frame.sequence)?;
         self.check_scopes(&frame)?;
         self.check_frame_epoch(&frame)?;
-        let sequence = frame.sequence;
+        let (sequence, complete) = (frame.sequence, frame.complete);
         match frame.part {
             Part::Subscription => self.take_changes(now, frame)?,
             Part::Buckets { scope, buckets } => self.take_repair(scope, buckets, frame)?,
         }
         if let Some(session) = &mut self.session {
             session.received = sequence;
-            session.last_progress = now;
+            if complete {
+                session.note_heard(now);
+            } else {
+                session.note_progress(now);
+            }
         }
         self.send_acknowledge();
         Ok(())
@@ -226,9 +230,7 @@
         let Some(session) = &mut self.session else {
             return Err(ProtocolError::OtherSession);
         };
-        if !session.repairs_asked.contains(&scope) && !session.has_given_up(scope) {
-            return Err(ProtocolError::Malformed);
-        }
+        session.missing_since = None;
         let mut repair = session.repair.take().unwrap_or_else(|| StagedRepair::new(scope, buckets));
         if !repair.is_followed_by(&frame) {
             return Err(ProtocolError::Gap { expected: self.position, found: frame.after });
--- a/crates/gullcart-distribution/src/subscriber/session.rs
+++ b/crates/gullcart-distribution/src/subscriber/session.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, VecDeque};
 
 use super::staging::StagedRepair;
-use crate::limits::{MAX_RENEWALS_WAITING, RENEW_TIMEOUT, STALE_TIMEOUT};
+use crate::limits::{MAX_RENEWALS_WAITING, RENEW_TIMEOUT, REQUEST_TIMEOUT, STALE_TIMEOUT};
 use crate::message::{RenewalId, Sequence, SessionId};
 use crate::scope::Scope;
 use crate::time::Instant;
@@ -25,8 +25,10 @@
     pub id: SessionId,
     /// When it was begun.
     begun: Instant,
-    /// When it last brought a frame or a lease.
-    pub last_progress: Instant,
+    /// When it last brought a frame or an answer.
+    last_heard: Instant,
+    /// When it last brought a lease, or a part of a state that is not complete yet.
+    last_progress: Instant,
     /// The scopes that it was begun with.
     pub subscribed: BTreeSet<Scope>,
     /// Whether it was accepted.
@@ -45,6 +47,8 @@
     given_up_until: RenewalId,
     /// Whether the digests of all scopes have been asked for.
     pub digests_asked: bool,
+    /// When it was first seen that something asked for has not come.
+    pub missing_since: Option<Instant>,
     renewals: VecDeque<Renewal>,
     next_renewal: RenewalId,
 }
@@ -55,6 +59,7 @@
         Self {
             id,
             begun: now,
+            last_heard: now,
             last_progress: now,
             subscribed,
             accepted: false,
@@ -65,6 +70,7 @@
             given_up: BTreeSet::new(),
             given_up_until: RenewalId(0),
             digests_asked: false,
+            missing_since: None,
             renewals: VecDeque::new(),
             next_renewal: RenewalId(1),
         }
@@ -101,6 +107,28 @@
         self.given_up.contains(&scope)
     }
 
+    /// Notes that the relay is there.
+    pub fn note_heard(&mut self, now: Instant) {
+        self.last_heard = now;
+    }
+
+    /// Notes that the relay brings the subscriber further.
+    pub fn note_progress(&mut self, now: Instant) {
+        self.last_heard = now;
+        self.last_progress = now;
+    }
+
+    /// Whether what was asked for has to be asked for again.
+    pub fn takes_too_long(&mut self, now: Instant) -> bool {
+        let waits = self.digests_asked || !self.repairs_asked.is_empty();
+        if !waits {
+            self.missing_since = None;
+            return false;
+        }
+        let since = *self.missing_since.get_or_insert(now);
+        now.since(since) >= REQUEST_TIMEOUT
+    }
+
     /// When the other side is given up on.
     pub fn gives_up_at(&self) -> Instant {
         let unanswered_since = match self.renewals.front() {
@@ -109,7 +137,7 @@
             None => None,
         };
         // Who still sends frames is not silent: an answer may wait behind them.
-        let unanswered = unanswered_since.map(|since| since.max(self.last_progress) + RENEW_TIMEOUT);
+        let unanswered = unanswered_since.map(|since| since.max(self.last_heard) + RENEW_TIMEOUT);
         let stale = self.last_progress + STALE_TIMEOUT;
         unanswered.map_or(stale, |at| at.min(stale))
     }
