Tell changes that are late from those that the source knows of late, and begin records before runs

A record took the commit and the load after its run; a slope that failed at one size lost the sizes before it. What the start of a fleet takes and how sessions end are figures now. Both kinds of late changes break the promise.

--- a/crates/gullcart-hollow/src/command.rs
+++ b/crates/gullcart-hollow/src/command.rs
@@ -1,27 +1,22 @@
 //! The command line: fleets of one size, fleets by size, and the data structures by destinations.
 
 use crate::layout::{Layout, LayoutError, SHARES_PER_ZONE};
-use crate::machine::{self, MachineError};
 use crate::process::Launch;
-use crate::run::{measure_structures, run, RunError, RunPlan, RunResult, ScenarioFailure};
+use crate::record::{DraftError, Quantities, RecordDraft, LEAST_SIZES};
+use crate::run::{measure_structures, run, RunError, RunPlan, RunResult};
 use crate::scenario::{Scenario, Spans};
-use crate::structures::{Structure, StructureCost, StructureCosts, StructurePlan};
+use crate::structures::{Structure, StructureCosts, StructurePlan};
 use crate::tree::Spread;
 use crate::verdict::broken_promises;
 use clap::{Args, Subcommand};
-use gullcart_scale::{Figure, FitError, Measurement, Point, RecordError, RunRecord, SCHEMA};
-use std::collections::BTreeMap;
-use std::path::{Path, PathBuf};
-use std::process::{Command, ExitCode};
-use std::time::{Duration, SystemTime};
+use gullcart_scale::Figure;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
 use thiserror::Error;
 use tokio::task::LocalSet;
 
 const RESULTS: &str = "docs/capacity/results";
-const UNKNOWN_COMMIT: &str = "unknown";
-/// Sizes of which at least a fit is made.
-const LEAST_SIZES: usize = 3;
-const NAME_WIDTH: usize = 44;
 
 /// What is measured.
 #[derive(Subcommand)]
@@ -118,31 +113,12 @@
     /// The run failed.
     #[error(transparent)]
     Run(#[from] RunError),
-    /// A scenario of the slope failed.
-    #[error("at {size} couriers: {failure}")]
-    Scenario {
-        /// The size.
-        size: u32,
-        /// The scenario.
-        failure: ScenarioFailure,
-    },
     /// A fit needs more sizes.
     #[error("a slope needs {LEAST_SIZES} sizes or more")]
     Sizes,
-    /// A quantity has no fit.
-    #[error("{name}: {error}")]
-    Fit {
-        /// The quantity.
-        name: String,
-        /// Why not.
-        error: FitError,
-    },
-    /// The record cannot be kept.
+    /// The record cannot be made or kept.
     #[error(transparent)]
-    Record(#[from] RecordError),
-    /// The machine could not be asked.
-    #[error(transparent)]
-    Machine(#[from] MachineError),
+    Draft(#[from] DraftError),
     /// The processes cannot be started from here.
     #[error("the runtime: {0}")]
     Runtime(#[from] std::io::Error),
@@ -164,21 +140,21 @@
     if let Some(processes) = arguments.processes {
         plan.spread.courier_processes = processes.clamp(1, arguments.couriers);
     }
-    let result = run_now(launch, &plan)?;
     let name = common.name.clone().unwrap_or_else(|| format!("hollow-{}", arguments.couriers));
-    let mut record = begin_record(name, plan.parameters())?;
-    record.parameters.insert("couriers".to_owned(), arguments.couriers.to_string());
-    let endpoints = layout.endpoints_per_courier().to_string();
-    record.parameters.insert("endpoints_per_courier".to_owned(), endpoints);
-    if let Some(failure) = &result.failure {
-        record.parameters.insert("failed".to_owned(), failure.to_string());
-    }
-    record.figures = result.figures;
-    keep(&record, &common.results)?;
-    let broken = broken_promises(&record.figures);
+    let mut draft = RecordDraft::begin(name)?;
+    draft.parameters(plan.parameters());
+    draft.parameters([
+        ("couriers", arguments.couriers.to_string()),
+        ("endpoints_per_courier", layout.endpoints_per_courier().to_string()),
+    ]);
+    let result = run_now(launch, &plan)?;
+    let broken = broken_promises(&result.figures);
+    draft.parameters(broken.iter().map(|broken| ("broken", broken.to_string())));
+    draft.parameters(result.failure.iter().map(|failure| ("failed", failure.to_string())));
+    draft.record.figures = result.figures;
+    draft.keep(&common.results)?;
     broken.iter().for_each(|broken| println!("broken: {broken}"));
-    let is_kept = result.failure.is_none() && broken.is_empty();
-    Ok(if is_kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    Ok(exit_code(result.failure.is_none() && broken.is_empty()))
 }
 
 fn execute_slope(arguments: &SlopeArguments, launch: &Launch) -> Result<ExitCode, CommandError> {
@@ -186,25 +162,31 @@
         return Err(CommandError::Sizes);
     }
     let common = &arguments.common;
+    let name = common.name.clone().unwrap_or_else(|| "hollow-slope".to_owned());
+    let mut draft = RecordDraft::begin(name)?;
     let mut quantities = Quantities::default();
-    let mut last = None;
+    let mut is_whole = true;
     for size in &arguments.sizes {
         let plan = common.plan(common.layout(*size)?, vec![Scenario::Plain]);
+        draft.parameters(plan.parameters());
         let result = run_now(launch, &plan)?;
-        if let Some(failure) = result.failure {
-            return Err(CommandError::Scenario { size: *size, failure });
-        }
         for Figure { name, unit, value } in &result.figures {
             quantities.add(name, unit, *size, *value);
         }
-        last = Some(plan);
+        for broken in broken_promises(&result.figures) {
+            println!("broken at {size} couriers: {broken}");
+            is_whole = false;
+        }
+        // What the sizes before it measured is kept.
+        if let Some(failure) = result.failure {
+            draft.parameters([("failed", format!("at {size} couriers: {failure}"))]);
+            is_whole = false;
+            break;
+        }
     }
-    let plan = last.ok_or(CommandError::Sizes)?;
-    let name = common.name.clone().unwrap_or_else(|| "hollow-slope".to_owned());
-    let mut record = begin_record(name, plan.parameters())?;
-    record.measurements = quantities.measurements("couriers")?;
-    keep(&record, &common.results)?;
-    Ok(ExitCode::SUCCESS)
+    draft.record.measurements = quantities.measurements("couriers")?;
+    draft.keep(&common.results)?;
+    Ok(exit_code(is_whole))
 }
 
 fn execute_destinations(
@@ -214,6 +196,8 @@
     if arguments.sizes.len() < LEAST_SIZES {
         return Err(CommandError::Sizes);
     }
+    let name = arguments.name.clone().unwrap_or_else(|| "hollow-destinations".to_owned());
+    let mut draft = RecordDraft::begin(name)?;
     let mut quantities = Quantities::default();
     let mut refused = Vec::new();
     for destinations in &arguments.sizes {
@@ -236,50 +220,21 @@
             }
         }
     }
-    let name = arguments.name.clone().unwrap_or_else(|| "hollow-destinations".to_owned());
-    let parameters = [
+    draft.parameters([
         ("destinations_per_entry", arguments.per_entry.to_string()),
         ("zones", arguments.zones.to_string()),
         ("refused", refused.join("; ")),
-    ];
-    let mut record = begin_record(name, parameters)?;
-    record.measurements = quantities.measurements("destinations")?;
-    keep(&record, &arguments.results)?;
+    ]);
+    draft.record.measurements = quantities.measurements("destinations")?;
+    draft.keep(&arguments.results)?;
     Ok(ExitCode::SUCCESS)
 }
 
-/// Points of quantities, by name.
-#[derive(Default)]
-struct Quantities(BTreeMap<String, Quantity>);
-
-/// Points of one quantity.
-struct Quantity {
-    unit: String,
-    points: Vec<Point>,
-}
-
-impl Quantities {
-    fn add(&mut self, name: &str, unit: &str, size: u32, value: f64) {
-        let quantity = self.0.entry(name.to_owned());
-        let quantity = quantity.or_insert_with(|| Quantity { unit: unit.to_owned(), points: Vec::new() });
-        quantity.points.push(Point { size: f64::from(size), value, samples: 1 });
-    }
-
-    fn add_structure(&mut self, name: &str, size: u32, cost: &StructureCost) {
-        self.add(&format!("{name}/entries"), "entries", size, cost.entries as f64);
-        self.add(&format!("{name}/memory"), "bytes", size, cost.bytes as f64);
-        self.add(&format!("{name}/build"), "ms", size, cost.build.as_secs_f64() * 1e3);
-        self.add(&format!("{name}/change"), "us", size, cost.change.as_secs_f64() * 1e6);
-        self.add(&format!("{name}/digest_of_a_share"), "us", size, cost.digest.as_secs_f64() * 1e6);
-    }
-
-    /// Those quantities that were measured at enough sizes for a fit.
-    fn measurements(self, axis: &str) -> Result<Vec<Measurement>, CommandError> {
-        let enough = self.0.into_iter().filter(|(_, quantity)| quantity.points.len() >= LEAST_SIZES);
-        let fitted = enough.map(|(name, Quantity { unit, points })| {
-            Measurement::new(&name, &unit, axis, points).map_err(|error| CommandError::Fit { name, error })
-        });
-        fitted.collect()
+fn exit_code(is_whole: bool) -> ExitCode {
+    if is_whole {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
     }
 }
 
@@ -323,56 +278,3 @@
         ]
     }
 }
-
-fn begin_record(
-    name: String,
-    parameters: impl IntoIterator<Item = (&'static str, String)>,
-) -> Result<RunRecord, CommandError> {
-    let load = ("load_average", machine::load_average()?);
-    let parameters = parameters.into_iter().chain([load]);
-    Ok(RunRecord {
-        schema: SCHEMA,
-        name,
-        command: command_line(),
-        commit: commit(),
-        date: humantime::format_rfc3339_seconds(SystemTime::now()).to_string(),
-        machine: machine::describe()?,
-        parameters: parameters.map(|(name, value)| (name.to_owned(), value)).collect(),
-        measurements: Vec::new(),
-        figures: Vec::new(),
-    })
-}
-
-/// The command with its program's name alone.
-fn command_line() -> String {
-    let mut words = std::env::args();
-    let program = words.next().unwrap_or_default();
-    let program = Path::new(&program).file_name().unwrap_or_default().to_string_lossy().into_owned();
-    [program].into_iter().chain(words).collect::<Vec<_>>().join(" ")
-}
-
-/// The commit that this program was built from, as far as can be told: that of the folder it lies in.
-fn commit() -> String {
-    let program = std::env::current_exe().unwrap_or_default();
-    let folder = program.parent().unwrap_or(Path::new("."));
-    let asked = Command::new("git").arg("-C").arg(folder).args(["rev-parse", "HEAD"]).output();
-    let answer = asked.ok().filter(|output| output.status.success());
-    answer.map_or_else(
-        || UNKNOWN_COMMIT.to_owned(),
-        |output| String::from_utf8_lossy(&output.stdout).trim().to_owned(),
-    )
-}
-
-fn keep(record: &RunRecord, results: &Path) -> Result<(), CommandError> {
-    for Figure { name, unit, value } in &record.figures {
-        println!("{name:<NAME_WIDTH$} {value:>16.5} {unit}");
-    }
-    for measurement in &record.measurements {
-        let points: Vec<String> =
-            measurement.points.iter().map(|point| format!("{}: {:.5}", point.size, point.value)).collect();
-        println!("{:<NAME_WIDTH$} {} ({})", measurement.name, points.join(", "), measurement.unit);
-    }
-    let path = record.write(results)?;
-    println!("record: {}", path.display());
-    Ok(())
-}
--- a/crates/gullcart-hollow/src/hollow.rs
+++ b/crates/gullcart-hollow/src/hollow.rs
@@ -126,15 +126,27 @@
     }
 }
 
+impl SessionCounts {
+    /// Each count with its name.
+    pub fn by_name(&self) -> [(&'static str, u64); 9] {
+        [
+            ("links", self.links),
+            ("unreachable", self.unreachable),
+            ("broken", self.broken),
+            ("silent", self.silent),
+            ("refused_busy", self.busy),
+            ("refused_not_ready", self.not_ready),
+            ("refused_full", self.full),
+            ("refused_otherwise", self.refused),
+            ("errors", self.errors),
+        ]
+    }
+}
+
 impl std::fmt::Display for SessionCounts {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let SessionCounts { links, unreachable, broken, silent, busy, not_ready, full, refused, errors } =
-            self;
-        write!(
-            formatter,
-            "{links} links, {unreachable} unreachable, {broken} broken, {silent} silent; {busy} refused as busy, \
-             {not_ready} as not ready, {full} as full, {refused} otherwise; {errors} errors"
-        )
+        let counts = self.by_name().map(|(name, count)| format!("{name} {count}"));
+        formatter.write_str(&counts.join(", "))
     }
 }
 
--- a/crates/gullcart-hollow/src/in_force.rs
+++ b/crates/gullcart-hollow/src/in_force.rs
@@ -26,6 +26,8 @@
     pub known_too_early: u64,
     /// Changes that took longer than promised.
     pub late: u64,
+    /// Changes that the source knew of later than promised.
+    pub known_late: u64,
 }
 
 /// When a change was in force at the couriers that subscribe to its scope.
@@ -73,11 +75,12 @@
     fn note_change(&mut self, change: &Published, reached: &Reached) {
         let took = reached.last.since(change.at);
         self.everywhere.push(took);
-        let known = change.in_force.map(|known| known.since(change.at));
-        self.late += u64::from(took > PROMISED || known.is_some_and(|known| known > PROMISED));
+        self.late += u64::from(took > PROMISED);
         match change.in_force {
             Some(known) => {
-                self.known.push(known.since(change.at));
+                let known_after = known.since(change.at);
+                self.known.push(known_after);
+                self.known_late += u64::from(known_after > PROMISED);
                 self.known_too_early += u64::from(known < reached.last);
             }
             None => self.unknown += 1,
--- a/crates/gullcart-hollow/src/lib.rs
+++ b/crates/gullcart-hollow/src/lib.rs
@@ -10,15 +10,15 @@
 pub mod courier;
 mod couriers_node;
 mod fleet;
-mod hollow;
-mod in_force;
+pub mod hollow;
+pub mod in_force;
 pub mod layout;
 mod limits;
 mod link;
-
 pub mod machine;
 mod phase;
 mod process;
+mod record;
 mod relays_node;
 mod run;
 mod scenario;
--- a/crates/gullcart-hollow/src/phase.rs
+++ b/crates/gullcart-hollow/src/phase.rs
@@ -221,6 +221,7 @@
         figure(format!("{prefix}/unknown"), "changes", times.unknown as f64),
         figure(format!("{prefix}/known_too_early"), "changes", times.known_too_early as f64),
         figure(format!("{prefix}/late"), "changes", times.late as f64),
+        figure(format!("{prefix}/known_late"), "changes", times.known_late as f64),
     ];
     let lists =
         [("everywhere", &times.everywhere), ("at_couriers", &times.at_couriers), ("known", &times.known)];
--- a/crates/gullcart-hollow/src/run.rs
+++ b/crates/gullcart-hollow/src/run.rs
@@ -2,6 +2,7 @@
 
 use crate::control::{Command, Report};
 use crate::fleet::{Endings, Fleet, FleetError};
+use crate::hollow::SessionCounts;
 use crate::layout::Layout;
 use crate::limits::{Demand, Limits};
 use crate::machine::{self, MachineError};
@@ -9,8 +10,9 @@
 use crate::process::Launch;
 use crate::scenario::{Scenario, Spans};
 use crate::structures::{StructureCosts, StructurePlan};
-use crate::tree::{probe_engine, Spread, Tree};
+use crate::tree::{probe_engine, Spread, Tree, PARTS};
 use gullcart_scale::Figure;
+use std::time::Duration;
 use thiserror::Error;
 
 /// Couriers of one process, unless it is said otherwise.
@@ -134,10 +136,9 @@
     if let Err(error) = settle(&mut tree, plan.layout.couriers()).await {
         return Ok(Some(ScenarioFailure { scenario: "start", reason: error.to_string() }));
     }
-    let took = machine::Monotonic::now().since(begun).as_secs_f64() * 1e3;
-    figures.push(figure("all_current_after_start".to_owned(), "ms", took));
-    let sessions = tree.couriers_status().await?.sessions;
-    eprintln!("{} couriers are current after {took:.0} ms; {sessions}", plan.layout.couriers());
+    let took = machine::Monotonic::now().since(begun);
+    figures.extend(start_figures(&mut tree, took).await?);
+    eprintln!("{} couriers are current after {took:.1?}", plan.layout.couriers());
     let mut failure = None;
     for scenario in &plan.scenarios {
         eprintln!("playing {}", scenario.name());
@@ -151,17 +152,39 @@
             }
         }
     }
-    let sessions = tree.couriers_status().await?.sessions;
-    eprintln!("in the end {sessions}");
+    figures.extend(end_figures(&mut tree).await?);
+    Ok(failure)
+}
+
+/// What it took until all couriers were current.
+async fn start_figures(tree: &mut Tree<'_>, took: Duration) -> Result<Vec<Figure>, FleetError> {
+    let mut figures = vec![figure("start/all_current_after".to_owned(), "ms", took.as_secs_f64() * 1e3)];
+    for part in PARTS {
+        let processor: Duration = tree.usage(part).await?.iter().map(|(usage, _)| usage.processor).sum();
+        let name = format!("start/{}s_processor_time", part.name());
+        figures.push(figure(name, "s", processor.as_secs_f64()));
+    }
+    figures.extend(session_figures("start", &tree.couriers_status().await?.sessions));
+    Ok(figures)
+}
+
+/// What had happened when all was played.
+async fn end_figures(tree: &mut Tree<'_>) -> Result<Vec<Figure>, FleetError> {
+    let mut figures = session_figures("end", &tree.couriers_status().await?.sessions);
     let relays = tree.zone_relays_status().await?;
     let counts = [
-        ("zone_relays_sessions", "sessions", relays.sessions),
-        ("zone_relays_entries", "entries", relays.entries),
-        ("zone_relay_most_snapshots", "snapshots", relays.most_snapshots),
-        ("zone_relay_largest_window", "bytes", relays.largest_window),
-        ("zone_relay_most_output", "messages", relays.most_output),
+        ("end/zone_relays_sessions", "sessions", relays.sessions),
+        ("end/zone_relays_entries", "entries", relays.entries),
+        ("end/zone_relay_most_snapshots", "snapshots", relays.most_snapshots),
+        ("end/zone_relay_largest_window", "bytes", relays.largest_window),
+        ("end/zone_relay_most_output", "messages", relays.most_output),
     ];
     figures.extend(counts.map(|(name, unit, count)| figure(name.to_owned(), unit, count as f64)));
     figures.push(figure("peak_memory".to_owned(), "bytes", tree.peak_memory() as f64));
-    Ok(failure)
+    Ok(figures)
+}
+
+fn session_figures(prefix: &str, sessions: &SessionCounts) -> Vec<Figure> {
+    let counts = sessions.by_name().into_iter();
+    counts.map(|(name, count)| figure(format!("{prefix}/{name}"), "sessions", count as f64)).collect()
 }
--- a/crates/gullcart-hollow/src/verdict.rs
+++ b/crates/gullcart-hollow/src/verdict.rs
@@ -4,7 +4,7 @@
 use thiserror::Error;
 
 /// Counts of what must not happen, in each phase and scenario; see [`crate::phase::time_figures`].
-pub const FORBIDDEN: [&str; 4] = ["missing", "unknown", "known_too_early", "late"];
+pub const FORBIDDEN: [&str; 5] = ["missing", "unknown", "known_too_early", "late", "known_late"];
 
 /// A promise that was broken.
 #[derive(Clone, Debug, Error, PartialEq)]
