--- /dev/null
+++ b/crates/gullcart-scale/src/capacity/workbook.rs
@@ -0,0 +1,323 @@
+//! Figures that are worked out from records, with what each was worked out from.
+
+use super::quantity::{Quantity, NOT_MEASURED};
+use crate::record::{Measurement, RecordError, RunRecord};
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::{Add, Mul};
+use std::path::Path;
+use thiserror::Error;
+
+/// Where a quantity grows faster than this power of the size, it is carried on by its power law and not by its line.
+const STEEP: f64 = 1.2;
+
+/// Why the page cannot be worked out.
+#[derive(Debug, Error)]
+pub enum CapacityError {
+    /// A record cannot be read.
+    #[error(transparent)]
+    Record(#[from] RecordError),
+    /// The folder of records cannot be read.
+    #[error("{0}: {1}")]
+    Folder(std::path::PathBuf, std::io::Error),
+    /// A figure needs what no record holds.
+    #[error("no record holds '{1}' of {0}")]
+    Missing(&'static str, &'static str),
+    /// Something is listed as not measured, and a record holds it.
+    #[error("'{1}' of {0} is measured by now: take it off the list of what is not")]
+    Measured(&'static str, &'static str),
+    /// The page is not made of what it should be.
+    #[error("line {line}: {fault}")]
+    Page {
+        /// Counted from one.
+        line: usize,
+        /// What is wrong there.
+        fault: String,
+    },
+}
+
+/// A figure of the page.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Figure {
+    /// What it needs was not measured.
+    Open,
+    /// Worked out.
+    Worked(Worked),
+}
+
+/// A figure that is worked out.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Worked {
+    /// Its value.
+    pub value: f64,
+    /// Whether a slope was carried beyond the sizes that it was measured at.
+    pub is_extrapolated: bool,
+    /// The measurements behind it, by their places in [`Workbook::sources`].
+    pub sources: BTreeSet<usize>,
+}
+
+/// A measurement at a size.
+#[derive(Clone, Debug)]
+pub struct Source {
+    /// What was measured.
+    pub quantity: Quantity,
+    /// Its unit.
+    pub unit: String,
+    /// What its size counts; empty for the figure of a run.
+    pub axis: String,
+    /// The size that was asked for.
+    pub size: f64,
+    /// The largest one measured.
+    pub largest_size: f64,
+    /// The value there.
+    pub value: f64,
+    /// How it was come by.
+    pub method: Method,
+}
+
+/// How the value of a source was come by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Method {
+    /// Read from the run.
+    Read,
+    /// Between two measured sizes.
+    Between,
+    /// On the fitted line.
+    Line,
+    /// Carried on from the largest size by the power law with this exponent.
+    Power(f64),
+}
+
+/// The records, and what was taken from them.
+pub struct Workbook {
+    records: BTreeMap<String, RunRecord>,
+    /// Each measurement that was used, in the order of its first use.
+    pub sources: Vec<Source>,
+}
+
+impl Figure {
+    /// A figure that follows from the target alone.
+    pub fn given(value: f64) -> Figure {
+        Figure::Worked(Worked { value, is_extrapolated: false, sources: BTreeSet::new() })
+    }
+
+    /// Its value, where there is one.
+    pub fn value(&self) -> Option<f64> {
+        match self {
+            Figure::Open => None,
+            Figure::Worked(worked) => Some(worked.value),
+        }
+    }
+
+    fn map(self, change: impl FnOnce(f64) -> f64) -> Figure {
+        match self {
+            Figure::Open => Figure::Open,
+            Figure::Worked(worked) => Figure::Worked(Worked { value: change(worked.value), ..worked }),
+        }
+    }
+
+    /// The larger of two figures; open where one is.
+    pub fn max(self, other: Figure) -> Figure {
+        self.join(other, f64::max)
+    }
+
+    /// What is left of a budget.
+    pub fn left_of(self, budget: f64) -> Figure {
+        self.map(|value| budget - value)
+    }
+
+    fn join(self, other: Figure, with: impl FnOnce(f64, f64) -> f64) -> Figure {
+        let (Figure::Worked(left), Figure::Worked(right)) = (self, other) else { return Figure::Open };
+        Figure::Worked(Worked {
+            value: with(left.value, right.value),
+            is_extrapolated: left.is_extrapolated || right.is_extrapolated,
+            sources: left.sources.union(&right.sources).copied().collect(),
+        })
+    }
+}
+
+impl Mul<f64> for Figure {
+    type Output = Figure;
+    fn mul(self, factor: f64) -> Figure {
+        self.map(|value| value * factor)
+    }
+}
+
+impl Mul for Figure {
+    type Output = Figure;
+    fn mul(self, other: Figure) -> Figure {
+        self.join(other, |left, right| left * right)
+    }
+}
+
+impl Add for Figure {
+    type Output = Figure;
+    fn add(self, other: Figure) -> Figure {
+        self.join(other, |left, right| left + right)
+    }
+}
+
+impl Workbook {
+    /// Reads all records of a folder.
+    pub fn read(folder: &Path) -> Result<Workbook, CapacityError> {
+        let fault = |error| CapacityError::Folder(folder.to_owned(), error);
+        let mut records = BTreeMap::new();
+        for entry in std::fs::read_dir(folder).map_err(fault)? {
+            let path = entry.map_err(fault)?.path();
+            if path.extension().is_some_and(|extension| extension == "json") {
+                let record = RunRecord::read(&path)?;
+                records.insert(record.name.clone(), record);
+            }
+        }
+        let workbook = Workbook { records, sources: Vec::new() };
+        workbook.check_not_measured()?;
+        Ok(workbook)
+    }
+
+    /// A quantity at a size.
+    pub fn at(&mut self, quantity: Quantity, size: f64) -> Result<Figure, CapacityError> {
+        let Some(measurement) = self.measurement(quantity) else { return missing(quantity) };
+        let source = project(quantity, measurement, size);
+        Ok(self.take(source))
+    }
+
+    /// What each one of size adds to a quantity, at a size: its growth from nothing, over the size.
+    pub fn each(&mut self, quantity: Quantity, size: f64) -> Result<Figure, CapacityError> {
+        let base = self.measurement(quantity).map_or(0.0, |measurement| measurement.fit.at(0.0).max(0.0));
+        Ok(self.at(quantity, size)?.map(|value| (value - base) / size))
+    }
+
+    /// A figure of a run as a whole.
+    pub fn read_figure(&mut self, quantity: Quantity) -> Result<Figure, CapacityError> {
+        let record = self.records.get(quantity.record);
+        let Some(figure) = record.and_then(|record| record.figure(quantity.name)) else {
+            return missing(quantity);
+        };
+        let source = Source {
+            quantity,
+            unit: figure.unit.clone(),
+            axis: String::new(),
+            size: 1.0,
+            largest_size: 1.0,
+            value: figure.value,
+            method: Method::Read,
+        };
+        Ok(self.take(source))
+    }
+
+    /// The size at which a quantity comes to a limit; open where it does not grow.
+    pub fn size_at(&mut self, quantity: Quantity, limit: f64) -> Result<Figure, CapacityError> {
+        let Some(measurement) = self.measurement(quantity) else { return missing(quantity) };
+        let Some(size) = crossing(measurement, limit) else { return Ok(Figure::Open) };
+        let mut source = project(quantity, measurement, size);
+        source.value = limit;
+        Ok(match self.take(source) {
+            Figure::Worked(worked) => Figure::Worked(Worked { value: size, ..worked }),
+            Figure::Open => Figure::Open,
+        })
+    }
+
+    /// A record by its name.
+    pub fn record(&self, name: &str) -> Option<&RunRecord> {
+        self.records.get(name)
+    }
+
+    /// The records, by name.
+    pub fn records(&self) -> impl Iterator<Item = &RunRecord> {
+        self.records.values()
+    }
+
+    /// A measured quantity.
+    pub fn measurement(&self, quantity: Quantity) -> Option<&Measurement> {
+        self.records.get(quantity.record)?.measurement(quantity.name)
+    }
+
+    fn take(&mut self, source: Source) -> Figure {
+        let same = |known: &Source| known.quantity == source.quantity && known.size == source.size;
+        let place = self.sources.iter().position(same).unwrap_or(self.sources.len());
+        let worked = Worked {
+            value: source.value,
+            is_extrapolated: source.is_extrapolated(),
+            sources: BTreeSet::from([place]),
+        };
+        if place == self.sources.len() {
+            self.sources.push(source);
+        }
+        Figure::Worked(worked)
+    }
+
+    fn check_not_measured(&self) -> Result<(), CapacityError> {
+        let holds = |quantity: &&Quantity| {
+            let record = self.records.get(quantity.record);
+            record.is_some_and(|record| {
+                record.measurement(quantity.name).is_some() || record.figure(quantity.name).is_some()
+            })
+        };
+        match NOT_MEASURED.iter().find(holds) {
+            Some(quantity) => Err(CapacityError::Measured(quantity.record, quantity.name)),
+            None => Ok(()),
+        }
+    }
+}
+
+impl Source {
+    /// Whether the size lies beyond all that was measured.
+    pub fn is_extrapolated(&self) -> bool {
+        self.size > self.largest_size
+    }
+}
+
+fn missing(quantity: Quantity) -> Result<Figure, CapacityError> {
+    match NOT_MEASURED.contains(&quantity) {
+        true => Ok(Figure::Open),
+        false => Err(CapacityError::Missing(quantity.record, quantity.name)),
+    }
+}
+
+/// The exponent by which a quantity is carried on beyond its largest size; none where its line does.
+fn steep(measurement: &Measurement) -> Option<f64> {
+    measurement.fit.exponent.filter(|exponent| *exponent > STEEP)
+}
+
+fn project(quantity: Quantity, measurement: &Measurement, size: f64) -> Source {
+    let fit = &measurement.fit;
+    let (value, method) = match (between(measurement, size), steep(measurement), measurement.points.last()) {
+        (Some(value), ..) => (value, Method::Between),
+        (None, Some(exponent), Some(largest)) if size > largest.size => {
+            (largest.value * (size / largest.size).powf(exponent), Method::Power(exponent))
+        }
+        _ => (fit.at(size).max(0.0), Method::Line),
+    };
+    Source {
+        quantity,
+        unit: measurement.unit.clone(),
+        axis: measurement.axis.name.clone(),
+        size,
+        largest_size: fit.largest_size,
+        value,
+        method,
+    }
+}
+
+/// The value between the two measured sizes round a size; none outside of them.
+fn between(measurement: &Measurement, size: f64) -> Option<f64> {
+    let pair = measurement.points.windows(2).find(|pair| pair[0].size <= size && size <= pair[1].size)?;
+    let [below, above] = pair else { return None };
+    let part = (size - below.size) / (above.size - below.size);
+    Some(below.value + part * (above.value - below.value))
+}
+
+/// The size at which a quantity comes to a limit: between two measured sizes where it does so there, else by its growth.
+fn crossing(measurement: &Measurement, limit: f64) -> Option<f64> {
+    let fit = &measurement.fit;
+    let reaches = |pair: &&[crate::record::Point]| pair[0].value <= limit && limit < pair[1].value;
+    if let Some([below, above]) = measurement.points.windows(2).find(reaches) {
+        let part = (limit - below.value) / (above.value - below.value);
+        return Some(below.size + part * (above.size - below.size));
+    }
+    let size = match (steep(measurement), measurement.points.last()) {
+        (Some(exponent), Some(largest)) => largest.size * (limit / largest.value).powf(1.0 / exponent),
+        _ if fit.slope > 0.0 => (limit - fit.intercept) / fit.slope,
+        _ => return None,
+    };
+    (size.is_finite() && size > 0.0).then_some(size)
+}
--- a/crates/gullcart-scale/src/lib.rs
+++ b/crates/gullcart-scale/src/lib.rs
@@ -2,10 +2,14 @@
 //!
 //! A run of a measurement gives a [`RunRecord`]: the measured points of each quantity, with the command, the commit
 //! and the machine that they were measured on. [`Fit`] turns points into a slope and says how sure it is. What stands
-//! in `docs/CAPACITY.md` is worked out from the records in `docs/capacity/results`.
+//! in `docs/CAPACITY.md` is worked out from the records in `docs/capacity/results` by [`capacity`].
 
+pub mod capacity;
 mod fit;
+mod place;
 mod record;
+pub mod shared;
 
 pub use fit::{Fit, FitError};
+pub use place::{record_of_this_run, PlaceError};
 pub use record::{Axis, Figure, Machine, Measurement, Point, RecordError, RunRecord, SCHEMA};
