Work out the capacity page from kept records, and refuse figures by hand

The operators ask for a page that gives each role's state, messages, processor time and memory at a size that cannot be run here, from measured slopes.

The target is named constants; each measured quantity is named once; a figure is slope times size, and says whether it lies outside of the sizes measured.

--- a/crates/gullcart-scale/examples/couriers.rs
+++ b/crates/gullcart-scale/examples/couriers.rs
@@ -1,6 +1,6 @@
 //! Measures by number of couriers what each does toward what all share, and keeps the records in a folder.
 
-use gullcart_scale::{record_of_this_run, shared};
+use gullcart_scale::{shared, RunPlace};
 use std::error::Error;
 use std::path::Path;
 
@@ -8,8 +8,9 @@
 const FOLDER: &str = "docs/capacity/results";
 
 fn main() -> Result<(), Box<dyn Error>> {
+    let place = RunPlace::here()?;
     for (name, measurements) in shared::all()? {
-        let path = record_of_this_run(name, COMMAND, measurements)?.write(Path::new(FOLDER))?;
+        let path = place.record(name, COMMAND, measurements).write(Path::new(FOLDER))?;
         println!("{}", path.display());
     }
     Ok(())
--- /dev/null
+++ b/crates/gullcart-scale/src/capacity/breaks.rs
@@ -0,0 +1,211 @@
+//! The mechanisms, ordered by the size at which each breaks, as a part of the size that is asked for.
+
+use super::format::{figure, value, Unit};
+use super::quantity as q;
+use super::roles::Standing;
+use super::table::table;
+use super::target::{self, assumed};
+use super::workbook::{CapacityError, Figure, Workbook};
+use cloverstile::DestinationId;
+use gullcart_engine::TOLD;
+use gullcart_group::say::MOST_WATCHED;
+use gullcart_group::table::{MOST_DUTIES, MOST_MEMBERS};
+
+/// A turn of the daemon's loop that takes longer holds up every client for longer than a client may notice.
+const LONGEST_TURN_S: f64 = 0.1;
+/// Memory that a courier's list of endpoints may take: what it may spend on control.
+const LIST_MEMORY: f64 = target::CONTROL_MEMORY;
+/// Time without service that a change may cost.
+const LONGEST_GAP_S: f64 = 1.0;
+/// Connections are worth keeping where at least this part of calls finds one.
+const LEAST_REUSE: f64 = 0.5;
+const BITS_OF_A_BYTE: i32 = 8;
+/// Members of the group whose bytes by duties were measured.
+const MEASURED_MEMBERS: f64 = 100.0;
+
+/// A limit of a mechanism.
+struct Break {
+    mechanism: &'static str,
+    limit: String,
+    counts: &'static str,
+    /// Where it is met.
+    at: Figure,
+    /// What the target asks for.
+    target: f64,
+    standing: &'static str,
+}
+
+impl Break {
+    /// The size at which it breaks, as a part of what is asked for.
+    fn share(&self) -> Option<f64> {
+        self.at.value().map(|at| at / self.target)
+    }
+
+    fn row(self) -> [String; 7] {
+        let share = self.share().map_or("not measured".to_owned(), |share| value(share, Unit::Share));
+        [
+            self.mechanism.to_owned(),
+            self.limit,
+            self.counts.to_owned(),
+            figure(&self.at, Unit::Count),
+            value(self.target, Unit::Count),
+            share,
+            self.standing.to_owned(),
+        ]
+    }
+}
+
+/// The table, the first to break first.
+pub fn breaks(workbook: &mut Workbook) -> Result<String, CapacityError> {
+    let mut all = of_one_courier(workbook)?;
+    all.extend(of_all_couriers(workbook)?);
+    all.extend(of_the_group(workbook)?);
+    all.push(no_distribution());
+    all.sort_by(|left, right| order(left).total_cmp(&order(right)));
+    let header = ["mechanism", "limit", "size counts", "breaks at", "target", "of the target", "standing"];
+    Ok(table(header, all.into_iter().map(Break::row).collect()))
+}
+
+fn order(of: &Break) -> f64 {
+    of.share().unwrap_or(f64::MAX)
+}
+
+fn of_one_courier(workbook: &mut Workbook) -> Result<Vec<Break>, CapacityError> {
+    let turn = format!("a turn of {}", value(LONGEST_TURN_S, Unit::Seconds));
+    let memory = value(LIST_MEMORY, Unit::Bytes);
+    Ok(vec![
+        Break {
+            mechanism: "walk of the queue on each turn, before the index",
+            limit: turn.clone(),
+            counts: "messages held by a courier",
+            at: workbook.size_at(q::HELD_TURN_BEFORE, LONGEST_TURN_S)?,
+            target: target::backlog_a_courier(),
+            standing: "replaced by an index",
+        },
+        Break {
+            mechanism: "walk of the queue on each turn",
+            limit: turn,
+            counts: "messages held by a courier",
+            at: workbook.size_at(q::HELD_TURN, LONGEST_TURN_S)?,
+            target: target::backlog_a_courier(),
+            standing: Standing::Built.text(),
+        },
+        Break {
+            mechanism: "list of endpoints in memory, before its mend",
+            limit: memory.clone(),
+            counts: "endpoints known to a courier, without scopes",
+            at: workbook.size_at(q::ENDPOINTS_MEMORY_BEFORE, LIST_MEMORY)?,
+            target: target::DESTINATIONS * assumed::ENDPOINTS_OF_A_DESTINATION,
+            standing: "mended",
+        },
+        Break {
+            mechanism: "list of endpoints in memory",
+            limit: memory,
+            counts: "endpoints known to a courier, without scopes",
+            at: workbook.size_at(q::ENDPOINTS_MEMORY, LIST_MEMORY)?,
+            target: target::DESTINATIONS * assumed::ENDPOINTS_OF_A_DESTINATION,
+            standing: Standing::Built.text(),
+        },
+        Break {
+            mechanism: "a setting changes by a restart",
+            limit: format!("{} without service", value(LONGEST_GAP_S, Unit::Seconds)),
+            counts: "messages held by a courier",
+            at: workbook.size_at(q::RESTART, LONGEST_GAP_S)?,
+            target: target::backlog_a_courier(),
+            standing: Standing::Built.text(),
+        },
+        Break {
+            mechanism: "numbers of destinations",
+            limit: format!("{} bytes", std::mem::size_of::<DestinationId>()),
+            counts: "destinations",
+            at: Figure::given(2_f64.powi(std::mem::size_of::<DestinationId>() as i32 * BITS_OF_A_BYTE)),
+            target: target::DESTINATIONS,
+            standing: Standing::Built.text(),
+        },
+    ])
+}
+
+fn of_all_couriers(workbook: &mut Workbook) -> Result<Vec<Break>, CapacityError> {
+    let within = target::IN_FORCE_WITHIN.as_secs_f64();
+    Ok(vec![
+        Break {
+            mechanism: "each courier tries a fallen partner by itself",
+            limit: format!("a trial of each courier within {}", value(within, Unit::Seconds)),
+            counts: "couriers that have messages for one partner",
+            at: workbook.at(q::TRIALS, target::COURIERS)? * within,
+            target: target::COURIERS,
+            standing: Standing::Built.text(),
+        },
+        Break {
+            mechanism: "idle connections bounded over all couriers",
+            limit: format!("{} of calls find an open connection", value(LEAST_REUSE, Unit::Share)),
+            counts: "couriers that call one partner",
+            at: workbook.at(q::IDLE_CONNECTIONS, target::COURIERS)? * (1.0 / LEAST_REUSE),
+            target: target::COURIERS,
+            standing: Standing::Built.text(),
+        },
+        Break {
+            mechanism: "calls for the list, spread by chance",
+            limit: format!("{} until the last courier has it", value(TOLD.as_secs_f64(), Unit::Seconds)),
+            counts: "couriers",
+            at: workbook.size_at(q::LIST_DELAY, TOLD.as_secs_f64())?,
+            target: target::COURIERS,
+            standing: Standing::Built.text(),
+        },
+    ])
+}
+
+fn of_the_group(workbook: &mut Workbook) -> Result<Vec<Break>, CapacityError> {
+    let of_all = target::CONTROL_NETWORK * MEASURED_MEMBERS;
+    let duties = value(MOST_DUTIES as f64, Unit::Count);
+    Ok(vec![
+        Break {
+            mechanism: "one group of all couriers",
+            limit: format!("{} members", value(MOST_MEMBERS as f64, Unit::Count)),
+            counts: "couriers",
+            at: Figure::given(MOST_MEMBERS as f64),
+            target: target::COURIERS,
+            standing: Standing::Built.text(),
+        },
+        Break {
+            mechanism: "one log for all duties",
+            limit: format!("{duties} duties"),
+            counts: "partners that are down",
+            at: Figure::given(MOST_DUTIES as f64),
+            target: target::destinations_down(),
+            standing: Standing::Built.text(),
+        },
+        Break {
+            mechanism: "wishes of one member, without scopes",
+            limit: format!("{} duties", value(MOST_WATCHED as f64, Unit::Count)),
+            counts: "partners that are down",
+            at: Figure::given(MOST_WATCHED as f64),
+            target: target::destinations_down(),
+            standing: Standing::Built.text(),
+        },
+        Break {
+            mechanism: "each heartbeat names all wishes",
+            limit: format!(
+                "{} a member, {} members, {} of them for each duty",
+                value(target::CONTROL_NETWORK, Unit::ByteRate),
+                value(MEASURED_MEMBERS, Unit::Count),
+                value(assumed::REPLICAS, Unit::Count)
+            ),
+            counts: "partners that are down",
+            at: workbook.size_at(q::DUTIES_BYTES, of_all)?,
+            target: target::destinations_down(),
+            standing: Standing::Built.text(),
+        },
+    ])
+}
+
+fn no_distribution() -> Break {
+    Break {
+        mechanism: "distribution of configuration by scope",
+        limit: format!("in force within {}", value(target::IN_FORCE_WITHIN.as_secs_f64(), Unit::Seconds)),
+        counts: "couriers",
+        at: Figure::given(0.0),
+        target: target::COURIERS,
+        standing: Standing::Begun.text(),
+    }
+}
--- /dev/null
+++ b/crates/gullcart-scale/src/capacity/failures.rs
@@ -0,0 +1,103 @@
+//! What failures cost, and how long it takes until all is as it should be.
+
+use super::format::{figure, value, Unit};
+use super::quantity as q;
+use super::table::table;
+use super::target::{self, assumed};
+use super::workbook::{CapacityError, Figure, Workbook};
+
+/// A failure, with how many couriers begin anew together.
+struct Failure {
+    what: &'static str,
+    couriers: f64,
+}
+
+/// Failures behind which couriers begin anew together.
+fn together() -> [Failure; 3] {
+    [
+        Failure { what: "one courier is back", couriers: 1.0 },
+        Failure { what: "a rack is back", couriers: assumed::RACK },
+        Failure { what: "a zone is back", couriers: target::couriers_of_a_zone() },
+    ]
+}
+
+/// The table of failures.
+pub fn failures(workbook: &mut Workbook) -> Result<String, CapacityError> {
+    let mut rows = Vec::new();
+    for failure in together() {
+        rows.push(back(&failure, workbook)?);
+    }
+    rows.push(a_day(workbook)?);
+    rows.push(regions_apart());
+    Ok(table(
+        [
+            "what",
+            "bytes of control",
+            "time for them at a courier's budget",
+            "list had by the last",
+            "worst second",
+            "ready with its whole backlog",
+        ],
+        rows,
+    ))
+}
+
+/// Bytes of the scopes of one courier.
+fn scope_bytes() -> f64 {
+    target::destinations_a_courier() * assumed::BYTES_OF_A_DESTINATION
+}
+
+fn replay(workbook: &mut Workbook) -> Result<Figure, CapacityError> {
+    workbook.at(q::REPLAY, target::backlog_a_courier())
+}
+
+fn back(failure: &Failure, workbook: &mut Workbook) -> Result<[String; 6], CapacityError> {
+    let delay = workbook.at(q::LIST_DELAY, failure.couriers)?;
+    let calls = match failure.couriers > 1.0 {
+        true => figure(&workbook.at(q::FIRST_CALLS, failure.couriers)?, Unit::Rate),
+        false => value(failure.couriers, Unit::Rate),
+    };
+    Ok([
+        failure.what.to_owned(),
+        value(scope_bytes() * failure.couriers, Unit::Bytes),
+        value(scope_bytes() / target::CONTROL_NETWORK, Unit::Seconds),
+        figure(&delay, Unit::Seconds),
+        format!("{calls} calls for the list"),
+        figure(&replay(workbook)?, Unit::Seconds),
+    ])
+}
+
+/// The failures and restarts of a day, one after the other.
+fn a_day(workbook: &mut Workbook) -> Result<[String; 6], CapacityError> {
+    let restarts = target::FAILURES_A_DAY + target::RESTARTS_A_DAY;
+    let each = replay(workbook)?;
+    Ok([
+        "failures and restarts of a day".to_owned(),
+        value(scope_bytes() * restarts, Unit::Bytes),
+        format!("one every {}", value(target::DAY_S / restarts, Unit::Seconds)),
+        "as one courier".to_owned(),
+        "as one courier".to_owned(),
+        format!("in sum: {}", figure(&(each * restarts), Unit::Seconds)),
+    ])
+}
+
+/// A region hears what it missed as deltas.
+fn regions_apart() -> [String; 6] {
+    let missed_states =
+        target::state_changes_a_second() * assumed::REGIONS_APART_S * assumed::BYTES_OF_A_STATE_CHANGE;
+    let missed_settings = target::changes_a_second() * assumed::REGIONS_APART_S * assumed::BYTES_OF_A_CHANGE;
+    let of_a_courier =
+        missed_states * target::destinations_a_courier() / target::DESTINATIONS + missed_settings;
+    [
+        format!("two regions apart for {}", value(assumed::REGIONS_APART_S, Unit::Seconds)),
+        format!(
+            "{} to a courier, {} to a region",
+            value(of_a_courier, Unit::Bytes),
+            value(of_a_courier * target::couriers_of_a_region(), Unit::Bytes)
+        ),
+        value(of_a_courier / target::CONTROL_NETWORK, Unit::Seconds),
+        "not measured".to_owned(),
+        "not measured".to_owned(),
+        "nobody restarts".to_owned(),
+    ]
+}
--- a/crates/gullcart-scale/src/capacity/format.rs
+++ b/crates/gullcart-scale/src/capacity/format.rs
@@ -27,7 +27,7 @@
 const IN_MILLIONS: f64 = 1e6;
 /// ... and from here on in billions.
 const IN_BILLIONS: f64 = 1e9;
-/// What stands behind a figure that was carried beyond the sizes measured.
+/// What stands behind a figure that was carried outside of the sizes measured.
 pub const EXTRAPOLATED: &str = "\\*";
 /// What stands in place of a figure that nothing measures yet.
 pub const OPEN: &str = "not measured";
--- a/crates/gullcart-scale/src/capacity/quantity.rs
+++ b/crates/gullcart-scale/src/capacity/quantity.rs
@@ -32,6 +32,59 @@
 /// ... and their bytes.
 pub const GROUP_BYTES: Quantity = of("couriers-group", "bytes a second where all want one duty");
 
+/// Processor time of the voter that computes most, where each member wants the duty of one fallen partner.
+pub const GROUP_PROCESSOR: Quantity =
+    of("couriers-group", "processor time of a voter where all want one duty");
+/// Bytes a second among the voters of a group in which nothing is wanted, by voters.
+pub const VOTERS_BYTES: Quantity = of("couriers-group", "bytes a second by voters");
+/// ... and messages.
+pub const VOTERS_MESSAGES: Quantity = of("couriers-group", "messages a second by voters");
+/// Bytes a second of a group by the duties that are held in it.
+pub const DUTIES_BYTES: Quantity = of("couriers-group", "bytes a second by duties");
+/// ... and processor time of the voter that computes most.
+pub const DUTIES_PROCESSOR: Quantity = of("couriers-group", "processor time of a voter by duties");
+
+/// Resident memory of a daemon by endpoints, as released before the capacity page.
+pub const ENDPOINTS_MEMORY_BEFORE: Quantity = of("endpoints-before", "resident memory");
+/// ... and now.
+pub const ENDPOINTS_MEMORY: Quantity = of("endpoints", "resident memory");
+/// Processor time of one message, taken and delivered, by endpoints.
+pub const DELIVERY: Quantity = of("endpoints", "message taken and delivered");
+/// Processor time of a second in which nothing happens, by endpoints.
+pub const IDLE_SECOND: Quantity = of("endpoints", "idle second");
+/// Processor time of a change of one endpoint, by endpoints.
+pub const ENDPOINT_CHANGE: Quantity = of("changes", "change of one endpoint");
+/// Processor time of a whole list, by endpoints.
+pub const WHOLE_LIST: Quantity = of("changes", "whole list");
+/// Bytes that a change of one endpoint adds to the journal.
+pub const JOURNAL_OF_A_CHANGE: Quantity = of("changes", "journal bytes of a change of one endpoint");
+/// Resident memory by messages held.
+pub const HELD_MEMORY: Quantity = of("held", "resident memory");
+/// The journal by messages held.
+pub const HELD_JOURNAL: Quantity = of("held", "journal");
+/// Time from the start of a process to its readiness, by messages held.
+pub const REPLAY: Quantity = of("held", "time to replay");
+/// Processor time of a turn of the loop, by messages held, as released before the capacity page.
+pub const HELD_TURN_BEFORE: Quantity = of("held-before", "turn");
+/// ... and now.
+pub const HELD_TURN: Quantity = of("held", "turn");
+/// Time in which no client is served while a setting changes by a restart, by messages held.
+pub const RESTART: Quantity = of("restart", "time without service");
+
 /// What the model needs and nothing measures yet: the page says so in its place. A quantity that is measured has to leave
 /// this list, and one that is on no list and in no record fails the page.
-pub const NOT_MEASURED: &[Quantity] = &[];
+pub const NOT_MEASURED: &[Quantity] = &[
+    ENDPOINTS_MEMORY_BEFORE,
+    ENDPOINTS_MEMORY,
+    DELIVERY,
+    IDLE_SECOND,
+    ENDPOINT_CHANGE,
+    WHOLE_LIST,
+    JOURNAL_OF_A_CHANGE,
+    HELD_MEMORY,
+    HELD_JOURNAL,
+    REPLAY,
+    HELD_TURN_BEFORE,
+    HELD_TURN,
+    RESTART,
+];
--- a/crates/gullcart-scale/src/capacity/workbook.rs
+++ b/crates/gullcart-scale/src/capacity/workbook.rs
@@ -10,6 +10,9 @@
 /// Where a quantity grows faster than this power of the size, it is carried on by its power law and not by its line.
 const STEEP: f64 = 1.2;
 
+/// Units of records that the model counts in others, and by what they are multiplied.
+const OTHER_UNITS: [(&str, f64); 1] = [("us", 1e-6)];
+
 /// Why the page cannot be worked out.
 #[derive(Debug, Error)]
 pub enum CapacityError {
@@ -49,7 +52,7 @@
 pub struct Worked {
     /// Its value.
     pub value: f64,
-    /// Whether a slope was carried beyond the sizes that it was measured at.
+    /// Whether a slope was carried outside of the sizes that it was measured at.
     pub is_extrapolated: bool,
     /// The measurements behind it, by their places in [`Workbook::sources`].
     pub sources: BTreeSet<usize>,
@@ -66,8 +69,8 @@
     pub axis: String,
     /// The size that was asked for.
     pub size: f64,
-    /// The largest one measured.
-    pub largest_size: f64,
+    /// The smallest and the largest one measured.
+    pub measured: (f64, f64),
     /// The value there.
     pub value: f64,
     /// How it was come by.
@@ -176,13 +179,15 @@
     /// A quantity at a size.
     pub fn at(&mut self, quantity: Quantity, size: f64) -> Result<Figure, CapacityError> {
         let Some(measurement) = self.measurement(quantity) else { return missing(quantity) };
+        let factor = factor_of(&measurement.unit);
         let source = project(quantity, measurement, size);
-        Ok(self.take(source))
+        Ok(self.take(source) * factor)
     }
 
     /// What each one of size adds to a quantity, at a size: its growth from nothing, over the size.
     pub fn each(&mut self, quantity: Quantity, size: f64) -> Result<Figure, CapacityError> {
-        let base = self.measurement(quantity).map_or(0.0, |measurement| measurement.fit.at(0.0).max(0.0));
+        let intercept = |of: &Measurement| of.fit.at(0.0).max(0.0) * factor_of(&of.unit);
+        let base = self.measurement(quantity).map_or(0.0, intercept);
         Ok(self.at(quantity, size)?.map(|value| (value - base) / size))
     }
 
@@ -197,19 +202,20 @@
             unit: figure.unit.clone(),
             axis: String::new(),
             size: 1.0,
-            largest_size: 1.0,
+            measured: (1.0, 1.0),
             value: figure.value,
             method: Method::Read,
         };
         Ok(self.take(source))
     }
 
-    /// The size at which a quantity comes to a limit; open where it does not grow.
+    /// The size at which a quantity comes to a limit, which is in seconds for times; open where it does not grow.
     pub fn size_at(&mut self, quantity: Quantity, limit: f64) -> Result<Figure, CapacityError> {
         let Some(measurement) = self.measurement(quantity) else { return missing(quantity) };
-        let Some(size) = crossing(measurement, limit) else { return Ok(Figure::Open) };
-        let mut source = project(quantity, measurement, size);
-        source.value = limit;
+        let Some(size) = crossing(measurement, limit / factor_of(&measurement.unit)) else {
+            return Ok(Figure::Open);
+        };
+        let source = project(quantity, measurement, size);
         Ok(match self.take(source) {
             Figure::Worked(worked) => Figure::Worked(Worked { value: size, ..worked }),
             Figure::Open => Figure::Open,
@@ -260,12 +266,17 @@
 }
 
 impl Source {
-    /// Whether the size lies beyond all that was measured.
+    /// Whether the size lies outside of all that was measured.
     pub fn is_extrapolated(&self) -> bool {
-        self.size > self.largest_size
+        let (smallest, largest) = self.measured;
+        self.size < smallest || self.size > largest
     }
 }
 
+fn factor_of(unit: &str) -> f64 {
+    OTHER_UNITS.iter().find(|(name, _)| *name == unit).map_or(1.0, |(_, factor)| *factor)
+}
+
 fn missing(quantity: Quantity) -> Result<Figure, CapacityError> {
     match NOT_MEASURED.contains(&quantity) {
         true => Ok(Figure::Open),
@@ -292,7 +303,7 @@
         unit: measurement.unit.clone(),
         axis: measurement.axis.name.clone(),
         size,
-        largest_size: fit.largest_size,
+        measured: (measurement.points.first().map_or(0.0, |point| point.size), fit.largest_size),
         value,
         method,
     }
--- a/crates/gullcart-scale/src/lib.rs
+++ b/crates/gullcart-scale/src/lib.rs
@@ -11,5 +11,5 @@
 pub mod shared;
 
 pub use fit::{Fit, FitError};
-pub use place::{record_of_this_run, PlaceError};
+pub use place::{PlaceError, RunPlace};
 pub use record::{Axis, Figure, Machine, Measurement, Point, RecordError, RunRecord, SCHEMA};
--- a/crates/gullcart-scale/src/place.rs
+++ b/crates/gullcart-scale/src/place.rs
@@ -22,23 +22,33 @@
 const MEMORY: &str = "/proc/meminfo";
 const KILOBYTE: u64 = 1024;
 
-/// A record of measurements that were made just now, on this machine, of the commit that is checked out.
-pub fn record_of_this_run(
-    name: &str,
-    command: &str,
-    measurements: Vec<Measurement>,
-) -> Result<RunRecord, PlaceError> {
-    Ok(RunRecord {
-        schema: SCHEMA,
-        name: name.to_owned(),
-        command: command.to_owned(),
-        commit: commit()?,
-        date: humantime::format_rfc3339_seconds(SystemTime::now()).to_string(),
-        machine: machine()?,
-        parameters: BTreeMap::new(),
-        measurements,
-        figures: Vec::new(),
-    })
+/// Where runs are made: the commit and the machine, as they were when the first one began.
+#[derive(Clone, Debug)]
+pub struct RunPlace {
+    commit: String,
+    machine: Machine,
+}
+
+impl RunPlace {
+    /// This machine, and the commit that is checked out in the current folder.
+    pub fn here() -> Result<RunPlace, PlaceError> {
+        Ok(RunPlace { commit: commit()?, machine: machine()? })
+    }
+
+    /// A record of measurements that were made here just now.
+    pub fn record(&self, name: &str, command: &str, measurements: Vec<Measurement>) -> RunRecord {
+        RunRecord {
+            schema: SCHEMA,
+            name: name.to_owned(),
+            command: command.to_owned(),
+            commit: self.commit.clone(),
+            date: humantime::format_rfc3339_seconds(SystemTime::now()).to_string(),
+            machine: self.machine.clone(),
+            parameters: BTreeMap::new(),
+            measurements,
+            figures: Vec::new(),
+        }
+    }
 }
 
 /// The commit that is checked out, with a mark where files differ from it.
--- a/crates/gullcart-scale/src/shared/trials.rs
+++ b/crates/gullcart-scale/src/shared/trials.rs
@@ -8,7 +8,7 @@
     Listing, MessageId, Mode, Outcome, Settings, TenantId, Time, ZoneId,
 };
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Duration;
 
 /// Calls a second that the partner takes while it is up.
@@ -19,12 +19,16 @@
 const FAILS_AFTER: Duration = Duration::from_millis(20);
 /// Couriers meet the outage within this.
 const SPREAD: Duration = Duration::from_secs(2);
-/// Nothing is counted before the couriers know of the outage ...
+/// Nothing is counted before the couriers know of the outage: this, and more for each courier, as each tries the more seldom
+/// the more there are ...
 const SETTLED: Duration = Duration::from_secs(10);
-/// ... and the rate is that of the time from there on.
-const COUNTED: Duration = Duration::from_secs(30);
+const SETTLED_EACH: Duration = Duration::from_millis(50);
+/// ... and the rate is that of as long a time, and this, from there on.
+const COUNTED: Duration = Duration::from_secs(20);
 /// Messages last longer than the measurement.
-const DEADLINE: Duration = Duration::from_secs(600);
+const DEADLINE: Duration = Duration::from_secs(7_200);
+/// A message that was ended is followed by another one after this.
+const NEXT_MESSAGE: Duration = Duration::from_millis(100);
 const START: Duration = Duration::from_secs(100);
 const TO: EndpointId = EndpointId(7);
 const DESTINATION: DestinationId = DestinationId(1);
@@ -32,8 +36,8 @@
 /// What happens next to a courier.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Happening {
-    /// It takes its messages.
-    Begins,
+    /// It is handed a message.
+    Takes,
     /// Its wake-up with this token.
     Wakes(u64),
     /// A call with this message failed.
@@ -43,12 +47,16 @@
 /// Couriers that share nothing but the partner.
 struct Crowd {
     couriers: Vec<Courier>,
-    attempts: Vec<[u16; WAITING as usize]>,
+    /// Attempts of each message, by courier.
+    attempts: Vec<BTreeMap<u32, u16>>,
+    /// Messages handed in so far, by courier.
+    taken: Vec<u32>,
     /// By time, and in the order of their coming about.
     queue: BinaryHeap<Reverse<(Time, u64, usize, Happening)>>,
     next: u64,
     counted: u64,
-    first_counted: Time,
+    counts_from: Time,
+    counts_for: Duration,
 }
 
 /// Measures the calls a second to a partner that takes no connection.
@@ -66,11 +74,11 @@
 
 fn trials_a_second(couriers: u32) -> f64 {
     let mut crowd = Crowd::new(couriers);
-    let end = crowd.first_counted + COUNTED;
+    let end = crowd.counts_from + crowd.counts_for;
     while let Some(Reverse((now, _, courier, happening))) = crowd.queue.pop().filter(|next| next.0 .0 < end) {
         crowd.happen(now, courier, happening);
     }
-    crowd.counted as f64 / COUNTED.as_secs_f64()
+    crowd.counted as f64 / crowd.counts_for.as_secs_f64()
 }
 
 fn settings(couriers: u32) -> Settings {
@@ -92,20 +100,23 @@
 impl Crowd {
     fn new(couriers: u32) -> Self {
         let start = Time::ZERO + START;
+        let settled = SETTLED + SETTLED_EACH * couriers;
         let mut crowd = Crowd {
             couriers: Vec::new(),
-            attempts: vec![[0; WAITING as usize]; couriers as usize],
+            attempts: vec![BTreeMap::new(); couriers as usize],
+            taken: vec![0; couriers as usize],
             queue: BinaryHeap::new(),
             next: 0,
             counted: 0,
-            first_counted: start + SETTLED,
+            counts_from: start + settled,
+            counts_for: settled + COUNTED,
         };
         for number in 0..couriers {
             let mut courier = Courier::new(settings(couriers), number.into());
             courier.handle(start, Event::Listed(Listing::Whole(vec![endpoint()])));
             crowd.couriers.push(courier);
             let begins = start + SPREAD * number / couriers;
-            crowd.push(begins, number as usize, Happening::Begins);
+            (0..WAITING).for_each(|_| crowd.push(begins, number as usize, Happening::Takes));
         }
         crowd
     }
@@ -118,12 +129,13 @@
     fn happen(&mut self, now: Time, number: usize, happening: Happening) {
         let courier = &mut self.couriers[number];
         match happening {
-            Happening::Begins => {
-                (0..WAITING).for_each(|message| courier.handle(now, Event::Accept(accepted(now, message))));
+            Happening::Takes => {
+                courier.handle(now, Event::Accept(accepted(now, self.taken[number])));
+                self.taken[number] += 1;
             }
             Happening::Wakes(token) => courier.handle(now, Event::TickDue(token)),
             Happening::Fails(message) => {
-                let attempts = &mut self.attempts[number][message as usize];
+                let attempts = self.attempts[number].entry(message).or_default();
                 courier.handle(now, Event::Finished(failed(message, *attempts)));
                 *attempts += 1;
             }
@@ -138,9 +150,12 @@
             match action {
                 Action::Wake { after, token } => self.push(now + after, number, Happening::Wakes(token)),
                 Action::Route { message, .. } => {
-                    self.counted += u64::from(now >= self.first_counted);
+                    self.counted += u64::from(now >= self.counts_from);
                     self.push(now + FAILS_AFTER, number, Happening::Fails(message.0));
                 }
+                Action::Busy { .. } | Action::ReportFailure { .. } => {
+                    self.push(now + NEXT_MESSAGE, number, Happening::Takes);
+                }
                 _ => {}
             }
         }
