--- a/crates/gullcart-scale/src/shared.rs
+++ b/crates/gullcart-scale/src/shared.rs
@@ -1,9 +1,11 @@
 //! What each courier does toward something that all share, by the number of couriers. In virtual time: no socket, no
 //! daemon.
 
+mod crowd;
 pub mod group;
 pub mod idle;
 pub mod lists;
+mod partner;
 pub mod trials;
 
 use crate::fit::FitError;
--- a/crates/gullcart-scale/src/shared/trials.rs
+++ b/crates/gullcart-scale/src/shared/trials.rs
@@ -1,187 +1,89 @@
-//! Calls with which couriers try a partner that is down, where each has messages for it and tries by itself.
+//! Calls with which couriers try a partner that is down, and what its return is like for it and for them, where each
+//! courier has messages for it and goes by itself.
 
-use super::AXIS;
+use super::crowd::{Crowd, START};
+use super::{median, AXIS};
 use crate::fit::FitError;
 use crate::record::{Measurement, Point};
-use cloverstile::{
-    Accepted, Action, Class, ClassId, Courier, DestinationId, Endpoint, EndpointId, Event, Finished, KindId,
-    Listing, MessageId, Mode, Outcome, Settings, TenantId, Time, ZoneId,
-};
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use cloverstile::Time;
 use std::time::Duration;
 
-/// Calls a second that the partner takes while it is up.
-const WEIGHT: f64 = 100.0;
-/// Messages that wait at each courier.
-const WAITING: u32 = 4;
-/// A call fails after this.
-const FAILS_AFTER: Duration = Duration::from_millis(20);
-/// Couriers meet the outage within this.
-const SPREAD: Duration = Duration::from_secs(2);
 /// Nothing is counted before the couriers know of the outage: this, and more for each courier, as each tries the more seldom
 /// the more there are ...
 const SETTLED: Duration = Duration::from_secs(10);
 const SETTLED_EACH: Duration = Duration::from_millis(50);
 /// ... and the rate is that of as long a time, and this, from there on.
 const COUNTED: Duration = Duration::from_secs(20);
-/// Messages last longer than the measurement.
-const DEADLINE: Duration = Duration::from_secs(7_200);
-/// A message that was ended is followed by another one after this.
-const NEXT_MESSAGE: Duration = Duration::from_millis(100);
-const START: Duration = Duration::from_secs(100);
-const TO: EndpointId = EndpointId(7);
-const DESTINATION: DestinationId = DestinationId(1);
+/// The partner is watched so long after its return, and more for each courier: it takes a hundred calls a second.
+const RETURNS: Duration = Duration::from_secs(60);
+const RETURNS_EACH: Duration = Duration::from_millis(100);
 
-/// What happens next to a courier.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Happening {
-    /// It is handed a message.
-    Takes,
-    /// Its wake-up with this token.
-    Wakes(u64),
-    /// A call with this message failed.
-    Fails(u32),
-}
-
-/// Couriers that share nothing but the partner.
-struct Crowd {
-    couriers: Vec<Courier>,
-    /// Attempts of each message, by courier.
-    attempts: Vec<BTreeMap<u32, u16>>,
-    /// Messages handed in so far, by courier.
-    taken: Vec<u32>,
-    /// By time, and in the order of their coming about.
-    queue: BinaryHeap<Reverse<(Time, u64, usize, Happening)>>,
-    next: u64,
-    counted: u64,
-    counts_from: Time,
-    counts_for: Duration,
-}
-
-/// Measures the calls a second to a partner that takes no connection.
-pub fn measure(sizes: &[u32]) -> Result<Vec<Measurement>, FitError> {
-    let point =
-        |couriers: &u32| Point { size: (*couriers).into(), value: trials_a_second(*couriers), samples: 1 };
-    let points = sizes.iter().map(point).collect();
-    Ok(vec![Measurement::new(
-        "trial calls a second at a partner that is down",
-        "calls a second",
-        AXIS,
-        points,
-    )?])
-}
+const SEEDS: u64 = 3;
 
-fn trials_a_second(couriers: u32) -> f64 {
-    let mut crowd = Crowd::new(couriers);
-    let end = crowd.counts_from + crowd.counts_for;
-    while let Some(Reverse((now, _, courier, happening))) = crowd.queue.pop().filter(|next| next.0 .0 < end) {
-        crowd.happen(now, courier, happening);
-    }
-    crowd.counted as f64 / crowd.counts_for.as_secs_f64()
+/// What one outage showed.
+struct Seen {
+    trials_a_second: f64,
+    /// Of what the partner survives.
+    worst_of_return: f64,
+    /// Until the middle one of the couriers had a message delivered.
+    middle_s: f64,
+    /// Until the last one had, of those that had.
+    last_s: f64,
+    /// Couriers that had none in the time that was watched.
+    without: f64,
 }
 
-fn settings(couriers: u32) -> Settings {
-    let class = Class { deadline: DEADLINE, ..Class::default() };
-    Settings { couriers, classes: vec![class], ..Settings::default() }
-}
-
-fn endpoint() -> Endpoint {
-    Endpoint {
-        id: TO,
-        zone: ZoneId(0),
-        kind: KindId(0),
-        destination: DESTINATION,
-        mode: Mode::Ready,
-        weight: WEIGHT,
-    }
-}
+/// How the value of several seeds is come by.
+type Summary = fn(Vec<f64>) -> f64;
 
-impl Crowd {
-    fn new(couriers: u32) -> Self {
-        let start = Time::ZERO + START;
-        let settled = SETTLED + SETTLED_EACH * couriers;
-        let mut crowd = Crowd {
-            couriers: Vec::new(),
-            attempts: vec![BTreeMap::new(); couriers as usize],
-            taken: vec![0; couriers as usize],
-            queue: BinaryHeap::new(),
-            next: 0,
-            counted: 0,
-            counts_from: start + settled,
-            counts_for: settled + COUNTED,
+/// Measures trials, and the return behind them.
+pub fn measure(sizes: &[u32]) -> Result<Vec<Measurement>, FitError> {
+    let played = |couriers: &u32| (*couriers, (0..SEEDS).map(|seed| outage(*couriers, seed)).collect());
+    let seen: Vec<(u32, Vec<Seen>)> = sizes.iter().map(played).collect();
+    let quantity = |name: &str, unit: &str, summary: Summary, value: fn(&Seen) -> f64| {
+        let point = |(couriers, outages): &(u32, Vec<Seen>)| {
+            let value = summary(outages.iter().map(value).collect());
+            Point { size: (*couriers).into(), value, samples: SEEDS as u32 }
         };
-        for number in 0..couriers {
-            let mut courier = Courier::new(settings(couriers), number.into());
-            courier.handle(start, Event::Listed(Listing::Whole(vec![endpoint()])));
-            crowd.couriers.push(courier);
-            let begins = start + SPREAD * number / couriers;
-            (0..WAITING).for_each(|_| crowd.push(begins, number as usize, Happening::Takes));
-        }
-        crowd
-    }
-
-    fn push(&mut self, at: Time, courier: usize, happening: Happening) {
-        self.next += 1;
-        self.queue.push(Reverse((at, self.next, courier, happening)));
-    }
-
-    fn happen(&mut self, now: Time, number: usize, happening: Happening) {
-        let courier = &mut self.couriers[number];
-        match happening {
-            Happening::Takes => {
-                courier.handle(now, Event::Accept(accepted(now, self.taken[number])));
-                self.taken[number] += 1;
-            }
-            Happening::Wakes(token) => courier.handle(now, Event::TickDue(token)),
-            Happening::Fails(message) => {
-                let attempts = self.attempts[number].entry(message).or_default();
-                courier.handle(now, Event::Finished(failed(message, *attempts)));
-                *attempts += 1;
-            }
-        }
-        self.decide(now, number);
-    }
-
-    fn decide(&mut self, now: Time, number: usize) {
-        let mut actions = Vec::new();
-        self.couriers[number].decide(now, &mut actions);
-        for action in actions {
-            match action {
-                Action::Wake { after, token } => self.push(now + after, number, Happening::Wakes(token)),
-                Action::Route { message, .. } => {
-                    self.counted += u64::from(now >= self.counts_from);
-                    self.push(now + FAILS_AFTER, number, Happening::Fails(message.0));
-                }
-                Action::Busy { .. } | Action::ReportFailure { .. } => {
-                    self.push(now + NEXT_MESSAGE, number, Happening::Takes);
-                }
-                _ => {}
-            }
-        }
-    }
+        // What did not come about has no value.
+        let points = seen.iter().map(point).filter(|point| point.value.is_finite());
+        Measurement::new(name, unit, AXIS, points.collect())
+    };
+    Ok(vec![
+        quantity("trial calls a second at a partner that is down", "calls a second", median, |of| {
+            of.trials_a_second
+        })?,
+        quantity("most calls of a return, of what the partner survives", "parts", largest, |of| {
+            of.worst_of_return
+        })?,
+        quantity("time from a return until the middle courier has delivered", "s", median, |of| of.middle_s)?,
+        quantity("time from a return until the last courier has delivered", "s", largest, |of| of.last_s)?,
+        quantity("couriers that delivered nothing in the time watched", "couriers", largest, |of| {
+            of.without
+        })?,
+    ])
 }
 
-fn accepted(now: Time, message: u32) -> Accepted {
-    Accepted {
-        id: MessageId(message),
-        class: ClassId(0),
-        destination: DESTINATION,
-        key: None,
-        deadline: now + DEADLINE,
-        from_dead_courier: false,
-        tenant: TenantId(0),
-    }
+fn largest(values: Vec<f64>) -> f64 {
+    values.into_iter().fold(f64::MIN, f64::max)
 }
 
-fn failed(message: u32, attempt: u16) -> Finished {
-    Finished {
-        message: MessageId(message),
-        endpoint: TO,
-        attempt,
-        outcome: Outcome::ConnectFailed,
-        latency: FAILS_AFTER,
-        complete: false,
-        allowance: None,
+fn outage(couriers: u32, seed: u64) -> Seen {
+    let settled = SETTLED + SETTLED_EACH * couriers;
+    let from = START + settled;
+    let span = settled + COUNTED;
+    let back = from + span;
+    let mut crowd = Crowd::new(couriers, seed, Some(back));
+    crowd.play(back);
+    let counted = crowd.calls.iter().filter(|at| **at >= from).count();
+    crowd.play(back + RETURNS + RETURNS_EACH * couriers);
+    let delivered = &crowd.first_deliveries;
+    let since = |at: Option<&Time>| at.map_or(f64::NAN, |at| (*at - back).as_secs_f64());
+    Seen {
+        trials_a_second: counted as f64 / span.as_secs_f64(),
+        worst_of_return: crowd.partner.worst,
+        middle_s: since(delivered.get(couriers as usize / 2)),
+        last_s: since(delivered.last()),
+        without: f64::from(couriers) - delivered.len() as f64,
     }
 }
