--- a/crates/gullcart-scale/src/lib.rs
+++ b/crates/gullcart-scale/src/lib.rs
@@ -4,6 +4,7 @@
 //! and the machine that they were measured on. [`Fit`] turns points into a slope and says how sure it is. What stands
 //! in `docs/CAPACITY.md` is worked out from the records in `docs/capacity/results`.
 
+pub mod daemon;
 mod fit;
 mod record;
 
--- a/crates/gullcartctl/src/main.rs
+++ b/crates/gullcartctl/src/main.rs
@@ -8,6 +8,7 @@
 mod journal;
 mod prove;
 mod rehearse;
+mod scale;
 
 use clap::{Parser, Subcommand};
 use std::ffi::OsString;
@@ -35,6 +36,8 @@
     Group(group::Arguments),
     /// Add up, second by second, what many couriers say of each destination in their logs
     Fleet(fleet::Arguments),
+    /// Measure what daemons cost by size, and keep the results
+    Scale(scale::Arguments),
     /// Run a program that dies with the process that started it
     #[command(hide = true)]
     CourierGuard {
@@ -55,6 +58,7 @@
         Command::Journal(arguments) => journal::journal(&arguments),
         Command::Group(arguments) => group::group(&arguments),
         Command::Fleet(arguments) => fleet::fleet(&arguments),
+        Command::Scale(arguments) => scale::scale(&arguments),
         Command::CourierGuard { program, arguments } => Err(format!(
             "cannot run {}: {}",
             program.display(),
