--- a/crates/gullcart-scale/src/lib.rs
+++ b/crates/gullcart-scale/src/lib.rs
@@ -5,6 +5,7 @@
 //! in `docs/CAPACITY.md` is worked out from the records in `docs/capacity/results` by [`capacity`].
 
 pub mod capacity;
+pub mod daemon;
 mod fit;
 mod place;
 mod record;
--- a/crates/gullcart-scale/tests/page.rs
+++ b/crates/gullcart-scale/tests/page.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 
-const NOW: &str = "cargo run --release -p gullcart-scale --example capacity_page -- --write";
+const NOW: &str = "gullcartctl scale page --write";
 
 fn docs() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs")
