--- a/crates/gullcart-scale/src/capacity.rs
+++ b/crates/gullcart-scale/src/capacity.rs
@@ -3,6 +3,7 @@
 //! [`target`] has the size asked for and what is assumed beside it, [`quantity`] the measured quantities that are needed,
 //! and [`workbook`] works figures out of them. The other modules make one table each; [`page`] puts them into the prose.
 
+pub mod backlog;
 pub mod breaks;
 pub mod budget;
 pub mod drawing;
@@ -13,8 +14,10 @@
 pub mod quantity;
 pub mod render;
 pub mod roles;
+pub mod shared_sizes;
 pub mod table;
 pub mod target;
+pub mod virtual_fleet;
 pub mod workbook;
 
 pub use render::rendered_page;
--- a/crates/gullcart-scale/src/capacity/breaks.rs
+++ b/crates/gullcart-scale/src/capacity/breaks.rs
@@ -22,6 +22,10 @@
 const BITS_OF_A_BYTE: i32 = 8;
 /// Members of the group whose bytes by duties were measured.
 const MEASURED_MEMBERS: f64 = 100.0;
+/// ... and members that want each duty there.
+const MEASURED_WISHES: f64 = 3.0;
+/// A partner that comes back is pushed over by more calls than it survives.
+const SURVIVED: f64 = 1.0;
 
 /// A limit of a mechanism.
 struct Break {
@@ -136,6 +140,14 @@
             target: target::COURIERS,
             standing: Standing::Built.text(),
         },
+        Break {
+            mechanism: "slow start at a partner that is back, by each courier for itself",
+            limit: "more calls than it survives".to_owned(),
+            counts: "couriers that have messages for one partner",
+            at: workbook.size_at(q::RETURN_CALLS, SURVIVED)?,
+            target: target::COURIERS,
+            standing: Standing::Built.text(),
+        },
         Break {
             mechanism: "idle connections bounded over all couriers",
             limit: format!("{} of calls find an open connection", value(LEAST_REUSE, Unit::Share)),
@@ -189,7 +201,7 @@
                 "{} a member, {} members, {} of them for each duty",
                 value(target::CONTROL_NETWORK, Unit::ByteRate),
                 value(MEASURED_MEMBERS, Unit::Count),
-                value(assumed::REPLICAS, Unit::Count)
+                value(MEASURED_WISHES, Unit::Count)
             ),
             counts: "partners that are down",
             at: workbook.size_at(q::DUTIES_BYTES, of_all)?,
@@ -201,7 +213,7 @@
 
 fn no_distribution() -> Break {
     Break {
-        mechanism: "distribution of configuration by scope",
+        mechanism: "distribution of configuration by scope, today",
         limit: format!("in force within {}", value(target::IN_FORCE_WITHIN.as_secs_f64(), Unit::Seconds)),
         counts: "couriers",
         at: Figure::given(0.0),
--- a/crates/gullcart-scale/src/capacity/budget.rs
+++ b/crates/gullcart-scale/src/capacity/budget.rs
@@ -1,7 +1,7 @@
 //! What a courier may spend on control, split over the mechanisms, with what is left.
 
 use super::format::{figure, value, Unit};
-use super::options::{BYTES_OF_A_SHARD, SHARDS};
+use super::options::BYTES_OF_A_SHARD;
 use super::quantity as q;
 use super::table::table;
 use super::target::{self, assumed};
@@ -17,16 +17,16 @@
 
 const NOTHING: f64 = 0.0;
 
-/// The table of the budget: worst second of a burst, at the target size.
+/// The table of the budget, on an ordinary second.
 pub fn budget(workbook: &mut Workbook) -> Result<String, CapacityError> {
     let parts = [
-        settings(workbook)?,
+        distribution(workbook)?,
         states(workbook)?,
         placement(),
-        leases(),
-        trials(),
         endpoints(workbook)?,
-        console(),
+        journal_of_changes(workbook)?,
+        open("trials of what is down, under a lease"),
+        open("console and figures"),
     ];
     let mut rows: Vec<[String; 4]> = parts.iter().map(row).collect();
     rows.push([
@@ -68,14 +68,13 @@
     ]
 }
 
-/// Every change of a setting reaches every courier: the worst case.
-fn settings(workbook: &mut Workbook) -> Result<Part, CapacityError> {
-    let changes = target::burst_a_second();
+/// Leases, heartbeats, settings in scope.
+fn distribution(workbook: &mut Workbook) -> Result<Part, CapacityError> {
     Ok(Part {
-        mechanism: "changes of configuration, in the burst, all of them for this courier",
-        processor: workbook.at(q::ENDPOINT_CHANGE, target::endpoints_a_courier())? * changes,
-        memory: Figure::Open,
-        network: Figure::given(changes * assumed::BYTES_OF_A_CHANGE),
+        mechanism: "distribution: lease at the relay, settings in scope",
+        processor: workbook.read_figure(q::COURIER_USUAL.core)?,
+        memory: workbook.read_figure(q::COURIER_USUAL.memory)?,
+        network: workbook.read_figure(q::COURIER_USUAL.bytes)?,
     })
 }
 
@@ -94,25 +93,7 @@
     Part {
         mechanism: "table of shards",
         processor: Figure::Open,
-        memory: Figure::given(SHARDS * BYTES_OF_A_SHARD),
-        network: Figure::Open,
-    }
-}
-
-fn leases() -> Part {
-    Part {
-        mechanism: "leases at the relay",
-        processor: Figure::Open,
-        memory: Figure::Open,
-        network: Figure::Open,
-    }
-}
-
-fn trials() -> Part {
-    Part {
-        mechanism: "trials under a lease",
-        processor: Figure::Open,
-        memory: Figure::Open,
+        memory: Figure::given(target::shards() * BYTES_OF_A_SHARD),
         network: Figure::Open,
     }
 }
@@ -127,11 +108,17 @@
     })
 }
 
-fn console() -> Part {
-    Part {
-        mechanism: "console and figures",
-        processor: Figure::Open,
-        memory: Figure::Open,
-        network: Figure::Open,
-    }
+/// Every change of a setting is taken in as a change of an endpoint is today.
+fn journal_of_changes(workbook: &mut Workbook) -> Result<Part, CapacityError> {
+    let change = workbook.at(q::ENDPOINT_CHANGE, target::endpoints_a_courier())?;
+    Ok(Part {
+        mechanism: "changes of configuration taken in, all of them for this courier",
+        processor: change * target::changes_a_second(),
+        memory: Figure::given(NOTHING),
+        network: Figure::given(NOTHING),
+    })
+}
+
+fn open(mechanism: &'static str) -> Part {
+    Part { mechanism, processor: Figure::Open, memory: Figure::Open, network: Figure::Open }
 }
--- a/crates/gullcart-scale/src/capacity/drawing.rs
+++ b/crates/gullcart-scale/src/capacity/drawing.rs
@@ -1,7 +1,6 @@
 //! The drawing of the design: who knows what.
 
 use super::format::{value, Unit};
-use super::options::SHARDS;
 use super::roles::{RELAYS_OF_A_ZONE, VOTERS};
 use super::target;
 
@@ -10,7 +9,10 @@
     let count = |number: f64| value(number, Unit::Count);
     let lines = [
         format!("{} voters, each in another region: agreement on placement", count(VOTERS)),
-        format!("  know: {} shards -> replica set, epoch; who may write which settings", count(SHARDS)),
+        format!(
+            "  know: {} shards -> replica set, epoch; who may write which settings",
+            count(target::shards())
+        ),
         "  never know: messages, leases of couriers, states of destinations".to_owned(),
         "      |  snapshot, then deltas by epoch and position".to_owned(),
         "      v".to_owned(),
--- a/crates/gullcart-scale/src/capacity/failures.rs
+++ b/crates/gullcart-scale/src/capacity/failures.rs
@@ -1,7 +1,7 @@
 //! What failures cost, and how long it takes until all is as it should be.
 
 use super::format::{figure, value, Unit};
-use super::quantity as q;
+use super::quantity::{self as q, Quantity};
 use super::table::table;
 use super::target::{self, assumed};
 use super::workbook::{CapacityError, Figure, Workbook};
@@ -10,14 +10,16 @@
 struct Failure {
     what: &'static str,
     couriers: f64,
+    /// Until all have their settings again, measured over sockets.
+    back: Quantity,
 }
 
 /// Failures behind which couriers begin anew together.
 fn together() -> [Failure; 3] {
     [
-        Failure { what: "one courier is back", couriers: 1.0 },
-        Failure { what: "a rack is back", couriers: assumed::RACK },
-        Failure { what: "a zone is back", couriers: target::couriers_of_a_zone() },
+        Failure { what: "one courier is back", couriers: 1.0, back: q::COURIER_BACK },
+        Failure { what: "a rack is back", couriers: assumed::RACK, back: q::RACK_BACK },
+        Failure { what: "a zone is back", couriers: target::couriers_of_a_zone(), back: q::ZONE_BACK },
     ]
 }
 
@@ -28,13 +30,14 @@
         rows.push(back(&failure, workbook)?);
     }
     rows.push(a_day(workbook)?);
-    rows.push(regions_apart());
+    rows.push(regions_apart(workbook)?);
     Ok(table(
         [
             "what",
             "bytes of control",
             "time for them at a courier's budget",
-            "list had by the last",
+            "settings current again",
+            "list had by the last, today",
             "worst second",
             "ready with its whole backlog",
         ],
@@ -51,7 +54,7 @@
     workbook.at(q::REPLAY, target::backlog_a_courier())
 }
 
-fn back(failure: &Failure, workbook: &mut Workbook) -> Result<[String; 6], CapacityError> {
+fn back(failure: &Failure, workbook: &mut Workbook) -> Result<[String; 7], CapacityError> {
     let delay = workbook.at(q::LIST_DELAY, failure.couriers)?;
     let calls = match failure.couriers > 1.0 {
         true => figure(&workbook.at(q::FIRST_CALLS, failure.couriers)?, Unit::Rate),
@@ -61,14 +64,15 @@
         failure.what.to_owned(),
         value(scope_bytes() * failure.couriers, Unit::Bytes),
         value(scope_bytes() / target::CONTROL_NETWORK, Unit::Seconds),
+        figure(&workbook.read_figure(failure.back)?, Unit::Seconds),
         figure(&delay, Unit::Seconds),
-        format!("{calls} calls for the list"),
+        format!("{calls} calls for the list, today"),
         figure(&replay(workbook)?, Unit::Seconds),
     ])
 }
 
 /// The failures and restarts of a day, one after the other.
-fn a_day(workbook: &mut Workbook) -> Result<[String; 6], CapacityError> {
+fn a_day(workbook: &mut Workbook) -> Result<[String; 7], CapacityError> {
     let restarts = target::FAILURES_A_DAY + target::RESTARTS_A_DAY;
     let each = replay(workbook)?;
     Ok([
@@ -77,18 +81,20 @@
         format!("one every {}", value(target::DAY_S / restarts, Unit::Seconds)),
         "as one courier".to_owned(),
         "as one courier".to_owned(),
+        "as one courier".to_owned(),
         format!("in sum: {}", figure(&(each * restarts), Unit::Seconds)),
     ])
 }
 
 /// A region hears what it missed as deltas.
-fn regions_apart() -> [String; 6] {
+fn regions_apart(workbook: &mut Workbook) -> Result<[String; 7], CapacityError> {
     let missed_states =
         target::state_changes_a_second() * assumed::REGIONS_APART_S * assumed::BYTES_OF_A_STATE_CHANGE;
     let missed_settings = target::changes_a_second() * assumed::REGIONS_APART_S * assumed::BYTES_OF_A_CHANGE;
     let of_a_courier =
         missed_states * target::destinations_a_courier() / target::DESTINATIONS + missed_settings;
-    [
+    let busiest = workbook.read_figure(q::VIRTUAL_REGIONS_BACK_BYTES)?;
+    Ok([
         format!("two regions apart for {}", value(assumed::REGIONS_APART_S, Unit::Seconds)),
         format!(
             "{} to a courier, {} to a region",
@@ -96,8 +102,9 @@
             value(of_a_courier * target::couriers_of_a_region(), Unit::Bytes)
         ),
         value(of_a_courier / target::CONTROL_NETWORK, Unit::Seconds),
-        "not measured".to_owned(),
-        "not measured".to_owned(),
+        figure(&workbook.read_figure(q::REGIONS_BACK)?, Unit::Seconds),
         "nobody restarts".to_owned(),
-    ]
+        format!("{} at a region's relay", figure(&busiest, Unit::ByteRate)),
+        "nobody restarts".to_owned(),
+    ])
 }
--- a/crates/gullcart-scale/src/capacity/format.rs
+++ b/crates/gullcart-scale/src/capacity/format.rs
@@ -29,11 +29,16 @@
 const IN_BILLIONS: f64 = 1e9;
 /// What stands behind a figure that was carried outside of the sizes measured.
 pub const EXTRAPOLATED: &str = "\\*";
+/// What stands in place of a size that is never come to.
+pub const NONE: &str = "none found";
 /// What stands in place of a figure that nothing measures yet.
 pub const OPEN: &str = "not measured";
 
 /// A value in its unit.
 pub fn value(value: f64, unit: Unit) -> String {
+    if !value.is_finite() {
+        return NONE.to_owned();
+    }
     match unit {
         Unit::Count => count(value),
         Unit::Rate => format!("{}/s", count(value)),
--- a/crates/gullcart-scale/src/capacity/options.rs
+++ b/crates/gullcart-scale/src/capacity/options.rs
@@ -14,8 +14,6 @@
 const PULL_S: f64 = 1.0;
 /// Bytes of a digest, or of an answer that there is nothing new, with its frame.
 const BYTES_OF_A_DIGEST: f64 = 64.0;
-/// Shards that destinations are placed on.
-pub const SHARDS: f64 = 16_384.0;
 /// Bytes of a shard in the table of placement: its replicas and its epoch.
 pub const BYTES_OF_A_SHARD: f64 = 20.0;
 /// One holder of the trials of a partner tries this often in a second.
@@ -40,8 +38,8 @@
     let heard = target::state_changes_a_second() * assumed::BYTES_OF_A_STATE_CHANGE;
     let heard_part = heard * target::destinations_a_courier() / target::DESTINATIONS;
     let sent = target::state_changes_a_second() * target::COURIERS;
-    let sent_part = target::state_changes_a_second() * assumed::REPLICAS;
-    let shards = SHARDS * BYTES_OF_A_SHARD;
+    let sent_part = target::state_changes_a_second() * target::replicas();
+    let shards = target::shards() * BYTES_OF_A_SHARD;
     vec![
         row(
             "who knows a destination",
@@ -71,8 +69,8 @@
             "table of shards in every courier, destinations hashed to shards",
             format!(
                 "{} shards of {} destinations; {} of memory",
-                value(SHARDS, Unit::Count),
-                value(target::DESTINATIONS / SHARDS, Unit::Count),
+                value(target::shards(), Unit::Count),
+                value(target::DESTINATIONS / target::shards(), Unit::Count),
                 value(shards, Unit::Bytes)
             ),
             "chosen",
@@ -142,6 +140,8 @@
     let between =
         of_one_partner.clone().value().map_or(Figure::Open, |rate| Figure::given(target::COURIERS / rate));
     let all = of_one_partner.clone() * target::destinations_down();
+    let of_replicas = workbook.at(q::TRIALS, target::replicas())?;
+    let return_of_replicas = workbook.at(q::RETURN_CALLS, target::replicas())?;
     let held = target::destinations_down() * HELD_TRIALS;
     Ok(vec![
         row(
@@ -155,6 +155,17 @@
             ),
             "rejected",
         ),
+        row(
+            "who tries what is down",
+            "each of the replica set for itself",
+            format!(
+                "{} at one partner, {} in sum; {} of what a partner survives as it is back",
+                figure(&of_replicas, Unit::Rate),
+                figure(&(of_replicas.clone() * target::destinations_down()), Unit::Rate),
+                figure(&return_of_replicas, Unit::Share)
+            ),
+            "where the lease is not there",
+        ),
         row(
             "who tries what is down",
             "one of the replica set, under a lease",
--- a/crates/gullcart-scale/src/capacity/quantity.rs
+++ b/crates/gullcart-scale/src/capacity/quantity.rs
@@ -25,6 +25,15 @@
 pub const IDLE_PEAK: Quantity = of("couriers-idle", "idle connections at an endpoint, most");
 /// Trial calls a second at a partner that is down, over all couriers that have messages for it.
 pub const TRIALS: Quantity = of("couriers-trials", "trial calls a second at a partner that is down");
+/// Calls of the worst moment of a partner's return, as a part of those that it survives.
+pub const RETURN_CALLS: Quantity =
+    of("couriers-trials", "most calls of a return, of what the partner survives");
+/// Time from a return until the middle one of the couriers has delivered.
+pub const RETURN_MIDDLE: Quantity =
+    of("couriers-trials", "time from a return until the middle courier has delivered");
+/// ... and until the last one has.
+pub const RETURN_LAST: Quantity =
+    of("couriers-trials", "time from a return until the last courier has delivered");
 /// Messages a second among voters and members where nobody wants a duty.
 pub const GROUP_QUIET: Quantity = of("couriers-group", "messages a second where nothing is wanted");
 /// Messages a second where each member wants the duty of one fallen partner.
@@ -71,6 +80,102 @@
 /// Time in which no client is served while a setting changes by a restart, by messages held.
 pub const RESTART: Quantity = of("restart", "time without service");
 
+/// The record of hollow couriers at the full size, over sockets of one machine.
+const HOLLOW: &str = "hollow-11000";
+/// What each part of the distribution takes in a phase of that record.
+pub struct PartCost {
+    /// Messages a second, both ways.
+    pub messages: Quantity,
+    /// Bytes a second, both ways.
+    pub bytes: Quantity,
+    /// Part of a core.
+    pub core: Quantity,
+    /// Resident memory.
+    pub memory: Quantity,
+}
+
+/// A courier where changes come at the usual rate.
+pub const COURIER_USUAL: PartCost = PartCost {
+    messages: of(HOLLOW, "usual/courier_messages_per_second"),
+    bytes: of(HOLLOW, "usual/courier_bytes_per_second"),
+    core: of(HOLLOW, "usual/courier_core_share"),
+    memory: of(HOLLOW, "usual/courier_resident"),
+};
+/// ... and in the burst.
+pub const COURIER_BURST: PartCost = PartCost {
+    messages: of(HOLLOW, "burst/courier_messages_per_second"),
+    bytes: of(HOLLOW, "burst/courier_bytes_per_second"),
+    core: of(HOLLOW, "burst/courier_core_share"),
+    memory: of(HOLLOW, "burst/courier_resident"),
+};
+/// A relay of a zone where changes come at the usual rate.
+pub const ZONE_RELAY_USUAL: PartCost = PartCost {
+    messages: of(HOLLOW, "usual/zone_relay_messages_per_second"),
+    bytes: of(HOLLOW, "usual/zone_relay_bytes_per_second"),
+    core: of(HOLLOW, "usual/zone_relay_core_share"),
+    memory: of(HOLLOW, "usual/zone_relay_resident"),
+};
+/// ... and in the burst.
+pub const ZONE_RELAY_BURST: PartCost = PartCost {
+    messages: of(HOLLOW, "burst/zone_relay_messages_per_second"),
+    bytes: of(HOLLOW, "burst/zone_relay_bytes_per_second"),
+    core: of(HOLLOW, "burst/zone_relay_core_share"),
+    memory: of(HOLLOW, "burst/zone_relay_resident"),
+};
+/// A relay of a region where changes come at the usual rate.
+pub const REGION_RELAY_USUAL: PartCost = PartCost {
+    messages: of(HOLLOW, "usual/region_relay_messages_per_second"),
+    bytes: of(HOLLOW, "usual/region_relay_bytes_per_second"),
+    core: of(HOLLOW, "usual/region_relay_core_share"),
+    memory: of(HOLLOW, "usual/region_relay_resident"),
+};
+/// ... and in the burst.
+pub const REGION_RELAY_BURST: PartCost = PartCost {
+    messages: of(HOLLOW, "burst/region_relay_messages_per_second"),
+    bytes: of(HOLLOW, "burst/region_relay_bytes_per_second"),
+    core: of(HOLLOW, "burst/region_relay_core_share"),
+    memory: of(HOLLOW, "burst/region_relay_resident"),
+};
+/// The source where changes come at the usual rate.
+pub const SOURCE_USUAL: PartCost = PartCost {
+    messages: of(HOLLOW, "usual/source_messages_per_second"),
+    bytes: of(HOLLOW, "usual/source_bytes_per_second"),
+    core: of(HOLLOW, "usual/source_core_share"),
+    memory: of(HOLLOW, "usual/source_resident"),
+};
+/// ... and in the burst.
+pub const SOURCE_BURST: PartCost = PartCost {
+    messages: of(HOLLOW, "burst/source_messages_per_second"),
+    bytes: of(HOLLOW, "burst/source_bytes_per_second"),
+    core: of(HOLLOW, "burst/source_core_share"),
+    memory: of(HOLLOW, "burst/source_resident"),
+};
+/// Time until a change of the usual rate was in force at all couriers, at the worst.
+pub const IN_FORCE_USUAL: Quantity = of(HOLLOW, "usual/in_force_everywhere_worst");
+/// ... and one of the burst.
+pub const IN_FORCE_BURST: Quantity = of(HOLLOW, "burst/in_force_everywhere_worst");
+/// Time until all are current after a courier, a rack and a zone came back, and after regions could reach the source again.
+pub const COURIER_BACK: Quantity = of(HOLLOW, "lost_courier/all_current_after_end");
+/// ... a rack.
+pub const RACK_BACK: Quantity = of(HOLLOW, "lost_rack/all_current_after_end");
+/// ... a zone.
+pub const ZONE_BACK: Quantity = of(HOLLOW, "lost_zone/all_current_after_end");
+/// ... the regions.
+pub const REGIONS_BACK: Quantity = of(HOLLOW, "cut_tier/all_current_after_end");
+/// Most bytes that one courier heard and said in a second, by what happens, in virtual time.
+pub const VIRTUAL_ZONE_BACK_BYTES: Quantity = of(
+    "distribution-virtual",
+    "zone-returns/traffic_sent_and_received/zone_relays/bytes_in_the_busiest_second_of_any",
+);
+/// ... where two regions are cut off, and come back.
+pub const VIRTUAL_REGIONS_BACK_BYTES: Quantity = of(
+    "distribution-virtual",
+    "two-regions-cut/traffic_sent_and_received/region_relays/bytes_in_the_busiest_second_of_any",
+);
+/// Bytes a second of a courier where destinations fall and return as well, in virtual time.
+pub const VIRTUAL_STATES_BYTES: Quantity =
+    of("distribution-virtual", "endpoints/traffic_sent_and_received/couriers/bytes_per_second_mean");
+
 /// What the model needs and nothing measures yet: the page says so in its place. A quantity that is measured has to leave
 /// this list, and one that is on no list and in no record fails the page.
 pub const NOT_MEASURED: &[Quantity] = &[
@@ -87,4 +192,45 @@
     HELD_TURN_BEFORE,
     HELD_TURN,
     RESTART,
+    COURIER_USUAL.messages,
+    COURIER_USUAL.bytes,
+    COURIER_USUAL.core,
+    COURIER_USUAL.memory,
+    COURIER_BURST.messages,
+    COURIER_BURST.bytes,
+    COURIER_BURST.core,
+    COURIER_BURST.memory,
+    ZONE_RELAY_USUAL.messages,
+    ZONE_RELAY_USUAL.bytes,
+    ZONE_RELAY_USUAL.core,
+    ZONE_RELAY_USUAL.memory,
+    ZONE_RELAY_BURST.messages,
+    ZONE_RELAY_BURST.bytes,
+    ZONE_RELAY_BURST.core,
+    ZONE_RELAY_BURST.memory,
+    REGION_RELAY_USUAL.messages,
+    REGION_RELAY_USUAL.bytes,
+    REGION_RELAY_USUAL.core,
+    REGION_RELAY_USUAL.memory,
+    REGION_RELAY_BURST.messages,
+    REGION_RELAY_BURST.bytes,
+    REGION_RELAY_BURST.core,
+    REGION_RELAY_BURST.memory,
+    SOURCE_USUAL.messages,
+    SOURCE_USUAL.bytes,
+    SOURCE_USUAL.core,
+    SOURCE_USUAL.memory,
+    SOURCE_BURST.messages,
+    SOURCE_BURST.bytes,
+    SOURCE_BURST.core,
+    SOURCE_BURST.memory,
+    IN_FORCE_USUAL,
+    IN_FORCE_BURST,
+    COURIER_BACK,
+    RACK_BACK,
+    ZONE_BACK,
+    REGIONS_BACK,
+    VIRTUAL_ZONE_BACK_BYTES,
+    VIRTUAL_REGIONS_BACK_BYTES,
+    VIRTUAL_STATES_BYTES,
 ];
--- a/crates/gullcart-scale/src/capacity/render.rs
+++ b/crates/gullcart-scale/src/capacity/render.rs
@@ -1,14 +1,16 @@
 //! All blocks and spans of the page.
 
+use super::backlog::backlog;
 use super::breaks::breaks;
 use super::budget::budget;
 use super::drawing::drawing;
 use super::failures::failures;
-use super::format::{value, Unit, EXTRAPOLATED};
-use super::options::{options, SHARDS};
+use super::format::{figure, value, Unit, EXTRAPOLATED};
+use super::options::options;
 use super::page::{fill, Rendered};
 use super::quantity as q;
 use super::roles::{loads, roles, Moment, VOTERS};
+use super::shared_sizes::shared_sizes;
 use super::table::table;
 use super::target::{self, assumed};
 use super::workbook::{CapacityError, Method, Source, Workbook};
@@ -34,7 +36,10 @@
     blocks.insert("zone", loads(Moment::ZoneLost, workbook)?);
     blocks.insert("options", options(workbook)?);
     blocks.insert("budget", budget(workbook)?);
+    blocks.insert("backlog", backlog(workbook)?);
     blocks.insert("failures", failures(workbook)?);
+    blocks.insert("shared", shared_sizes(workbook)?);
+    blocks.insert("in-force", in_force(workbook)?);
     // Sources are known once all else is worked out.
     blocks.insert("sources", sources(&workbook.sources));
     blocks.insert("open", not_measured());
@@ -69,12 +74,16 @@
 
 fn assumptions() -> String {
     let rows = [
-        ("couriers that serve each destination", value(assumed::REPLICAS, Unit::Count)),
+        ("shards of a zone", value(assumed::SHARDS_OF_A_ZONE, Unit::Count)),
+        ("so shards", value(target::shards(), Unit::Count)),
+        ("so destinations of a shard", value(target::destinations_a_shard(), Unit::Count)),
+        ("shards of a courier", value(assumed::SHARDS_OF_A_COURIER, Unit::Count)),
+        ("so couriers of a shard, its replica set", value(target::replicas(), Unit::Count)),
         ("endpoints of a destination", value(assumed::ENDPOINTS_OF_A_DESTINATION, Unit::Count)),
         ("so destinations of a courier", value(target::destinations_a_courier(), Unit::Count)),
         ("so endpoints of a courier", value(target::endpoints_a_courier(), Unit::Count)),
-        ("part of a day's changes in the worst minute", value(assumed::BURST_SHARE_OF_A_DAY, Unit::Share)),
-        ("so changes in the worst burst", value(target::burst_a_second(), Unit::Rate)),
+        ("how long a message is held where nothing is wrong", value(assumed::HELD_FOR_S, Unit::Seconds)),
+        ("changes of configuration in the worst second", value(assumed::BURST_CHANGES, Unit::Count)),
         ("how long a destination is down in the mean", value(assumed::OUTAGE_S, Unit::Seconds)),
         ("so falls and returns", value(target::state_changes_a_second(), Unit::Rate)),
         ("bytes kept of a destination", value(assumed::BYTES_OF_A_DESTINATION, Unit::Bytes)),
@@ -86,6 +95,21 @@
     pairs(["assumed", "size"], &rows)
 }
 
+/// How long changes took at the full size, over sockets of one machine.
+fn in_force(workbook: &mut Workbook) -> Result<String, CapacityError> {
+    let usual = figure(&workbook.read_figure(q::IN_FORCE_USUAL)?, Unit::Seconds);
+    let burst = figure(&workbook.read_figure(q::IN_FORCE_BURST)?, Unit::Seconds);
+    let states = figure(&workbook.read_figure(q::VIRTUAL_STATES_BYTES)?, Unit::ByteRate);
+    let zone = figure(&workbook.read_figure(q::VIRTUAL_ZONE_BACK_BYTES)?, Unit::ByteRate);
+    let rows = [
+        ("the worst change at the usual rate was in force everywhere after", usual),
+        ("the worst change of the burst was in force everywhere after", burst),
+        ("network of a courier with falls and returns of destinations, virtual time", states),
+        ("the busiest second of a zone's relay as the zone is back, virtual time", zone),
+    ];
+    Ok(pairs(["distribution at the full size", "measured"], &rows))
+}
+
 fn pairs(header: [&str; 2], rows: &[(&str, String)]) -> String {
     table(header, rows.iter().map(|(name, size)| [(*name).to_owned(), size.clone()]).collect())
 }
@@ -117,6 +141,7 @@
         Method::Read => "the run".to_owned(),
         Method::Between => "two measured sizes".to_owned(),
         Method::Line => "the fitted line".to_owned(),
+        Method::Secant => "the slope between the two largest".to_owned(),
         Method::Power(exponent) => format!("size to the power of {}", value(exponent, Unit::Count)),
     }
 }
@@ -137,15 +162,15 @@
         ("backlog", count(target::BACKLOG)),
         ("backlog-a-courier", count(target::backlog_a_courier())),
         ("served", count(target::destinations_a_courier())),
-        ("replicas", count(assumed::REPLICAS)),
-        ("shards", count(SHARDS)),
+        ("replicas", count(target::replicas())),
+        ("shards", count(target::shards())),
         ("voters", count(VOTERS)),
         ("zone", count(target::couriers_of_a_zone())),
         ("zones", count(target::ZONES)),
         ("regions", count(target::REGIONS)),
         ("changes-a-day", count(target::CHANGES_A_DAY)),
         ("changes-a-second", value(target::changes_a_second(), Unit::Rate)),
-        ("burst", value(target::burst_a_second(), Unit::Rate)),
+        ("burst", count(assumed::BURST_CHANGES)),
         ("states", value(target::state_changes_a_second(), Unit::Rate)),
         ("within", value(target::IN_FORCE_WITHIN.as_secs_f64(), Unit::Seconds)),
         ("control-core", value(target::CONTROL_CORE, Unit::Cores)),
@@ -155,7 +180,7 @@
         ("couriers-a-machine", count(target::COURIERS / target::CONTROL_MACHINES)),
         ("bytes-of-a-destination", value(assumed::BYTES_OF_A_DESTINATION, Unit::Bytes)),
         ("restarts-a-day", count(target::RESTARTS_A_DAY)),
-        ("trials", super::format::figure(&trials, Unit::Rate)),
+        ("trials", figure(&trials, Unit::Rate)),
         (
             "trial-interval",
             trials.value().map_or(String::new(), |rate| value(target::COURIERS / rate, Unit::Seconds)),
--- a/crates/gullcart-scale/src/capacity/roles.rs
+++ b/crates/gullcart-scale/src/capacity/roles.rs
@@ -38,6 +38,10 @@
     CourierControl,
     /// A voter of the agreement on placement.
     Voter,
+    /// The source of configuration and of the state of destinations.
+    Source,
+    /// A relay of a region.
+    RegionRelay,
     /// A relay of a zone.
     ZoneRelay,
     /// The agent that a courier asks for the list of endpoints.
@@ -69,10 +73,12 @@
 }
 
 /// All roles, as the page orders them.
-pub const ROLES: [Role; 7] = [
+pub const ROLES: [Role; 9] = [
     Role::Courier,
     Role::CourierControl,
     Role::Voter,
+    Role::Source,
+    Role::RegionRelay,
     Role::ZoneRelay,
     Role::DiscoveryAgent,
     Role::Partner,
@@ -94,6 +100,8 @@
             Role::Courier => "courier: clients and calls",
             Role::CourierControl => "courier: control",
             Role::Voter => "group voter",
+            Role::Source => "source of changes",
+            Role::RegionRelay => "relay of a region",
             Role::ZoneRelay => "relay of a zone",
             Role::DiscoveryAgent => "discovery agent",
             Role::Partner => "partner",
@@ -105,6 +113,8 @@
         match self {
             Role::Courier | Role::CourierControl => Some(target::COURIERS),
             Role::Voter => Some(VOTERS),
+            Role::Source => Some(1.0),
+            Role::RegionRelay => Some(target::REGIONS),
             Role::ZoneRelay => Some(RELAYS_OF_A_ZONE * target::ZONES),
             Role::DiscoveryAgent => Some(1.0),
             Role::Partner => Some(target::DESTINATIONS),
@@ -125,6 +135,8 @@
                 "its scopes: settings, and the state of what it serves; one lease".to_owned()
             }
             Role::Voter => "placement: shards, their replica sets, epochs".to_owned(),
+            Role::Source => "all settings, and the state of what is down; an epoch of its own".to_owned(),
+            Role::RegionRelay => "the scopes that its zones want, one lease of the source".to_owned(),
             Role::ZoneRelay => format!(
                 "the scopes of {} couriers, their leases and acknowledged positions",
                 count(target::couriers_of_a_zone())
@@ -132,7 +144,7 @@
             Role::DiscoveryAgent => {
                 format!("{} destinations, {} watches", count(target::DESTINATIONS), count(target::COURIERS))
             }
-            Role::Partner => format!("connections of {} couriers", count(assumed::REPLICAS)),
+            Role::Partner => format!("connections of {} couriers", count(target::replicas())),
             Role::OperatorsTool => "nothing".to_owned(),
         }
     }
@@ -144,7 +156,12 @@
             }
             Role::CourierControl => ("subscription by scope with lease, delta and digest", Standing::Begun),
             Role::Voter => ("quorum over one log (`gullcart-group`)", Standing::Built),
-            Role::ZoneRelay => ("relays by region and zone (`gullcart-distribution`)", Standing::Begun),
+            Role::Source => {
+                ("changes numbered by epoch and revision (`gullcart-distribution`)", Standing::Begun)
+            }
+            Role::RegionRelay | Role::ZoneRelay => {
+                ("relays by region and zone (`gullcart-distribution`)", Standing::Begun)
+            }
             Role::DiscoveryAgent => ("whole list and watch for each courier", Standing::Built),
             Role::Partner => {
                 ("trials and idle connections bounded over all couriers by chance", Standing::Built)
@@ -156,9 +173,11 @@
     fn load(self, moment: Moment, workbook: &mut Workbook) -> Result<Load, CapacityError> {
         match self {
             Role::Courier => courier(moment, workbook),
-            Role::CourierControl => courier_control(moment, workbook),
+            Role::CourierControl => part(moment, &q::COURIER_USUAL, &q::COURIER_BURST, workbook),
             Role::Voter => voter(workbook),
-            Role::ZoneRelay => Ok(Load::open()),
+            Role::Source => part(moment, &q::SOURCE_USUAL, &q::SOURCE_BURST, workbook),
+            Role::RegionRelay => part(moment, &q::REGION_RELAY_USUAL, &q::REGION_RELAY_BURST, workbook),
+            Role::ZoneRelay => part(moment, &q::ZONE_RELAY_USUAL, &q::ZONE_RELAY_BURST, workbook),
             Role::DiscoveryAgent => discovery_agent(moment, workbook),
             Role::Partner => partner(workbook),
             Role::OperatorsTool => Ok(Load::open()),
@@ -174,10 +193,11 @@
 }
 
 impl Moment {
-    fn changes_a_second(self) -> f64 {
+    /// Messages that one courier holds: those of its aim on an ordinary second, the worst backlog while a zone is lost.
+    fn backlog(self) -> f64 {
         match self {
-            Moment::Ordinary | Moment::ZoneLost => target::changes_a_second(),
-            Moment::Burst => target::burst_a_second(),
+            Moment::Ordinary | Moment::Burst => target::events_a_courier() * assumed::HELD_FOR_S,
+            Moment::ZoneLost => target::backlog_a_courier() * self.share_of_events(),
         }
     }
 
@@ -194,7 +214,7 @@
     let events = target::events_a_courier() * moment.share_of_events();
     let delivery = workbook.at(q::DELIVERY, target::endpoints_a_courier())?;
     let endpoints = workbook.at(q::ENDPOINTS_MEMORY, target::endpoints_a_courier())?;
-    let backlog = target::backlog_a_courier() * moment.share_of_events();
+    let backlog = moment.backlog();
     let held = workbook.each(q::HELD_MEMORY, backlog)? * backlog;
     Ok(Load {
         messages: Figure::given(events),
@@ -205,19 +225,23 @@
     })
 }
 
-fn courier_control(moment: Moment, workbook: &mut Workbook) -> Result<Load, CapacityError> {
-    let states = target::state_changes_a_second() * scope_share();
-    let changes = moment.changes_a_second();
-    let bytes = states * assumed::BYTES_OF_A_STATE_CHANGE + changes * assumed::BYTES_OF_A_CHANGE;
-    let change = workbook.at(q::ENDPOINT_CHANGE, target::endpoints_a_courier())?;
+/// A part of the distribution: a zone that comes back is measured by what the busiest of its relays says, below.
+fn part(
+    moment: Moment,
+    usual: &q::PartCost,
+    burst: &q::PartCost,
+    workbook: &mut Workbook,
+) -> Result<Load, CapacityError> {
+    let cost = match moment {
+        Moment::Ordinary | Moment::ZoneLost => usual,
+        Moment::Burst => burst,
+    };
     Ok(Load {
-        messages: Figure::given(states + changes),
-        bytes: Figure::given(bytes),
-        processor: change * (states + changes),
-        memory: Figure::given(target::destinations_a_courier() * assumed::BYTES_OF_A_DESTINATION),
-        disk: workbook.at(q::JOURNAL_OF_A_CHANGE, target::endpoints_a_courier())?
-            * (states + changes)
-            * target::DAY_S,
+        messages: workbook.read_figure(cost.messages)?,
+        bytes: workbook.read_figure(cost.bytes)?,
+        processor: workbook.read_figure(cost.core)?,
+        memory: workbook.read_figure(cost.memory)?,
+        disk: Figure::given(NOTHING),
     })
 }
 
@@ -252,11 +276,6 @@
     Ok(Load { messages: Figure::given(events) + trials, ..Load::open() })
 }
 
-/// The part of all destinations that one courier serves.
-fn scope_share() -> f64 {
-    target::destinations_a_courier() / target::DESTINATIONS
-}
-
 /// The roles, with what carries each.
 pub fn roles() -> String {
     let rows = ROLES.iter().map(|role| {
--- a/crates/gullcart-scale/src/capacity/target.rs
+++ b/crates/gullcart-scale/src/capacity/target.rs
@@ -36,14 +36,18 @@
 
 /// What the letter does not say. Each is shown on the page as assumed.
 pub mod assumed {
-    /// Couriers that serve each destination: one may be lost, and another be restarted.
-    pub const REPLICAS: f64 = 3.0;
+    /// Shards of the destinations in each zone.
+    pub const SHARDS_OF_A_ZONE: f64 = 180.0;
+    /// Shards that a courier serves.
+    pub const SHARDS_OF_A_COURIER: f64 = 5.0;
     /// Endpoints of a destination.
-    pub const ENDPOINTS_OF_A_DESTINATION: f64 = 4.0;
-    /// Part of a day's changes that comes within one minute at the worst.
-    pub const BURST_SHARE_OF_A_DAY: f64 = 0.1;
+    pub const ENDPOINTS_OF_A_DESTINATION: f64 = 2.0;
+    /// How long a message is held in the mean where nothing is wrong, in seconds.
+    pub const HELD_FOR_S: f64 = 3.0;
+    /// Changes of configuration within one second at the worst.
+    pub const BURST_CHANGES: f64 = 1_000.0;
     /// How long a destination is down in the mean, in seconds: with those that are down, it tells how often one falls.
-    pub const OUTAGE_S: f64 = 600.0;
+    pub const OUTAGE_S: f64 = 1_800.0;
     /// Bytes that a courier keeps of a destination at the least: a number, a state, an epoch and a place among others.
     pub const BYTES_OF_A_DESTINATION: f64 = 40.0;
     /// Bytes of a change of a destination's state on its way: a number, a state and a version.
@@ -58,8 +62,6 @@
 
 /// Seconds of a day.
 pub const DAY_S: f64 = 86_400.0;
-/// Seconds of a minute.
-pub const MINUTE_S: f64 = 60.0;
 
 /// Events that one courier takes in a second.
 pub fn events_a_courier() -> f64 {
@@ -76,9 +78,24 @@
     DESTINATIONS * SHARE_DOWN
 }
 
+/// Shards of the destinations.
+pub fn shards() -> f64 {
+    assumed::SHARDS_OF_A_ZONE * ZONES
+}
+
+/// Destinations of a shard.
+pub fn destinations_a_shard() -> f64 {
+    DESTINATIONS / shards()
+}
+
+/// Couriers that serve a shard: its replica set.
+pub fn replicas() -> f64 {
+    COURIERS * assumed::SHARDS_OF_A_COURIER / shards()
+}
+
 /// Destinations that one courier serves.
 pub fn destinations_a_courier() -> f64 {
-    DESTINATIONS * assumed::REPLICAS / COURIERS
+    destinations_a_shard() * assumed::SHARDS_OF_A_COURIER
 }
 
 /// Endpoints that one courier knows.
@@ -91,11 +108,6 @@
     CHANGES_A_DAY / DAY_S
 }
 
-/// Changes of configuration in a second of the worst minute.
-pub fn burst_a_second() -> f64 {
-    CHANGES_A_DAY * assumed::BURST_SHARE_OF_A_DAY / MINUTE_S
-}
-
 /// Destinations that fall or come back in a second.
 pub fn state_changes_a_second() -> f64 {
     2.0 * destinations_down() / assumed::OUTAGE_S
--- a/crates/gullcart-scale/src/capacity/workbook.rs
+++ b/crates/gullcart-scale/src/capacity/workbook.rs
@@ -1,17 +1,22 @@
 //! Figures that are worked out from records, with what each was worked out from.
 
 use super::quantity::{Quantity, NOT_MEASURED};
-use crate::record::{Measurement, RecordError, RunRecord};
+use super::virtual_fleet;
+use crate::record::{Measurement, Point, RecordError, RunRecord};
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::{Add, Mul};
 use std::path::Path;
 use thiserror::Error;
 
-/// Where a quantity grows faster than this power of the size, it is carried on by its power law and not by its line.
+/// Names what fleets in virtual time printed.
+const VIRTUAL_FLEETS: &str = "distribution-virtual";
+/// Where a quantity grows faster than this power of the size between its two largest sizes, it is carried on by that power.
 const STEEP: f64 = 1.2;
+/// A line that misses a point by more than this part of it is not carried on: what lies between the two largest sizes is.
+const WORST_RESIDUAL: f64 = 0.2;
 
 /// Units of records that the model counts in others, and by what they are multiplied.
-const OTHER_UNITS: [(&str, f64); 1] = [("us", 1e-6)];
+const OTHER_UNITS: [(&str, f64); 2] = [("us", 1e-6), ("ms", 1e-3)];
 
 /// Why the page cannot be worked out.
 #[derive(Debug, Error)]
@@ -86,7 +91,9 @@
     Between,
     /// On the fitted line.
     Line,
-    /// Carried on from the largest size by the power law with this exponent.
+    /// Carried on by the slope between the two largest sizes.
+    Secant,
+    /// Carried on from the largest size by this power.
     Power(f64),
 }
 
@@ -167,7 +174,7 @@
         for entry in std::fs::read_dir(folder).map_err(fault)? {
             let path = entry.map_err(fault)?.path();
             if path.extension().is_some_and(|extension| extension == "json") {
-                let record = RunRecord::read(&path)?;
+                let record = read_record(&path)?;
                 records.insert(record.name.clone(), record);
             }
         }
@@ -206,15 +213,15 @@
             value: figure.value,
             method: Method::Read,
         };
-        Ok(self.take(source))
+        let factor = factor_of(&source.unit);
+        Ok(self.take(source) * factor)
     }
 
-    /// The size at which a quantity comes to a limit, which is in seconds for times; open where it does not grow.
+    /// The size at which a quantity comes to a limit, which is in seconds for times; infinite where it does not grow so far.
     pub fn size_at(&mut self, quantity: Quantity, limit: f64) -> Result<Figure, CapacityError> {
         let Some(measurement) = self.measurement(quantity) else { return missing(quantity) };
-        let Some(size) = crossing(measurement, limit / factor_of(&measurement.unit)) else {
-            return Ok(Figure::Open);
-        };
+        let limit = limit / factor_of(&measurement.unit);
+        let size = crossing(measurement, limit).unwrap_or(f64::INFINITY);
         let source = project(quantity, measurement, size);
         Ok(match self.take(source) {
             Figure::Worked(worked) => Figure::Worked(Worked { value: size, ..worked }),
@@ -273,6 +280,18 @@
     }
 }
 
+/// A record, or what a fleet in virtual time printed.
+fn read_record(path: &Path) -> Result<RunRecord, CapacityError> {
+    let name = path.file_stem().map(|stem| stem.to_string_lossy().into_owned()).unwrap_or_default();
+    if !name.starts_with(VIRTUAL_FLEETS) {
+        return Ok(RunRecord::read(path)?);
+    }
+    let text =
+        std::fs::read_to_string(path).map_err(|error| CapacityError::Folder(path.to_owned(), error))?;
+    virtual_fleet::record_of(&name, &text)
+        .map_err(|error| RecordError::Content(path.to_owned(), error).into())
+}
+
 fn factor_of(unit: &str) -> f64 {
     OTHER_UNITS.iter().find(|(name, _)| *name == unit).map_or(1.0, |(_, factor)| *factor)
 }
@@ -284,19 +303,55 @@
     }
 }
 
-/// The exponent by which a quantity is carried on beyond its largest size; none where its line does.
-fn steep(measurement: &Measurement) -> Option<f64> {
-    measurement.fit.exponent.filter(|exponent| *exponent > STEEP)
+/// How a quantity goes on beyond its largest size.
+struct Growth {
+    method: Method,
+    largest: Point,
+    slope: f64,
+}
+
+impl Growth {
+    fn of(measurement: &Measurement) -> Option<Growth> {
+        let [below, largest] = measurement.points.last_chunk()?;
+        let exponent = (largest.value / below.value).ln() / (largest.size / below.size).ln();
+        let secant = (largest.value - below.value) / (largest.size - below.size);
+        let (method, slope) = if exponent > STEEP {
+            (Method::Power(exponent), secant)
+        } else if measurement.fit.worst_relative_residual > WORST_RESIDUAL {
+            (Method::Secant, secant)
+        } else {
+            (Method::Line, measurement.fit.slope)
+        };
+        Some(Growth { method, largest: *largest, slope })
+    }
+
+    fn at(&self, measurement: &Measurement, size: f64) -> f64 {
+        match self.method {
+            Method::Power(exponent) => self.largest.value * (size / self.largest.size).powf(exponent),
+            Method::Secant => self.largest.value + self.slope * (size - self.largest.size),
+            Method::Line | Method::Between | Method::Read => measurement.fit.at(size),
+        }
+    }
+
+    /// The size at which a value is come to.
+    fn size_at(&self, measurement: &Measurement, limit: f64) -> f64 {
+        match self.method {
+            Method::Power(exponent) => self.largest.size * (limit / self.largest.value).powf(1.0 / exponent),
+            Method::Secant => self.largest.size + (limit - self.largest.value) / self.slope,
+            Method::Line | Method::Between | Method::Read => {
+                (limit - measurement.fit.intercept) / measurement.fit.slope
+            }
+        }
+    }
 }
 
 fn project(quantity: Quantity, measurement: &Measurement, size: f64) -> Source {
     let fit = &measurement.fit;
-    let (value, method) = match (between(measurement, size), steep(measurement), measurement.points.last()) {
-        (Some(value), ..) => (value, Method::Between),
-        (None, Some(exponent), Some(largest)) if size > largest.size => {
-            (largest.value * (size / largest.size).powf(exponent), Method::Power(exponent))
-        }
-        _ => (fit.at(size).max(0.0), Method::Line),
+    let growth = Growth::of(measurement).filter(|growth| size > growth.largest.size);
+    let (value, method) = match (between(measurement, size), growth) {
+        (Some(value), _) => (value, Method::Between),
+        (None, Some(growth)) => (growth.at(measurement, size), growth.method),
+        (None, None) => (fit.at(size), Method::Line),
     };
     Source {
         quantity,
@@ -304,7 +359,7 @@
         axis: measurement.axis.name.clone(),
         size,
         measured: (measurement.points.first().map_or(0.0, |point| point.size), fit.largest_size),
-        value,
+        value: value.max(0.0),
         method,
     }
 }
@@ -319,16 +374,11 @@
 
 /// The size at which a quantity comes to a limit: between two measured sizes where it does so there, else by its growth.
 fn crossing(measurement: &Measurement, limit: f64) -> Option<f64> {
-    let fit = &measurement.fit;
-    let reaches = |pair: &&[crate::record::Point]| pair[0].value <= limit && limit < pair[1].value;
+    let reaches = |pair: &&[Point]| pair[0].value <= limit && limit < pair[1].value;
     if let Some([below, above]) = measurement.points.windows(2).find(reaches) {
         let part = (limit - below.value) / (above.value - below.value);
         return Some(below.size + part * (above.size - below.size));
     }
-    let size = match (steep(measurement), measurement.points.last()) {
-        (Some(exponent), Some(largest)) => largest.size * (limit / largest.value).powf(1.0 / exponent),
-        _ if fit.slope > 0.0 => (limit - fit.intercept) / fit.slope,
-        _ => return None,
-    };
+    let size = Growth::of(measurement)?.size_at(measurement, limit);
     (size.is_finite() && size > 0.0).then_some(size)
 }
