--- a/crates/gullcart-scale/src/capacity/backlog.rs
+++ b/crates/gullcart-scale/src/capacity/backlog.rs
@@ -1,7 +1,7 @@
 //! The worst backlog of one courier, and which limit gives.
 
 use super::format::{figure, value, Unit};
-use super::quantity as q;
+use super::quantity::{self as q, Quantity};
 use super::table::table;
 use super::target;
 use super::workbook::{CapacityError, Workbook};
@@ -10,28 +10,49 @@
 
 const BITS_OF_A_BYTE: i32 = 8;
 
+/// What the backlog takes of a daemon: as it was before the capacity page, and now.
+struct Cost {
+    what: &'static str,
+    before: Quantity,
+    now: Quantity,
+    unit: Unit,
+}
+
+const COSTS: [Cost; 5] = [
+    Cost { what: "memory", before: q::HELD_MEMORY_BEFORE, now: q::HELD_MEMORY, unit: Unit::Bytes },
+    Cost { what: "disk", before: q::HELD_JOURNAL_BEFORE, now: q::HELD_JOURNAL, unit: Unit::Bytes },
+    Cost { what: "ready after a crash", before: q::REPLAY_BEFORE, now: q::REPLAY, unit: Unit::Seconds },
+    Cost {
+        what: "processor time of a turn",
+        before: q::HELD_TURN_BEFORE,
+        now: q::HELD_TURN,
+        unit: Unit::Seconds,
+    },
+    Cost {
+        what: "processor time of a message taken on",
+        before: q::HELD_TAKE_BEFORE,
+        now: q::HELD_TAKE,
+        unit: Unit::Seconds,
+    },
+];
+
 /// The table of the backlog.
 pub fn backlog(workbook: &mut Workbook) -> Result<String, CapacityError> {
     let messages = target::backlog_a_courier();
+    let mut rows = Vec::new();
+    for cost in &COSTS {
+        let before = figure(&workbook.at(cost.before, messages)?, cost.unit);
+        let now = figure(&workbook.at(cost.now, messages)?, cost.unit);
+        rows.push([cost.what.to_owned(), before, now]);
+    }
     let numbers = 2_f64.powi(size_of::<MessageId>() as i32 * BITS_OF_A_BYTE);
-    let rows = vec![
-        row("messages", value(messages, Unit::Count)),
-        row("memory", figure(&workbook.at(q::HELD_MEMORY, messages)?, Unit::Bytes)),
-        row("disk", figure(&workbook.at(q::HELD_JOURNAL, messages)?, Unit::Bytes)),
-        row(
-            "time until the process is ready after a crash",
-            figure(&workbook.at(q::REPLAY, messages)?, Unit::Seconds),
-        ),
-        row("processor time of a turn", figure(&workbook.at(q::HELD_TURN, messages)?, Unit::Seconds)),
-        row("numbers of messages, for comparison", value(numbers, Unit::Count)),
-        row(
-            "messages that a courier holds unless it is told otherwise",
-            value(Settings::default().most_held as f64, Unit::Count),
-        ),
-    ];
-    Ok(table(["the worst backlog of one courier", "size"], rows))
+    rows.push(both("numbers that messages can have", numbers));
+    rows.push(both("messages held, unless it is told otherwise", Settings::default().most_held as f64));
+    let header = format!("{} messages at one courier", value(messages, Unit::Count));
+    Ok(table([&header, "before the index", "now"], rows))
 }
 
-fn row(what: &str, size: String) -> [String; 2] {
-    [what.to_owned(), size]
+fn both(what: &str, count: f64) -> [String; 3] {
+    let count = value(count, Unit::Count);
+    [what.to_owned(), count.clone(), count]
 }
--- a/crates/gullcart-scale/src/capacity/breaks.rs
+++ b/crates/gullcart-scale/src/capacity/breaks.rs
@@ -11,8 +11,8 @@
 use gullcart_group::say::MOST_WATCHED;
 use gullcart_group::table::{MOST_DUTIES, MOST_MEMBERS};
 
-/// A turn of the daemon's loop that takes longer holds up every client for longer than a client may notice.
-const LONGEST_TURN_S: f64 = 0.1;
+/// Processors of the daemon's loop.
+const CORES: f64 = 1.0;
 /// Memory that a courier's list of endpoints may take: what it may spend on control.
 const LIST_MEMORY: f64 = target::CONTROL_MEMORY;
 /// Time without service that a change may cost.
@@ -75,22 +75,27 @@
 }
 
 fn of_one_courier(workbook: &mut Workbook) -> Result<Vec<Break>, CapacityError> {
-    let turn = format!("a turn of {}", value(LONGEST_TURN_S, Unit::Seconds));
+    let longest = CORES / target::events_a_courier();
+    let busy = format!(
+        "{} for {} taken on",
+        value(CORES, Unit::Cores),
+        value(target::events_a_courier(), Unit::Rate)
+    );
     let memory = value(LIST_MEMORY, Unit::Bytes);
     Ok(vec![
         Break {
             mechanism: "walk of the queue on each turn, before the index",
-            limit: turn.clone(),
+            limit: busy.clone(),
             counts: "messages held by a courier",
-            at: workbook.size_at(q::HELD_TURN_BEFORE, LONGEST_TURN_S)?,
+            at: workbook.size_at(q::HELD_TAKE_BEFORE, longest)?,
             target: target::backlog_a_courier(),
             standing: "replaced by an index",
         },
         Break {
             mechanism: "walk of the queue on each turn",
-            limit: turn,
+            limit: busy,
             counts: "messages held by a courier",
-            at: workbook.size_at(q::HELD_TURN, LONGEST_TURN_S)?,
+            at: workbook.size_at(q::HELD_TAKE, longest)?,
             target: target::backlog_a_courier(),
             standing: Standing::Built.text(),
         },
--- a/crates/gullcart-scale/src/capacity/budget.rs
+++ b/crates/gullcart-scale/src/capacity/budget.rs
@@ -84,7 +84,7 @@
     Ok(Part {
         mechanism: "state of the destinations that it serves",
         processor: workbook.at(q::ENDPOINT_CHANGE, target::endpoints_a_courier())? * changes,
-        memory: Figure::given(served * assumed::BYTES_OF_A_DESTINATION),
+        memory: workbook.each(q::STORE_MEMORY, served)? * served,
         network: Figure::given(changes * assumed::BYTES_OF_A_STATE_CHANGE),
     })
 }
--- a/crates/gullcart-scale/src/capacity/options.rs
+++ b/crates/gullcart-scale/src/capacity/options.rs
@@ -21,7 +21,7 @@
 
 /// The table of options.
 pub fn options(workbook: &mut Workbook) -> Result<String, CapacityError> {
-    let mut rows = knowledge();
+    let mut rows = knowledge(workbook)?;
     rows.extend(transport());
     rows.extend(trials(workbook)?);
     rows.extend(agreement(workbook)?);
@@ -32,21 +32,24 @@
     [question.to_owned(), option.to_owned(), figures, verdict.to_owned()]
 }
 
-fn knowledge() -> Vec<[String; 4]> {
-    let all = target::DESTINATIONS * assumed::BYTES_OF_A_DESTINATION;
-    let part = target::destinations_a_courier() * assumed::BYTES_OF_A_DESTINATION;
+fn knowledge(workbook: &mut Workbook) -> Result<Vec<[String; 4]>, CapacityError> {
+    let all = workbook.at(q::STORE_MEMORY, target::DESTINATIONS)?;
+    let part =
+        workbook.each(q::STORE_MEMORY, target::destinations_a_courier())? * target::destinations_a_courier();
+    let least = target::DESTINATIONS * assumed::BYTES_OF_A_DESTINATION;
     let heard = target::state_changes_a_second() * assumed::BYTES_OF_A_STATE_CHANGE;
     let heard_part = heard * target::destinations_a_courier() / target::DESTINATIONS;
     let sent = target::state_changes_a_second() * target::COURIERS;
     let sent_part = target::state_changes_a_second() * target::replicas();
     let shards = target::shards() * BYTES_OF_A_SHARD;
-    vec![
+    Ok(vec![
         row(
             "who knows a destination",
             "every courier",
             format!(
-                "{} of {} of memory; {} heard by each; {} told in sum",
-                value(all, Unit::Bytes),
+                "{} of memory, {} at the least, of a budget of {}; {} heard by each; {} told in sum",
+                figure(&all, Unit::Bytes),
+                value(least, Unit::Bytes),
                 value(target::CONTROL_MEMORY, Unit::Bytes),
                 value(heard, Unit::ByteRate),
                 value(sent, Unit::Rate)
@@ -58,7 +61,7 @@
             "its replica set of couriers",
             format!(
                 "{} of memory; {} heard by each; {} told in sum",
-                value(part, Unit::Bytes),
+                figure(&part, Unit::Bytes),
                 value(heard_part, Unit::ByteRate),
                 value(sent_part, Unit::Rate)
             ),
@@ -81,7 +84,7 @@
             value(target::DESTINATIONS * BYTES_OF_A_SHARD, Unit::Bytes),
             "rejected: moves of single destinations are many changes",
         ),
-    ]
+    ])
 }
 
 fn transport() -> Vec<[String; 4]> {
--- a/crates/gullcart-scale/src/capacity/quantity.rs
+++ b/crates/gullcart-scale/src/capacity/quantity.rs
@@ -73,10 +73,26 @@
 pub const HELD_JOURNAL: Quantity = of("held", "journal");
 /// Time from the start of a process to its readiness, by messages held.
 pub const REPLAY: Quantity = of("held", "time to replay");
-/// Processor time of a turn of the loop, by messages held, as released before the capacity page.
-pub const HELD_TURN_BEFORE: Quantity = of("held-before", "turn");
-/// ... and now.
+/// Processor time of a message that is taken on, by messages held.
+pub const HELD_TAKE: Quantity = of("held", "message taken");
+/// Processor time of a turn of the loop, by messages held.
 pub const HELD_TURN: Quantity = of("held", "turn");
+/// The same of the daemon as it was released before the capacity page: memory ...
+pub const HELD_MEMORY_BEFORE: Quantity = of("held-before", "resident memory");
+/// ... the journal ...
+pub const HELD_JOURNAL_BEFORE: Quantity = of("held-before", "journal");
+/// ... the time from a start to readiness ...
+pub const REPLAY_BEFORE: Quantity = of("held-before", "time to replay");
+/// ... a message that is taken on ...
+pub const HELD_TAKE_BEFORE: Quantity = of("held-before", "message taken");
+/// ... and a turn.
+pub const HELD_TURN_BEFORE: Quantity = of("held-before", "turn");
+/// Memory of a store of settings and states, by the destinations that it holds.
+pub const STORE_MEMORY: Quantity = of("hollow-destinations", "store/memory");
+/// Memory of the source of all of them.
+pub const SOURCE_MEMORY: Quantity = of("hollow-destinations", "source/memory");
+/// Processor time of a change in such a store.
+pub const STORE_CHANGE: Quantity = of("hollow-destinations", "store/change");
 /// Time in which no client is served while a setting changes by a restart, by messages held.
 pub const RESTART: Quantity = of("restart", "time without service");
 
@@ -179,7 +195,6 @@
 /// What the model needs and nothing measures yet: the page says so in its place. A quantity that is measured has to leave
 /// this list, and one that is on no list and in no record fails the page.
 pub const NOT_MEASURED: &[Quantity] = &[
-    ENDPOINTS_MEMORY_BEFORE,
     ENDPOINTS_MEMORY,
     DELIVERY,
     IDLE_SECOND,
@@ -189,7 +204,7 @@
     HELD_MEMORY,
     HELD_JOURNAL,
     REPLAY,
-    HELD_TURN_BEFORE,
+    HELD_TAKE,
     HELD_TURN,
     RESTART,
     COURIER_USUAL.messages,
--- a/crates/gullcart-scale/src/capacity/workbook.rs
+++ b/crates/gullcart-scale/src/capacity/workbook.rs
@@ -317,7 +317,7 @@
         let secant = (largest.value - below.value) / (largest.size - below.size);
         let (method, slope) = if exponent > STEEP {
             (Method::Power(exponent), secant)
-        } else if measurement.fit.worst_relative_residual > WORST_RESIDUAL {
+        } else if measurement.fit.worst_relative_residual > WORST_RESIDUAL && secant > 0.0 {
             (Method::Secant, secant)
         } else {
             (Method::Line, measurement.fit.slope)
