Name for each role the first limit that today's mechanism comes to

A row of a role has to say at which size it breaks: the first of its limits, worked out as in the table of what breaks first. Partners that are down are a role of their own, as they are called by trials and not by messages.

--- a/crates/gullcart-scale/src/capacity/breaks.rs
+++ b/crates/gullcart-scale/src/capacity/breaks.rs
@@ -2,7 +2,7 @@
 
 use super::format::{figure, value, Unit};
 use super::quantity as q;
-use super::roles::Standing;
+use super::roles::{Role, Standing};
 use super::table::table;
 use super::target::{self, assumed};
 use super::workbook::{CapacityError, Figure, Workbook};
@@ -36,7 +36,9 @@
     at: Figure,
     /// What the target asks for.
     target: f64,
-    standing: &'static str,
+    standing: Standing,
+    /// Whose mechanism it is.
+    role: Role,
 }
 
 impl Break {
@@ -54,20 +56,35 @@
             figure(&self.at, Unit::Count),
             value(self.target, Unit::Count),
             share,
-            self.standing.to_owned(),
+            self.standing.text().to_owned(),
         ]
     }
 }
 
 /// The table, the first to break first.
 pub fn breaks(workbook: &mut Workbook) -> Result<String, CapacityError> {
+    let all = in_order(workbook)?;
+    let header = ["mechanism", "limit", "size counts", "breaks at", "target", "of the target", "standing"];
+    Ok(table(header, all.into_iter().map(Break::row).collect()))
+}
+
+/// The first limit that a role's mechanisms of today come to, as text.
+pub fn first_of(role: Role, workbook: &mut Workbook) -> Result<String, CapacityError> {
+    let all = in_order(workbook)?;
+    let is_first = |of: &&Break| of.role == role && of.standing != Standing::Mended;
+    let first = all.iter().find(is_first);
+    Ok(first.map_or("none known".to_owned(), |of| {
+        format!("{} {}: {}", figure(&of.at, Unit::Count), of.counts, of.limit)
+    }))
+}
+
+fn in_order(workbook: &mut Workbook) -> Result<Vec<Break>, CapacityError> {
     let mut all = of_one_courier(workbook)?;
     all.extend(of_all_couriers(workbook)?);
     all.extend(of_the_group(workbook)?);
     all.push(no_distribution());
     all.sort_by(|left, right| order(left).total_cmp(&order(right)));
-    let header = ["mechanism", "limit", "size counts", "breaks at", "target", "of the target", "standing"];
-    Ok(table(header, all.into_iter().map(Break::row).collect()))
+    Ok(all)
 }
 
 fn order(of: &Break) -> f64 {
@@ -85,51 +102,57 @@
     Ok(vec![
         Break {
             mechanism: "walk of the queue on each turn, before the index",
+            role: Role::Courier,
             limit: busy.clone(),
             counts: "messages held by a courier",
             at: workbook.size_at(q::HELD_TAKE_BEFORE, longest)?,
             target: target::backlog_a_courier(),
-            standing: "replaced by an index",
+            standing: Standing::Mended,
         },
         Break {
             mechanism: "walk of the queue on each turn",
+            role: Role::Courier,
             limit: busy,
             counts: "messages held by a courier",
             at: workbook.size_at(q::HELD_TAKE, longest)?,
             target: target::backlog_a_courier(),
-            standing: Standing::Built.text(),
+            standing: Standing::Built,
         },
         Break {
             mechanism: "list of endpoints in memory, before its mend",
+            role: Role::Courier,
             limit: memory.clone(),
             counts: "endpoints known to a courier, without scopes",
             at: workbook.size_at(q::ENDPOINTS_MEMORY_BEFORE, LIST_MEMORY)?,
             target: target::DESTINATIONS * assumed::ENDPOINTS_OF_A_DESTINATION,
-            standing: "mended",
+            standing: Standing::Mended,
         },
         Break {
             mechanism: "list of endpoints in memory",
+            role: Role::Courier,
             limit: memory,
             counts: "endpoints known to a courier, without scopes",
             at: workbook.size_at(q::ENDPOINTS_MEMORY, LIST_MEMORY)?,
             target: target::DESTINATIONS * assumed::ENDPOINTS_OF_A_DESTINATION,
-            standing: Standing::Built.text(),
+            standing: Standing::Built,
         },
         Break {
             mechanism: "a setting changes by a restart",
+            role: Role::Courier,
             limit: format!("{} without service", value(LONGEST_GAP_S, Unit::Seconds)),
             counts: "messages held by a courier",
             at: workbook.size_at(q::RESTART, LONGEST_GAP_S)?,
             target: target::backlog_a_courier(),
-            standing: Standing::Built.text(),
+            standing: Standing::Built,
         },
         Break {
             mechanism: "numbers of destinations",
+            role: Role::Courier,
             limit: format!("{} bytes", std::mem::size_of::<DestinationId>()),
             counts: "destinations",
             at: Figure::given(2_f64.powi(std::mem::size_of::<DestinationId>() as i32 * BITS_OF_A_BYTE)),
             target: target::DESTINATIONS,
-            standing: Standing::Built.text(),
+            standing: Standing::Built,
         },
     ])
 }
@@ -139,35 +162,39 @@
     Ok(vec![
         Break {
             mechanism: "each courier tries a fallen partner by itself",
+            role: Role::FallenPartner,
             limit: format!("a trial of each courier within {}", value(within, Unit::Seconds)),
             counts: "couriers that have messages for one partner",
             at: workbook.at(q::TRIALS, target::COURIERS)? * within,
             target: target::COURIERS,
-            standing: Standing::Built.text(),
+            standing: Standing::Built,
         },
         Break {
             mechanism: "slow start at a partner that is back, by each courier for itself",
+            role: Role::FallenPartner,
             limit: "more calls than it survives".to_owned(),
             counts: "couriers that have messages for one partner",
             at: workbook.size_at(q::RETURN_CALLS, SURVIVED)?,
             target: target::COURIERS,
-            standing: Standing::Built.text(),
+            standing: Standing::Built,
         },
         Break {
             mechanism: "idle connections bounded over all couriers",
+            role: Role::Partner,
             limit: format!("{} of calls find an open connection", value(LEAST_REUSE, Unit::Share)),
             counts: "couriers that call one partner",
             at: workbook.at(q::IDLE_CONNECTIONS, target::COURIERS)? * (1.0 / LEAST_REUSE),
             target: target::COURIERS,
-            standing: Standing::Built.text(),
+            standing: Standing::Built,
         },
         Break {
             mechanism: "calls for the list, spread by chance",
+            role: Role::DiscoveryAgent,
             limit: format!("{} until the last courier has it", value(TOLD.as_secs_f64(), Unit::Seconds)),
             counts: "couriers",
             at: workbook.size_at(q::LIST_DELAY, TOLD.as_secs_f64())?,
             target: target::COURIERS,
-            standing: Standing::Built.text(),
+            standing: Standing::Built,
         },
     ])
 }
@@ -178,30 +205,43 @@
     Ok(vec![
         Break {
             mechanism: "one group of all couriers",
+            role: Role::Voter,
             limit: format!("{} members", value(MOST_MEMBERS as f64, Unit::Count)),
             counts: "couriers",
             at: Figure::given(MOST_MEMBERS as f64),
             target: target::COURIERS,
-            standing: Standing::Built.text(),
+            standing: Standing::Built,
         },
         Break {
             mechanism: "one log for all duties",
+            role: Role::Voter,
             limit: format!("{duties} duties"),
             counts: "partners that are down",
             at: Figure::given(MOST_DUTIES as f64),
             target: target::destinations_down(),
-            standing: Standing::Built.text(),
+            standing: Standing::Built,
         },
         Break {
             mechanism: "wishes of one member, without scopes",
+            role: Role::Voter,
             limit: format!("{} duties", value(MOST_WATCHED as f64, Unit::Count)),
             counts: "partners that are down",
             at: Figure::given(MOST_WATCHED as f64),
             target: target::destinations_down(),
-            standing: Standing::Built.text(),
+            standing: Standing::Built,
+        },
+        Break {
+            mechanism: "processor time of a voter",
+            role: Role::Voter,
+            limit: format!("{} at a voter", value(CORES, Unit::Cores)),
+            counts: "partners that are down",
+            at: workbook.size_at(q::DUTIES_PROCESSOR, CORES)?,
+            target: target::destinations_down(),
+            standing: Standing::Built,
         },
         Break {
             mechanism: "each heartbeat names all wishes",
+            role: Role::Voter,
             limit: format!(
                 "{} a member, {} members, {} of them for each duty",
                 value(target::CONTROL_NETWORK, Unit::ByteRate),
@@ -211,7 +251,7 @@
             counts: "partners that are down",
             at: workbook.size_at(q::DUTIES_BYTES, of_all)?,
             target: target::destinations_down(),
-            standing: Standing::Built.text(),
+            standing: Standing::Built,
         },
     ])
 }
@@ -219,10 +259,11 @@
 fn no_distribution() -> Break {
     Break {
         mechanism: "distribution of configuration by scope, today",
+        role: Role::CourierControl,
         limit: format!("in force within {}", value(target::IN_FORCE_WITHIN.as_secs_f64(), Unit::Seconds)),
         counts: "couriers",
         at: Figure::given(0.0),
         target: target::COURIERS,
-        standing: Standing::Begun.text(),
+        standing: Standing::Begun,
     }
 }
--- a/crates/gullcart-scale/src/capacity/options.rs
+++ b/crates/gullcart-scale/src/capacity/options.rs
@@ -22,7 +22,7 @@
 /// The table of options.
 pub fn options(workbook: &mut Workbook) -> Result<String, CapacityError> {
     let mut rows = knowledge(workbook)?;
-    rows.extend(transport());
+    rows.extend(transport(workbook)?);
     rows.extend(trials(workbook)?);
     rows.extend(agreement(workbook)?);
     Ok(table(["question", "option", "at the target size", "verdict"], rows))
@@ -87,16 +87,23 @@
     ])
 }
 
-fn transport() -> Vec<[String; 4]> {
+fn transport(workbook: &mut Workbook) -> Result<Vec<[String; 4]>, CapacityError> {
+    let endpoints = target::DESTINATIONS * assumed::ENDPOINTS_OF_A_DESTINATION;
+    let taken_in = workbook.at(q::WHOLE_LIST, endpoints)?;
     let whole = target::DESTINATIONS * assumed::BYTES_OF_A_DESTINATION;
     let scope = target::destinations_a_courier() * assumed::BYTES_OF_A_DESTINATION;
     let seconds = |bytes: f64| value(bytes / target::CONTROL_NETWORK, Unit::Seconds);
     let relays = target::couriers_of_a_zone();
-    vec![
+    Ok(vec![
         row(
             "what a change sends",
             "the whole list",
-            format!("{}, {} at a courier's budget", value(whole, Unit::Bytes), seconds(whole)),
+            format!(
+                "{}, {} at a courier's budget; {} of processor time to take it in",
+                value(whole, Unit::Bytes),
+                seconds(whole),
+                figure(&taken_in, Unit::Seconds)
+            ),
             "rejected",
         ),
         row(
@@ -135,7 +142,7 @@
             ),
             "chosen",
         ),
-    ]
+    ])
 }
 
 fn trials(workbook: &mut Workbook) -> Result<Vec<[String; 4]>, CapacityError> {
--- a/crates/gullcart-scale/src/capacity/quantity.rs
+++ b/crates/gullcart-scale/src/capacity/quantity.rs
@@ -34,8 +34,6 @@
 /// ... and until the last one has.
 pub const RETURN_LAST: Quantity =
     of("couriers-trials", "time from a return until the last courier has delivered");
-/// Messages a second among voters and members where nobody wants a duty.
-pub const GROUP_QUIET: Quantity = of("couriers-group", "messages a second where nothing is wanted");
 /// Messages a second where each member wants the duty of one fallen partner.
 pub const GROUP_MESSAGES: Quantity = of("couriers-group", "messages a second where all want one duty");
 /// ... and their bytes.
@@ -89,10 +87,6 @@
 pub const HELD_TURN_BEFORE: Quantity = of("held-before", "turn");
 /// Memory of a store of settings and states, by the destinations that it holds.
 pub const STORE_MEMORY: Quantity = of("hollow-destinations", "store/memory");
-/// Memory of the source of all of them.
-pub const SOURCE_MEMORY: Quantity = of("hollow-destinations", "source/memory");
-/// Processor time of a change in such a store.
-pub const STORE_CHANGE: Quantity = of("hollow-destinations", "store/change");
 /// Time in which no client is served while a setting changes by a restart, by messages held.
 pub const RESTART: Quantity = of("restart", "time without service");
 
--- a/crates/gullcart-scale/src/capacity/render.rs
+++ b/crates/gullcart-scale/src/capacity/render.rs
@@ -30,7 +30,7 @@
     blocks.insert("target", targets());
     blocks.insert("assumed", assumptions());
     blocks.insert("breaks", breaks(workbook)?);
-    blocks.insert("roles", roles());
+    blocks.insert("roles", roles(workbook)?);
     blocks.insert("ordinary", loads(Moment::Ordinary, workbook)?);
     blocks.insert("burst", loads(Moment::Burst, workbook)?);
     blocks.insert("zone", loads(Moment::ZoneLost, workbook)?);
--- a/crates/gullcart-scale/src/capacity/roles.rs
+++ b/crates/gullcart-scale/src/capacity/roles.rs
@@ -1,6 +1,7 @@
 //! Each role at the target size: how many there are, what they hold, and what they do on an ordinary second, in the worst
 //! burst of changes, and while a zone is lost and comes back.
 
+use super::breaks::first_of;
 use super::format::{figure, value, Unit};
 use super::quantity as q;
 use super::table::table;
@@ -16,6 +17,8 @@
     Begun,
     /// Not there.
     Missing,
+    /// Replaced by a better one.
+    Mended,
 }
 
 impl Standing {
@@ -25,6 +28,7 @@
             Standing::Built => "built",
             Standing::Begun => "begun, not in the daemon",
             Standing::Missing => "missing",
+            Standing::Mended => "mended",
         }
     }
 }
@@ -46,8 +50,10 @@
     ZoneRelay,
     /// The agent that a courier asks for the list of endpoints.
     DiscoveryAgent,
-    /// A partner.
+    /// A partner that serves.
     Partner,
+    /// A partner that is down.
+    FallenPartner,
     /// The tool with which an operator looks at all couriers.
     OperatorsTool,
 }
@@ -73,7 +79,7 @@
 }
 
 /// All roles, as the page orders them.
-pub const ROLES: [Role; 9] = [
+pub const ROLES: [Role; 10] = [
     Role::Courier,
     Role::CourierControl,
     Role::Voter,
@@ -82,6 +88,7 @@
     Role::ZoneRelay,
     Role::DiscoveryAgent,
     Role::Partner,
+    Role::FallenPartner,
     Role::OperatorsTool,
 ];
 
@@ -104,7 +111,8 @@
             Role::RegionRelay => "relay of a region",
             Role::ZoneRelay => "relay of a zone",
             Role::DiscoveryAgent => "discovery agent",
-            Role::Partner => "partner",
+            Role::Partner => "partner that serves",
+            Role::FallenPartner => "partner that is down",
             Role::OperatorsTool => "operator's tool",
         }
     }
@@ -117,7 +125,8 @@
             Role::RegionRelay => Some(target::REGIONS),
             Role::ZoneRelay => Some(RELAYS_OF_A_ZONE * target::ZONES),
             Role::DiscoveryAgent => Some(1.0),
-            Role::Partner => Some(target::DESTINATIONS),
+            Role::Partner => Some(target::DESTINATIONS - target::destinations_down()),
+            Role::FallenPartner => Some(target::destinations_down()),
             Role::OperatorsTool => None,
         }
     }
@@ -144,8 +153,10 @@
             Role::DiscoveryAgent => {
                 format!("{} destinations, {} watches", count(target::DESTINATIONS), count(target::COURIERS))
             }
-            Role::Partner => format!("connections of {} couriers", count(target::replicas())),
-            Role::OperatorsTool => "nothing".to_owned(),
+            Role::Partner | Role::FallenPartner => {
+                format!("connections of {} couriers", count(target::replicas()))
+            }
+            Role::OperatorsTool => format!("nothing; one look is {} calls", count(target::COURIERS)),
         }
     }
 
@@ -163,9 +174,8 @@
                 ("relays by region and zone (`gullcart-distribution`)", Standing::Begun)
             }
             Role::DiscoveryAgent => ("whole list and watch for each courier", Standing::Built),
-            Role::Partner => {
-                ("trials and idle connections bounded over all couriers by chance", Standing::Built)
-            }
+            Role::Partner => ("idle connections bounded over all couriers by chance", Standing::Built),
+            Role::FallenPartner => ("trials bounded over all couriers by chance", Standing::Built),
             Role::OperatorsTool => ("a call to each console", Standing::Built),
         }
     }
@@ -173,13 +183,14 @@
     fn load(self, moment: Moment, workbook: &mut Workbook) -> Result<Load, CapacityError> {
         match self {
             Role::Courier => courier(moment, workbook),
-            Role::CourierControl => part(moment, &q::COURIER_USUAL, &q::COURIER_BURST, workbook),
+            Role::CourierControl => courier_control(moment, workbook),
             Role::Voter => voter(workbook),
             Role::Source => part(moment, &q::SOURCE_USUAL, &q::SOURCE_BURST, workbook),
             Role::RegionRelay => part(moment, &q::REGION_RELAY_USUAL, &q::REGION_RELAY_BURST, workbook),
-            Role::ZoneRelay => part(moment, &q::ZONE_RELAY_USUAL, &q::ZONE_RELAY_BURST, workbook),
+            Role::ZoneRelay => zone_relay(moment, workbook),
             Role::DiscoveryAgent => discovery_agent(moment, workbook),
-            Role::Partner => partner(workbook),
+            Role::Partner => Ok(partner()),
+            Role::FallenPartner => fallen_partner(workbook),
             Role::OperatorsTool => Ok(Load::open()),
         }
     }
@@ -225,7 +236,23 @@
     })
 }
 
-/// A part of the distribution: a zone that comes back is measured by what the busiest of its relays says, below.
+/// The journal grows by each change that is taken in, in a day.
+fn courier_control(moment: Moment, workbook: &mut Workbook) -> Result<Load, CapacityError> {
+    let load = part(moment, &q::COURIER_USUAL, &q::COURIER_BURST, workbook)?;
+    let change = workbook.at(q::JOURNAL_OF_A_CHANGE, target::endpoints_a_courier())?;
+    Ok(Load { disk: change * target::CHANGES_A_DAY, ..load })
+}
+
+/// While its zone comes back, a relay says as much as in the busiest second of that in virtual time.
+fn zone_relay(moment: Moment, workbook: &mut Workbook) -> Result<Load, CapacityError> {
+    let load = part(moment, &q::ZONE_RELAY_USUAL, &q::ZONE_RELAY_BURST, workbook)?;
+    match moment {
+        Moment::Ordinary | Moment::Burst => Ok(load),
+        Moment::ZoneLost => Ok(Load { bytes: workbook.read_figure(q::VIRTUAL_ZONE_BACK_BYTES)?, ..load }),
+    }
+}
+
+/// A part of the distribution.
 fn part(
     moment: Moment,
     usual: &q::PartCost,
@@ -270,21 +297,32 @@
     })
 }
 
-fn partner(workbook: &mut Workbook) -> Result<Load, CapacityError> {
-    let events = target::EVENTS_A_SECOND / target::DESTINATIONS;
-    let trials = workbook.at(q::TRIALS, target::COURIERS)? * target::SHARE_DOWN;
-    Ok(Load { messages: Figure::given(events) + trials, ..Load::open() })
+fn partner() -> Load {
+    Load { messages: Figure::given(target::EVENTS_A_SECOND / target::DESTINATIONS), ..Load::open() }
 }
 
-/// The roles, with what carries each.
-pub fn roles() -> String {
-    let rows = ROLES.iter().map(|role| {
+/// As it is today: all couriers have messages for it.
+fn fallen_partner(workbook: &mut Workbook) -> Result<Load, CapacityError> {
+    Ok(Load { messages: workbook.at(q::TRIALS, target::COURIERS)?, ..Load::open() })
+}
+
+/// The roles, with what carries each and the first limit that today's mechanism comes to.
+pub fn roles(workbook: &mut Workbook) -> Result<String, CapacityError> {
+    let mut rows = Vec::new();
+    for role in ROLES {
         let (mechanism, standing) = role.mechanism();
-        let count =
-            role.count().map_or("one for each operator".to_owned(), |count| value(count, Unit::Count));
-        [role.name().to_owned(), count, role.holds(), mechanism.to_owned(), standing.text().to_owned()]
-    });
-    table(["role", "how many", "state held", "mechanism", "standing"], rows.collect())
+        let count = role.count().map(|count| value(count, Unit::Count));
+        rows.push([
+            role.name().to_owned(),
+            count.unwrap_or("one for each operator".to_owned()),
+            role.holds(),
+            mechanism.to_owned(),
+            standing.text().to_owned(),
+            first_of(role, workbook)?,
+        ]);
+    }
+    let header = ["role", "how many", "state held", "mechanism", "standing", "today's breaks first at"];
+    Ok(table(header, rows))
 }
 
 /// What one instance of each role does at a moment.
--- a/crates/gullcart-scale/src/capacity/shared_sizes.rs
+++ b/crates/gullcart-scale/src/capacity/shared_sizes.rs
@@ -14,7 +14,7 @@
     unit: Unit,
 }
 
-const ROWS: [Row; 10] = [
+const ROWS: [Row; 11] = [
     Row {
         bears: "discovery agent",
         what: "calls for the list, outage",
@@ -59,6 +59,12 @@
         quantity: q::GROUP_MESSAGES,
         unit: Unit::Rate,
     },
+    Row {
+        bears: "three voters and their members",
+        what: "bytes, all want one duty",
+        quantity: q::GROUP_BYTES,
+        unit: Unit::ByteRate,
+    },
     Row {
         bears: "one voter",
         what: "processor, all want one duty",
