--- a/crates/gullcart-scale/src/capacity/breaks.rs
+++ b/crates/gullcart-scale/src/capacity/breaks.rs
@@ -10,6 +10,7 @@
 use gullcart_engine::TOLD;
 use gullcart_group::say::MOST_WATCHED;
 use gullcart_group::table::{MOST_DUTIES, MOST_MEMBERS};
+use std::mem::size_of;
 
 /// Processors of the daemon's loop.
 const CORES: f64 = 1.0;
@@ -99,7 +100,7 @@
         value(target::events_a_courier(), Unit::Rate)
     );
     let memory = value(LIST_MEMORY, Unit::Bytes);
-    Ok(vec![
+    let mut all = vec![
         Break {
             mechanism: "walk of the queue on each turn, before the index",
             role: Role::Courier,
@@ -145,16 +146,28 @@
             target: target::backlog_a_courier(),
             standing: Standing::Built,
         },
-        Break {
-            mechanism: "numbers of destinations",
-            role: Role::Courier,
-            limit: format!("{} bytes", std::mem::size_of::<DestinationId>()),
-            counts: "destinations",
-            at: Figure::given(2_f64.powi(std::mem::size_of::<DestinationId>() as i32 * BITS_OF_A_BYTE)),
-            target: target::DESTINATIONS,
-            standing: Standing::Built,
-        },
-    ])
+    ];
+    all.extend(numbers_of_destinations());
+    Ok(all)
+}
+
+/// By their width in the decisions; what they were before, where they are wider now.
+fn numbers_of_destinations() -> Vec<Break> {
+    let numbers = |mechanism: &'static str, bytes: usize, standing: Standing| Break {
+        mechanism,
+        role: Role::Courier,
+        limit: format!("{bytes} bytes"),
+        counts: "destinations",
+        at: Figure::given(2_f64.powi(bytes as i32 * BITS_OF_A_BYTE)),
+        target: target::DESTINATIONS,
+        standing,
+    };
+    let (before, now) = (size_of::<u16>(), size_of::<DestinationId>());
+    let mut all = vec![numbers("numbers of destinations", now, Standing::Built)];
+    if now > before {
+        all.push(numbers("numbers of destinations, before they were widened", before, Standing::Mended));
+    }
+    all
 }
 
 fn of_all_couriers(workbook: &mut Workbook) -> Result<Vec<Break>, CapacityError> {
