--- a/crates/gullcart-emulator/src/lib.rs
+++ b/crates/gullcart-emulator/src/lib.rs
@@ -6,14 +6,19 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod address;
 mod calls;
 mod clients;
 mod courier;
+mod events;
 mod faults;
+mod outcome;
+mod play;
+mod processes;
 mod queue;
 mod world;
 
-pub use world::{Emulated, EmulationError};
+pub use outcome::{Emulated, EmulationError};
 
 use gullcart_rehearsal::{Scenario, Until};
 
