--- a/crates/cloverstile/examples/turn_cost.rs
+++ b/crates/cloverstile/examples/turn_cost.rs
@@ -16,7 +16,7 @@
     courier: Courier,
     class: Class,
     now: Time,
-    destinations: u16,
+    destinations: u32,
     accepted: u32,
     /// Outcome of each call in the turn after it; none where calls are not answered.
     outcome: Option<Outcome>,
@@ -24,7 +24,7 @@
 }
 
 impl Bench {
-    fn new(destinations: u16, messages: u32, in_order: bool, outcome: Option<Outcome>) -> Self {
+    fn new(destinations: u32, messages: u32, in_order: bool, outcome: Option<Outcome>) -> Self {
         let class = Class { deadline: Duration::from_secs(3600), in_order, ..Class::default() };
         let settings = Settings {
             classes: vec![class.clone()],
@@ -36,7 +36,7 @@
         };
         let now = Time::ZERO + Duration::from_secs(10_000);
         let mut courier = Courier::new(settings, 7);
-        let endpoint = |destination: u16| Endpoint {
+        let endpoint = |destination: u32| Endpoint {
             id: EndpointId(u32::from(destination)),
             zone: ZoneId(0),
             kind: KindId(0),
@@ -57,7 +57,7 @@
         let accepted = Accepted {
             id: MessageId(self.accepted),
             class: ClassId(0),
-            destination: DestinationId((self.accepted % u32::from(self.destinations)) as u16),
+            destination: DestinationId(self.accepted % self.destinations),
             key: Some(OrderKey(u64::from(self.accepted % KEYS))),
             deadline: self.now + self.class.deadline,
             from_dead_courier: false,
--- a/crates/cloverstile/src/choice/tests.rs
+++ b/crates/cloverstile/src/choice/tests.rs
@@ -66,7 +66,7 @@
     },
     Accept {
         class: u8,
-        destination: u16,
+        destination: u32,
         key: u64,
         early: usize,
         tenant: u32,
@@ -74,7 +74,7 @@
     },
     Restore {
         class: u8,
-        destination: u16,
+        destination: u32,
         key: u64,
         attempts: u32,
         ran: Option<u64>,
@@ -89,8 +89,8 @@
 }
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
-    let accept = (0u8..4, 1u16..3, 0u64..4, 0usize..8, 0u32..2, proptest::bool::weighted(0.1));
-    let restore = (0u8..4, 1u16..3, 0u64..4, 0u32..4, proptest::option::of(0u64..3000));
+    let accept = (0u8..4, 1u32..3, 0u64..4, 0usize..8, 0u32..2, proptest::bool::weighted(0.1));
+    let restore = (0u8..4, 1u32..3, 0u64..4, 0u32..4, proptest::option::of(0u64..3000));
     let step = prop_oneof![
         4 => (0u64..300).prop_map(Step::Pass),
         6 => (0usize..64, 0usize..10, -3i64..4)
@@ -165,11 +165,11 @@
     }
 }
 
-fn listing(destinations: u16, weight: f64) -> Event {
-    let endpoint = |destination: u16| Endpoint {
-        id: EndpointId(u32::from(destination)),
+fn listing(destinations: u32, weight: f64) -> Event {
+    let endpoint = |destination: u32| Endpoint {
+        id: EndpointId(destination),
         zone: ZoneId(0),
-        kind: KindId(destination % 2),
+        kind: KindId((destination % 2) as u16),
         destination: DestinationId(destination),
         mode: Mode::Ready,
         weight,
@@ -194,7 +194,7 @@
         Play { courier, now, accepted: 0 }
     }
 
-    fn taken(&mut self, class: u8, destination: u16, key: u64, early: i64, tenant: u32) -> Accepted {
+    fn taken(&mut self, class: u8, destination: u32, key: u64, early: i64, tenant: u32) -> Accepted {
         self.accepted += 1;
         let full = self.now + self.courier.settings.classes[usize::from(class)].deadline;
         Accepted {
@@ -346,7 +346,7 @@
     runner.run(&(settings(), steps()), check).unwrap();
 }
 
-const DESTINATIONS: u16 = 8;
+const DESTINATIONS: u32 = 8;
 const KEYS: u32 = 16;
 
 /// A courier that holds so many messages for destinations that are all silent, handed in within a second; in order under a
@@ -368,7 +368,7 @@
         let taken = Accepted {
             id: MessageId(message),
             class: ClassId(0),
-            destination: DestinationId(1 + message as u16 % DESTINATIONS),
+            destination: DestinationId(1 + message % DESTINATIONS),
             key: Some(OrderKey(u64::from(message % KEYS))),
             deadline: now + deadline,
             from_dead_courier: false,
--- a/crates/gullcart-standins/src/world/client.rs
+++ b/crates/gullcart-standins/src/world/client.rs
@@ -65,13 +65,13 @@
     }
 
     /// Hands a message in; `class` may carry further fields.
-    pub fn enqueue(&mut self, id: &str, key: &str, class: &str, destination: u16, body: &[u8]) -> String {
+    pub fn enqueue(&mut self, id: &str, key: &str, class: &str, destination: u32, body: &[u8]) -> String {
         self.begin_enqueue(id, key, class, destination, body);
         self.line()
     }
 
     /// Sends a hand-in without waiting for its answer.
-    pub fn begin_enqueue(&mut self, id: &str, key: &str, class: &str, destination: u16, body: &[u8]) {
+    pub fn begin_enqueue(&mut self, id: &str, key: &str, class: &str, destination: u32, body: &[u8]) {
         let fields = format!("d=20000,c={class},dest={destination}");
         self.command(&[b"ENQUEUE", key.as_bytes(), id.as_bytes(), fields.as_bytes(), body]);
     }
