--- a/crates/gullcart-scale/src/daemon/bench.rs
+++ b/crates/gullcart-scale/src/daemon/bench.rs
@@ -21,9 +21,14 @@
 const STEP: Duration = Duration::from_secs(60);
 /// How long an idle daemon is watched for a sample: a multiple of the second at which it looks through what it has.
 const IDLE: Duration = Duration::from_secs(2);
+/// By then a daemon has found out that partners do not deliver.
+const OUTAGE_FOUND: Duration = Duration::from_secs(4);
+const LOOK: Duration = Duration::from_millis(50);
 /// How long a probe waits for its answer, and how often one is sent.
 const PROBE: Duration = Duration::from_secs(2);
 const PROBE_INTERVAL: Duration = Duration::from_millis(1);
+const IDLE_SAMPLES: u32 = 3;
+const NO_SAMPLES: MeasureError = MeasureError::Sizes("no samples were asked for");
 const UNKNOWN_DESTINATION: &str = "-ERR unknown destination";
 
 /// How a run measures.
@@ -68,7 +73,7 @@
     ) -> Result<Self, MeasureError> {
         let (site, partners) = (Site::create()?, Partners::start(behaviour)?);
         let deployment = Deployment::new(size, partners.address());
-        let agent = Agent::start(deployment.whole_list(FIRST_VERSION))?;
+        let agent = Agent::start(deployment.whole_list(FIRST_VERSION, EndpointState::Serving))?;
         let configuration = site.configure(&deployment, agent.address())?;
         let daemon = run(settings, limits, &site, &configuration)?;
         let clients = Clients::new(daemon.address(), CLASS);
@@ -87,10 +92,10 @@
         self.wait_until_watched()
     }
 
-    /// Hands messages in until so many are held, and waits until the daemon rests.
+    /// Hands messages in until so many are held.
     pub fn hold(
         &mut self,
-        destinations: impl Iterator<Item = u16>,
+        destinations: impl Iterator<Item = u32>,
         messages: usize,
         deadline: Instant,
     ) -> Result<(), MeasureError> {
@@ -99,7 +104,12 @@
         if taken < messages as u64 {
             return Err(MeasureError::HeldOnly { taken, limit: self.settings.limit });
         }
-        self.daemon.settle(SETTLE)
+        Ok(())
+    }
+
+    /// Waits until the daemon has found out that partners are silent: it rests then, but for trials.
+    pub fn wait_for_outages(&mut self) -> Result<(), MeasureError> {
+        self.wait(OUTAGE_FOUND)
     }
 
     /// Starts another process on the same folder.
@@ -109,6 +119,7 @@
         Ok(())
     }
 
+    /// Waits until the daemon watches the list, and rests.
     fn wait_until_watched(&mut self) -> Result<(), MeasureError> {
         let end = Instant::now() + STEP;
         while !self.agent.is_watched() {
@@ -118,18 +129,15 @@
             }
             thread::sleep(Duration::from_millis(5));
         }
-        self.daemon.settle(SETTLE)
+        self.settle()
     }
 
-    /// Processor time of an operation: the median of samples, each the mean of some operations.
-    pub fn cost(
-        &mut self,
-        mut operation: impl FnMut(&mut Self, u32) -> Result<(), MeasureError>,
-    ) -> Result<Sampled, MeasureError> {
-        self.cost_of(OPERATIONS, &mut operation)
+    /// Waits until the daemon has done all that was asked of it.
+    pub fn settle(&mut self) -> Result<(), MeasureError> {
+        self.daemon.settle(SETTLE)
     }
 
-    /// The same, of so many operations to a sample.
+    /// Processor time of an operation: the median of samples, each the mean of so many operations.
     pub fn cost_of(
         &mut self,
         operations: u32,
@@ -138,47 +146,54 @@
         let begun = Instant::now();
         let mut samples = Vec::new();
         for sample in 0..self.settings.samples {
-            self.daemon.settle(SETTLE)?;
+            self.settle()?;
             let before = self.daemon.processor_time()?;
             for number in 0..operations {
                 operation(self, sample * operations + number)?;
             }
-            self.daemon.settle(SETTLE)?;
+            self.settle()?;
             samples.push((self.daemon.processor_time()? - before) / operations);
             // The median of fewer samples, where one takes long.
             if begun.elapsed() > STEP {
                 break;
             }
         }
-        let none = || MeasureError::Sizes("no samples were asked for");
-        Sampled::of(samples).ok_or_else(none)
+        Sampled::of(samples).ok_or(NO_SAMPLES)
     }
 
     /// Processor time of a turn of the daemon's loop that changes nothing: a hand-in that is refused for its unknown
     /// destination, with the client's request and answer.
     pub fn turn_cost(&mut self) -> Result<Sampled, MeasureError> {
-        let Some(unknown) = self.deployment.unknown_destination() else {
-            return Err(MeasureError::Answer("every destination is known".to_owned()));
-        };
-        self.cost(|bench, _| match bench.clients.ask(unknown)? {
+        self.cost_of(OPERATIONS, &mut |bench, _| bench.refused_hand_in())
+    }
+
+    fn refused_hand_in(&mut self) -> Result<(), MeasureError> {
+        match self.clients.ask(self.deployment.unknown_destination())? {
             answer if answer == UNKNOWN_DESTINATION => Ok(()),
             answer => Err(MeasureError::Answer(answer)),
-        })
+        }
     }
 
-    /// Processor time of a second in which nothing happens.
+    /// Processor time of a second in which nothing is asked of the daemon.
     pub fn idle_second_cost(&mut self) -> Result<Sampled, MeasureError> {
-        let seconds = IDLE.as_secs() as u32;
         let mut samples = Vec::new();
-        for _ in 0..self.settings.samples.min(3) {
-            self.daemon.settle(SETTLE)?;
-            let before = self.daemon.processor_time()?;
-            thread::sleep(IDLE);
+        for _ in 0..self.settings.samples.min(IDLE_SAMPLES) {
+            let (before, start) = (self.daemon.processor_time()?, Instant::now());
+            self.wait(IDLE)?;
+            let used = self.daemon.processor_time()? - before;
+            samples.push(used.div_f64(start.elapsed().as_secs_f64()));
+        }
+        Sampled::of(samples).ok_or(NO_SAMPLES)
+    }
+
+    /// Waits for so long, unless the daemon or the run ends.
+    pub fn wait(&mut self, span: Duration) -> Result<(), MeasureError> {
+        let end = Instant::now() + span;
+        while Instant::now() < end {
             self.daemon.check()?;
-            samples.push((self.daemon.processor_time()? - before) / seconds);
+            thread::sleep(LOOK);
         }
-        let none = || MeasureError::Sizes("no samples were asked for");
-        Sampled::of(samples).ok_or_else(none)
+        Ok(())
     }
 
     /// Tells the daemon of a change of some endpoints, and waits until it has taken it in.
@@ -188,10 +203,10 @@
         self.tell(&change)
     }
 
-    /// Tells the daemon of the whole list, and waits until it has taken it in.
-    pub fn tell_whole_list(&mut self) -> Result<(), MeasureError> {
+    /// Tells the daemon of the whole list, with all endpoints in one state, and waits until it has taken it in.
+    pub fn tell_whole_list(&mut self, state: EndpointState) -> Result<(), MeasureError> {
         self.version += 1;
-        let list = self.deployment.whole_list(self.version);
+        let list = self.deployment.whole_list(self.version, state);
         self.tell(&list)
     }
 
--- a/crates/gullcart-scale/src/daemon/changes.rs
+++ b/crates/gullcart-scale/src/daemon/changes.rs
@@ -21,7 +21,6 @@
     progress: &mut dyn FnMut(&str),
 ) -> Result<Collector, MeasureError> {
     let mut collector = Collector::new("endpoints");
-    collector.parameter("endpoints of a change of many", MANY);
     for size in sizes {
         progress(&format!("{size} endpoints"));
         let expected = expected_memory(&collector, *size);
@@ -43,34 +42,73 @@
     let told = DeploymentSize { endpoints: size, couriers: 1 };
     let mut bench = Bench::start(settings, limits, Behaviour::Deliver, told)?;
     collector.bytes(RESIDENT_MEMORY, size, bench.daemon.resident_bytes()?);
-    let (cost, bytes) = change_cost(&mut bench, 1)?;
-    collector.time("change of one endpoint", size, cost);
-    collector.bytes("journal bytes of a change of one endpoint", size, bytes);
-    let (cost, bytes) = change_cost(&mut bench, MANY.min(size))?;
-    collector.time("change of many endpoints", size, cost);
-    collector.bytes("journal bytes of a change of many endpoints", size, bytes);
+    note_change(collector, ONE, size, cost_of_change(&mut bench, |bench, state| bench.change(&[0], state))?);
+    let many: Vec<usize> = (0..MANY.min(size)).collect();
+    note_change(
+        collector,
+        HUNDRED,
+        size,
+        cost_of_change(&mut bench, |bench, state| bench.change(&many, state))?,
+    );
     let reload = bench.cost_of(CHANGES, &mut |bench, _| bench.reload())?;
     collector.time("reload of the configuration", size, reload);
-    let before = bench.site.state_bytes()?;
-    match bench.cost_of(1, &mut |bench, _| bench.tell_whole_list()) {
-        Ok(cost) => {
-            let bytes = bench.site.state_bytes()?.saturating_sub(before) / u64::from(cost.samples);
-            collector.time("whole list", size, cost);
-            collector.bytes("journal bytes of a whole list", size, bytes);
-            Ok(())
-        }
-        Err(error) => collector.not_reached("whole list", size, error),
+    match cost_of_change(&mut bench, |bench, state| bench.tell_whole_list(state)) {
+        Ok(change) => note_change(collector, WHOLE, size, change),
+        Err(error) => collector.not_reached(WHOLE.processor, size, error)?,
     }
+    Ok(())
+}
+
+/// The quantities of a kind of change.
+struct ChangeNames {
+    processor: &'static str,
+    added: &'static str,
+    written: &'static str,
+}
+
+const ONE: ChangeNames = ChangeNames {
+    processor: "change of one endpoint",
+    added: "journal bytes of a change of one endpoint",
+    written: "journal bytes with compaction, one endpoint",
+};
+const HUNDRED: ChangeNames = ChangeNames {
+    processor: "change of 100 endpoints",
+    added: "journal bytes of a change of 100 endpoints",
+    written: "journal bytes with compaction, 100 endpoints",
+};
+const WHOLE: ChangeNames = ChangeNames {
+    processor: "whole list with all changed",
+    added: "journal bytes of a whole list",
+    written: "journal bytes with compaction, whole list",
+};
+
+/// What changes of one kind cost.
+struct ChangeCost {
+    processor: Sampled,
+    /// Bytes by which the journal grew with each of them.
+    grown: Vec<u64>,
+}
+
+fn note_change(collector: &mut Collector, names: ChangeNames, size: usize, cost: ChangeCost) {
+    let ChangeCost { processor, grown } = cost;
+    collector.time(names.processor, size, processor);
+    // Some changes come together with a step of the journal's compaction: the least is that of the change alone.
+    collector.bytes(names.added, size, grown.iter().min().copied().unwrap_or_default());
+    let mean = grown.iter().sum::<u64>() / (grown.len() as u64).max(1);
+    collector.bytes(names.written, size, mean);
 }
 
-/// Processor time and journal bytes of a change of so many endpoints.
-fn change_cost(bench: &mut Bench<'_>, many: usize) -> Result<(Sampled, u64), MeasureError> {
-    let endpoints: Vec<usize> = (0..many).collect();
-    let before = bench.site.state_bytes()?;
-    let cost = bench.cost_of(CHANGES, &mut |bench, number| {
-        let state = if number % 2 == 0 { EndpointState::Draining } else { EndpointState::Serving };
-        bench.change(&endpoints, state)
+/// What a change costs that tells a state, which is another one each time.
+fn cost_of_change(
+    bench: &mut Bench<'_>,
+    mut change: impl FnMut(&mut Bench<'_>, EndpointState) -> Result<(), MeasureError>,
+) -> Result<ChangeCost, MeasureError> {
+    let mut grown = Vec::new();
+    let processor = bench.cost_of(CHANGES, &mut |bench, number| {
+        let before = bench.site.written_bytes()?;
+        change(bench, EndpointState::in_turns(number))?;
+        grown.push(bench.site.written_bytes()?.saturating_sub(before));
+        Ok(())
     })?;
-    let written = bench.site.state_bytes()?.saturating_sub(before);
-    Ok((cost, written / u64::from(cost.samples * CHANGES)))
+    Ok(ChangeCost { processor, grown })
 }
--- a/crates/gullcart-scale/src/daemon/client.rs
+++ b/crates/gullcart-scale/src/daemon/client.rs
@@ -37,7 +37,7 @@
     }
 
     /// Hands one message in, which must be taken.
-    pub fn hand_in(&mut self, destination: u16) -> Result<(), MeasureError> {
+    pub fn hand_in(&mut self, destination: u32) -> Result<(), MeasureError> {
         match self.ask(destination)? {
             answer if answer == TAKEN => Ok(()),
             other => Err(MeasureError::Answer(other)),
@@ -45,7 +45,7 @@
     }
 
     /// Hands one message in and returns the answer, whatever it is.
-    pub fn ask(&mut self, destination: u16) -> Result<String, MeasureError> {
+    pub fn ask(&mut self, destination: u32) -> Result<String, MeasureError> {
         let request = self.request(destination);
         if let Some(mut connection) = self.connections.pop() {
             // A daemon closes connections that stand idle.
@@ -64,7 +64,7 @@
     /// until the deadline. Returns how many were taken.
     pub fn hand_in_all(
         &mut self,
-        destinations: impl Iterator<Item = u16>,
+        destinations: impl Iterator<Item = u32>,
         deadline: Instant,
         mut each: impl FnMut() -> Result<(), MeasureError>,
     ) -> Result<u64, MeasureError> {
@@ -76,7 +76,7 @@
         let mut taken = 0;
         loop {
             each()?;
-            let mut batch: Vec<u16> = std::mem::take(&mut again);
+            let mut batch: Vec<u32> = std::mem::take(&mut again);
             batch.extend(destinations.by_ref().take(TOGETHER - batch.len()));
             if batch.is_empty() || Instant::now() >= deadline {
                 return Ok(taken);
@@ -109,7 +109,7 @@
     }
 
     /// A request with a new id.
-    fn request(&mut self, destination: u16) -> Vec<u8> {
+    fn request(&mut self, destination: u32) -> Vec<u8> {
         self.next_id += 1;
         let id = format!("m{}", self.next_id);
         let fields = format!("c={},d={},dest={destination}", self.class, LEFT.as_millis());
--- a/crates/gullcart-scale/src/daemon/collector.rs
+++ b/crates/gullcart-scale/src/daemon/collector.rs
@@ -79,6 +79,12 @@
         Ok(())
     }
 
+    /// Why sizes or quantities have no value.
+    pub fn not_reached_reasons(&self) -> impl Iterator<Item = &str> {
+        let reasons = self.parameters.iter().filter(|(name, _)| name.starts_with(NOT_REACHED));
+        reasons.map(|(_, reason)| reason.as_str())
+    }
+
     /// What was last measured of a quantity.
     pub fn points(&self, name: &str) -> &[Point] {
         self.quantities.iter().find(|quantity| quantity.name == name).map_or(&[], |quantity| &quantity.points)
--- a/crates/gullcart-scale/src/daemon/couriers.rs
+++ b/crates/gullcart-scale/src/daemon/couriers.rs
@@ -6,15 +6,13 @@
 use super::limits::Limits;
 use super::partner::Behaviour;
 use super::site::DeploymentSize;
-use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 const ENDPOINTS: usize = 100;
 /// How long calls for the list are counted: some of the longest waits between two.
 const COUNTED: Duration = Duration::from_secs(30);
 /// By then the waits between two calls have grown to their full length.
 const GROWN: Duration = Duration::from_secs(10);
-const LOOK: Duration = Duration::from_millis(100);
 
 /// Measures all sizes, from the smallest on.
 pub fn measure(
@@ -46,21 +44,12 @@
     let mut bench = Bench::start(settings, limits, Behaviour::Deliver, told)?;
     collector.bytes("resident memory", size, bench.daemon.resident_bytes()?);
     bench.agent.turn_away();
-    wait(&mut bench, GROWN)?;
+    bench.wait(GROWN)?;
     let before = bench.agent.calls();
-    wait(&mut bench, COUNTED)?;
+    bench.wait(COUNTED)?;
     let calls = bench.agent.calls() - before;
     let each = calls as f64 / COUNTED.as_secs_f64();
     collector.add("calls for the list of one courier", "per second", size, each, 1);
     collector.add("calls for the list of all couriers", "per second", size, each * size as f64, 1);
     Ok(())
 }
-
-fn wait(bench: &mut Bench<'_>, span: Duration) -> Result<(), MeasureError> {
-    let end = Instant::now() + span;
-    while Instant::now() < end {
-        bench.daemon.check()?;
-        thread::sleep(LOOK);
-    }
-    Ok(())
-}
--- a/crates/gullcart-scale/src/daemon/endpoints.rs
+++ b/crates/gullcart-scale/src/daemon/endpoints.rs
@@ -5,7 +5,7 @@
 use super::error::MeasureError;
 use super::limits::Limits;
 use super::partner::Behaviour;
-use super::site::{DeploymentSize, EndpointState};
+use super::site::{Deployment, DeploymentSize, EndpointState};
 use std::time::Duration;
 
 /// The name of the measurement of resident memory, in all records of daemons.
@@ -57,15 +57,15 @@
     collector.time("time to ready", size, Sampled::once(start.wall));
     collector.time("processor time to ready", size, Sampled::once(start.processor));
     collector.bytes(RESIDENT_MEMORY, size, bench.daemon.resident_bytes()?);
-    collector.bytes("journal", size, bench.site.state_bytes()?);
+    collector.bytes("journal", size, bench.site.written_bytes()?);
     collector.time("turn", size, bench.turn_cost()?);
     collector.time("idle second", size, bench.idle_second_cost()?);
     collector.time("change of one endpoint", size, change_cost(&mut bench)?);
     collector.time("message taken and delivered", size, delivery_cost(&mut bench)?);
-    let whole = bench.cost_of(1, &mut |bench, _| bench.tell_whole_list());
+    let whole = bench.cost_of(1, &mut |bench, _| bench.tell_whole_list(EndpointState::Serving));
     match whole {
-        Ok(sampled) => collector.time("whole list", size, sampled),
-        Err(error) => return collector.not_reached("whole list", size, error),
+        Ok(sampled) => collector.time("whole list without news", size, sampled),
+        Err(error) => return collector.not_reached("whole list without news", size, error),
     }
     collector.bytes("resident memory after all", size, bench.daemon.resident_bytes()?);
     collector.bytes("peak memory", size, bench.daemon.peak_resident_bytes()?);
@@ -75,8 +75,8 @@
 /// Processor time of a change of one endpoint: it drains, or serves again.
 fn change_cost(bench: &mut Bench<'_>) -> Result<Sampled, MeasureError> {
     bench.cost_of(CHANGES, &mut |bench, number| {
-        let state = if number % 2 == 0 { EndpointState::Draining } else { EndpointState::Serving };
-        bench.change(&[number as usize / 2 % bench.deployment.endpoints], state)
+        let endpoint = number as usize / 2 % bench.deployment.endpoints;
+        bench.change(&[endpoint], EndpointState::in_turns(number))
     })
 }
 
@@ -85,7 +85,7 @@
     bench.cost_of(DELIVERIES, &mut |bench, number| {
         let endpoint = bench.deployment.spread(number as usize);
         let calls = bench.partners.calls();
-        bench.clients.hand_in(bench.deployment.destination(endpoint))?;
+        bench.clients.hand_in(Deployment::destination(endpoint))?;
         bench.partners.wait_for_calls(calls + 1, DELIVERY)
     })
 }
--- a/crates/gullcart-scale/src/daemon/held.rs
+++ b/crates/gullcart-scale/src/daemon/held.rs
@@ -44,8 +44,9 @@
 ) -> Result<Bench<'a>, MeasureError> {
     let told = DeploymentSize { endpoints: DESTINATIONS, couriers: 1 };
     let mut bench = Bench::start(settings, limits, Behaviour::Silent, told)?;
-    let destinations = (0..messages).map(|number| (number % DESTINATIONS) as u16);
+    let destinations = (0..messages).map(|number| (number % DESTINATIONS) as u32);
     bench.hold(destinations, messages, Instant::now() + settings.limit)?;
+    bench.wait_for_outages()?;
     Ok(bench)
 }
 
@@ -57,11 +58,11 @@
 ) -> Result<(), MeasureError> {
     let mut bench = holding(size, settings, limits)?;
     collector.bytes(RESIDENT_MEMORY, size, bench.daemon.resident_bytes()?);
-    collector.bytes("journal", size, bench.site.state_bytes()?);
+    collector.bytes("journal", size, bench.site.written_bytes()?);
     collector.time("turn", size, bench.turn_cost()?);
     collector.time("idle second", size, bench.idle_second_cost()?);
     let taken = bench.cost_of(MESSAGES, &mut |bench, number| {
-        bench.clients.hand_in((number as usize % DESTINATIONS) as u16)
+        bench.clients.hand_in((number as usize % DESTINATIONS) as u32)
     });
     collector.time("message taken", size, taken?);
     bench.crash_and_restart()?;
--- a/crates/gullcart-scale/src/daemon/partner.rs
+++ b/crates/gullcart-scale/src/daemon/partner.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 const DELIVERED: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const COME_LATER: &[u8] = b"HTTP/1.1 429 Too Many\r\nX-Come-Back-Ms: 600000\r\nContent-Length: 0\r\n\r\n";
 
 /// What partners do with a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -16,6 +17,8 @@
     Deliver,
     /// They read it and never answer.
     Silent,
+    /// They turn it away, and tell the longest wait that the daemon heeds: ten minutes.
+    TellWait,
 }
 
 /// Calls that came, and who waits for them.
@@ -74,6 +77,7 @@
         calls.more.notify_all();
         match behaviour {
             Behaviour::Deliver => out.write_all(DELIVERED)?,
+            Behaviour::TellWait => out.write_all(COME_LATER)?,
             // Until the daemon closes.
             Behaviour::Silent => return input.read(&mut [0]).map(drop),
         }
--- a/crates/gullcartctl/src/scale.rs
+++ b/crates/gullcartctl/src/scale.rs
@@ -18,6 +18,8 @@
 const UNKNOWN_COMMIT: &str = "unknown";
 /// Files whose changes are not in a daemon.
 const NOT_IN_A_DAEMON: [&str; 3] = [":!docs", ":!journal", ":!*.md"];
+/// Points that are so much farther from a line than their own size lie on none.
+const NO_LINE: f64 = 10.0;
 const NAME_WIDTH: usize = 44;
 const VALUE_WIDTH: usize = 12;
 
@@ -91,7 +93,7 @@
 
 const ENDPOINTS: Kind =
     Kind { name: "endpoints", sizes: &[100, 1_000, 10_000, 50_000], measure: endpoints::measure };
-const HELD: Kind = Kind { name: "held", sizes: &[100, 1_000, 10_000, 50_000], measure: held::measure };
+const HELD: Kind = Kind { name: "held", sizes: &[1_000, 10_000, 50_000, 100_000], measure: held::measure };
 const WAITING: Kind = Kind { name: "waiting", sizes: &[10, 100, 1_000, 10_000], measure: waiting::measure };
 const CHANGES: Kind =
     Kind { name: "changes", sizes: &[100, 1_000, 10_000, 50_000], measure: changes::measure };
@@ -231,7 +233,7 @@
         _ => String::new(),
     };
     format!(
-        "\n{:<NAME_WIDTH$}{}\n{:<NAME_WIDTH$}{}\n  {} {} each (error {}) beside {}{exponent}; off by {:.0} % at most",
+        "\n{:<NAME_WIDTH$}{}\n{:<NAME_WIDTH$}{}\n  {} {} each (error {}) beside {}{exponent}; {}",
         measurement.axis.name,
         sizes.collect::<String>(),
         format!("{}, {}", measurement.name, measurement.unit),
@@ -240,10 +242,18 @@
         measurement.unit,
         short(fit.slope_error),
         short(fit.intercept),
-        fit.worst_relative_residual * 100.0,
+        distance(fit.worst_relative_residual),
     )
 }
 
+/// How far the points are from the line.
+fn distance(relative: f64) -> String {
+    match relative < NO_LINE {
+        true => format!("off by {:.0} % at most", relative * 100.0),
+        false => "no line".to_owned(),
+    }
+}
+
 /// A number with some digits, none of them after the point where it is large.
 fn short(value: f64) -> String {
     match value.abs() {
