Let earlier records of the daemon stand in until it is measured again

Rows of the daemon were open although it was measured before its mends. Where a quantity has no record yet, that of the daemon as released before stands in, named as such in the table of measurements; a row of what breaks says that a mechanism is being mended until both are there.

--- a/crates/gullcart-scale/src/capacity/breaks.rs
+++ b/crates/gullcart-scale/src/capacity/breaks.rs
@@ -1,7 +1,7 @@
 //! The mechanisms, ordered by the size at which each breaks, as a part of the size that is asked for.
 
 use super::format::{figure, value, Unit};
-use super::quantity as q;
+use super::quantity::{self as q, Quantity};
 use super::roles::{Role, Standing};
 use super::table::table;
 use super::target::{self, assumed};
@@ -30,7 +30,7 @@
 
 /// A limit of a mechanism.
 struct Break {
-    mechanism: &'static str,
+    mechanism: String,
     limit: String,
     counts: &'static str,
     /// Where it is met.
@@ -51,7 +51,7 @@
     fn row(self) -> [String; 7] {
         let share = self.share().map_or("not measured".to_owned(), |share| value(share, Unit::Share));
         [
-            self.mechanism.to_owned(),
+            self.mechanism,
             self.limit,
             self.counts.to_owned(),
             figure(&self.at, Unit::Count),
@@ -92,69 +92,100 @@
     of.share().unwrap_or(f64::MAX)
 }
 
-fn of_one_courier(workbook: &mut Workbook) -> Result<Vec<Break>, CapacityError> {
-    let longest = CORES / target::events_a_courier();
-    let busy = format!(
-        "{} for {} taken on",
-        value(CORES, Unit::Cores),
-        value(target::events_a_courier(), Unit::Rate)
-    );
-    let memory = value(LIST_MEMORY, Unit::Bytes);
-    let mut all = vec![
+/// A mechanism that is mended, by its measurements before and after.
+struct Mend {
+    mechanism: &'static str,
+    before: Quantity,
+    now: Quantity,
+    /// What the quantity may come to, and how the page says it.
+    most: f64,
+    limit: String,
+    counts: &'static str,
+    target: f64,
+}
+
+impl Mend {
+    /// What it was, and what it is where that is measured.
+    fn breaks(self, workbook: &mut Workbook) -> Result<Vec<Break>, CapacityError> {
+        let is_measured = workbook.measurement(self.now).is_some();
+        let standing = if is_measured { Standing::Mended } else { Standing::BeingMended };
+        let at = workbook.size_at(self.before, self.most)?;
+        let mut all = vec![self.row(format!("{}, before its mend", self.mechanism), at, standing)];
+        let at = workbook.size_at(self.now, self.most)?;
+        if is_measured {
+            all.push(self.row(self.mechanism.to_owned(), at, Standing::Built));
+        }
+        Ok(all)
+    }
+
+    fn row(&self, mechanism: String, at: Figure, standing: Standing) -> Break {
         Break {
-            mechanism: "walk of the queue on each turn, before the index",
+            mechanism,
             role: Role::Courier,
+            limit: self.limit.clone(),
+            counts: self.counts,
+            at,
+            target: self.target,
+            standing,
+        }
+    }
+}
+
+fn mends() -> [Mend; 3] {
+    let events = target::events_a_courier();
+    let busy = format!("{} for {}", value(CORES, Unit::Cores), value(events, Unit::Rate));
+    [
+        Mend {
+            mechanism: "walk of the queue as a message is taken on",
+            before: q::HELD_TAKE_BEFORE,
+            now: q::HELD_TAKE,
+            most: CORES / events,
             limit: busy.clone(),
             counts: "messages held by a courier",
-            at: workbook.size_at(q::HELD_TAKE_BEFORE, longest)?,
             target: target::backlog_a_courier(),
-            standing: Standing::Mended,
         },
-        Break {
-            mechanism: "walk of the queue on each turn",
-            role: Role::Courier,
+        Mend {
+            mechanism: "walk of the waiting destinations on each turn",
+            before: q::WAITING_TURN_BEFORE,
+            now: q::WAITING_TURN,
+            most: CORES / events,
             limit: busy,
-            counts: "messages held by a courier",
-            at: workbook.size_at(q::HELD_TAKE, longest)?,
-            target: target::backlog_a_courier(),
-            standing: Standing::Built,
-        },
-        Break {
-            mechanism: "list of endpoints in memory, before its mend",
-            role: Role::Courier,
-            limit: memory.clone(),
-            counts: "endpoints known to a courier, without scopes",
-            at: workbook.size_at(q::ENDPOINTS_MEMORY_BEFORE, LIST_MEMORY)?,
-            target: target::DESTINATIONS * assumed::ENDPOINTS_OF_A_DESTINATION,
-            standing: Standing::Mended,
+            counts: "destinations with messages waiting, without scopes",
+            target: target::destinations_down(),
         },
-        Break {
+        Mend {
             mechanism: "list of endpoints in memory",
-            role: Role::Courier,
-            limit: memory,
+            before: q::ENDPOINTS_MEMORY_BEFORE,
+            now: q::ENDPOINTS_MEMORY,
+            most: LIST_MEMORY,
+            limit: value(LIST_MEMORY, Unit::Bytes),
             counts: "endpoints known to a courier, without scopes",
-            at: workbook.size_at(q::ENDPOINTS_MEMORY, LIST_MEMORY)?,
             target: target::DESTINATIONS * assumed::ENDPOINTS_OF_A_DESTINATION,
-            standing: Standing::Built,
         },
-        Break {
-            mechanism: "a setting changes by a restart",
-            role: Role::Courier,
-            limit: format!("{} without service", value(LONGEST_GAP_S, Unit::Seconds)),
-            counts: "messages held by a courier",
-            at: workbook.size_at(q::RESTART, LONGEST_GAP_S)?,
-            target: target::backlog_a_courier(),
-            standing: Standing::Built,
-        },
-    ];
-    all.extend(numbers_of_destinations());
+    ]
+}
+
+fn of_one_courier(workbook: &mut Workbook) -> Result<Vec<Break>, CapacityError> {
+    let mut all = numbers_of_destinations();
+    for mend in mends() {
+        all.extend(mend.breaks(workbook)?);
+    }
+    all.push(Break {
+        mechanism: "a setting changes by a restart".to_owned(),
+        role: Role::Courier,
+        limit: format!("{} without service", value(LONGEST_GAP_S, Unit::Seconds)),
+        counts: "messages held by a courier",
+        at: workbook.size_at_latest(q::RESTART, LONGEST_GAP_S)?,
+        target: target::backlog_a_courier(),
+        standing: Standing::Built,
+    });
     Ok(all)
 }
 
 /// By their width in the decisions; what they were before, where they are wider now.
 fn numbers_of_destinations() -> Vec<Break> {
-    let numbers = |mechanism: &'static str, bytes: usize, standing: Standing| Break {
-        mechanism,
+    let numbers = |mechanism: &str, bytes: usize, standing: Standing| Break {
+        mechanism: mechanism.to_owned(),
         role: Role::Courier,
         limit: format!("{bytes} bytes"),
         counts: "destinations",
@@ -174,7 +205,7 @@
     let within = target::IN_FORCE_WITHIN.as_secs_f64();
     Ok(vec![
         Break {
-            mechanism: "each courier tries a fallen partner by itself",
+            mechanism: "each courier tries a fallen partner by itself".to_owned(),
             role: Role::FallenPartner,
             limit: format!("a trial of each courier within {}", value(within, Unit::Seconds)),
             counts: "couriers that have messages for one partner",
@@ -183,7 +214,7 @@
             standing: Standing::Built,
         },
         Break {
-            mechanism: "slow start at a partner that is back, by each courier for itself",
+            mechanism: "slow start at a partner that is back, by each courier for itself".to_owned(),
             role: Role::FallenPartner,
             limit: "more calls than it survives".to_owned(),
             counts: "couriers that have messages for one partner",
@@ -192,7 +223,7 @@
             standing: Standing::Built,
         },
         Break {
-            mechanism: "idle connections bounded over all couriers",
+            mechanism: "idle connections bounded over all couriers".to_owned(),
             role: Role::Partner,
             limit: format!("{} of calls find an open connection", value(LEAST_REUSE, Unit::Share)),
             counts: "couriers that call one partner",
@@ -201,7 +232,7 @@
             standing: Standing::Built,
         },
         Break {
-            mechanism: "calls for the list, spread by chance",
+            mechanism: "calls for the list, spread by chance".to_owned(),
             role: Role::DiscoveryAgent,
             limit: format!("{} until the last courier has it", value(TOLD.as_secs_f64(), Unit::Seconds)),
             counts: "couriers",
@@ -217,7 +248,7 @@
     let duties = value(MOST_DUTIES as f64, Unit::Count);
     Ok(vec![
         Break {
-            mechanism: "one group of all couriers",
+            mechanism: "one group of all couriers".to_owned(),
             role: Role::Voter,
             limit: format!("{} members", value(MOST_MEMBERS as f64, Unit::Count)),
             counts: "couriers",
@@ -226,7 +257,7 @@
             standing: Standing::Built,
         },
         Break {
-            mechanism: "one log for all duties",
+            mechanism: "one log for all duties".to_owned(),
             role: Role::Voter,
             limit: format!("{duties} duties"),
             counts: "partners that are down",
@@ -235,7 +266,7 @@
             standing: Standing::Built,
         },
         Break {
-            mechanism: "wishes of one member, without scopes",
+            mechanism: "wishes of one member, without scopes".to_owned(),
             role: Role::Voter,
             limit: format!("{} duties", value(MOST_WATCHED as f64, Unit::Count)),
             counts: "partners that are down",
@@ -244,7 +275,7 @@
             standing: Standing::Built,
         },
         Break {
-            mechanism: "processor time of a voter",
+            mechanism: "processor time of a voter".to_owned(),
             role: Role::Voter,
             limit: format!("{} at a voter", value(CORES, Unit::Cores)),
             counts: "partners that are down",
@@ -253,7 +284,7 @@
             standing: Standing::Built,
         },
         Break {
-            mechanism: "each heartbeat names all wishes",
+            mechanism: "each heartbeat names all wishes".to_owned(),
             role: Role::Voter,
             limit: format!(
                 "{} a member, {} members, {} of them for each duty",
@@ -271,7 +302,7 @@
 
 fn no_distribution() -> Break {
     Break {
-        mechanism: "distribution of configuration by scope, today",
+        mechanism: "distribution of configuration by scope, today".to_owned(),
         role: Role::CourierControl,
         limit: format!("in force within {}", value(target::IN_FORCE_WITHIN.as_secs_f64(), Unit::Seconds)),
         counts: "couriers",
--- a/crates/gullcart-scale/src/capacity/budget.rs
+++ b/crates/gullcart-scale/src/capacity/budget.rs
@@ -83,7 +83,7 @@
     let changes = target::state_changes_a_second() * served / target::DESTINATIONS;
     Ok(Part {
         mechanism: "state of the destinations that it serves",
-        processor: workbook.at(q::ENDPOINT_CHANGE, target::endpoints_a_courier())? * changes,
+        processor: workbook.latest(q::ENDPOINT_CHANGE, target::endpoints_a_courier())? * changes,
         memory: workbook.each(q::STORE_MEMORY, served)? * served,
         network: Figure::given(changes * assumed::BYTES_OF_A_STATE_CHANGE),
     })
@@ -102,7 +102,7 @@
     let known = target::endpoints_a_courier();
     Ok(Part {
         mechanism: "endpoints of what it serves, as the daemon keeps them",
-        processor: workbook.at(q::IDLE_SECOND, known)?,
+        processor: workbook.latest(q::IDLE_SECOND, known)?,
         memory: workbook.each(q::ENDPOINTS_MEMORY, known)? * known,
         network: Figure::given(NOTHING),
     })
@@ -110,7 +110,7 @@
 
 /// Every change of a setting is taken in as a change of an endpoint is today.
 fn journal_of_changes(workbook: &mut Workbook) -> Result<Part, CapacityError> {
-    let change = workbook.at(q::ENDPOINT_CHANGE, target::endpoints_a_courier())?;
+    let change = workbook.latest(q::ENDPOINT_CHANGE, target::endpoints_a_courier())?;
     Ok(Part {
         mechanism: "changes of configuration taken in, all of them for this courier",
         processor: change * target::changes_a_second(),
--- a/crates/gullcart-scale/src/capacity/failures.rs
+++ b/crates/gullcart-scale/src/capacity/failures.rs
@@ -51,7 +51,7 @@
 }
 
 fn replay(workbook: &mut Workbook) -> Result<Figure, CapacityError> {
-    workbook.at(q::REPLAY, target::backlog_a_courier())
+    workbook.latest(q::REPLAY, target::backlog_a_courier())
 }
 
 fn back(failure: &Failure, workbook: &mut Workbook) -> Result<[String; 7], CapacityError> {
--- a/crates/gullcart-scale/src/capacity/options.rs
+++ b/crates/gullcart-scale/src/capacity/options.rs
@@ -89,7 +89,7 @@
 
 fn transport(workbook: &mut Workbook) -> Result<Vec<[String; 4]>, CapacityError> {
     let endpoints = target::DESTINATIONS * assumed::ENDPOINTS_OF_A_DESTINATION;
-    let taken_in = workbook.at(q::WHOLE_LIST, endpoints)?;
+    let taken_in = workbook.latest(q::WHOLE_LIST, endpoints)?;
     let whole = target::DESTINATIONS * assumed::BYTES_OF_A_DESTINATION;
     let scope = target::destinations_a_courier() * assumed::BYTES_OF_A_DESTINATION;
     let seconds = |bytes: f64| value(bytes / target::CONTROL_NETWORK, Unit::Seconds);
--- a/crates/gullcart-scale/src/capacity/quantity.rs
+++ b/crates/gullcart-scale/src/capacity/quantity.rs
@@ -9,6 +9,23 @@
     pub name: &'static str,
 }
 
+impl Quantity {
+    /// The same quantity of the daemon as it was released before the capacity page.
+    pub fn before(self) -> Option<Quantity> {
+        let pair = BEFORE.iter().find(|(now, _)| *now == self.record)?;
+        Some(Quantity { record: pair.1, name: self.name })
+    }
+}
+
+/// Records of the daemon now, and as it was released before the capacity page.
+const BEFORE: [(&str, &str); 5] = [
+    ("endpoints", "endpoints-before"),
+    ("held", "held-before"),
+    ("changes", "changes-before"),
+    ("restart", "restart-before"),
+    ("waiting", "waiting-before"),
+];
+
 const fn of(record: &'static str, name: &'static str) -> Quantity {
     Quantity { record, name }
 }
@@ -62,7 +79,7 @@
 /// Processor time of a change of one endpoint, by endpoints.
 pub const ENDPOINT_CHANGE: Quantity = of("changes", "change of one endpoint");
 /// Processor time of a whole list, by endpoints.
-pub const WHOLE_LIST: Quantity = of("changes", "whole list");
+pub const WHOLE_LIST: Quantity = of("changes", "whole list with all changed");
 /// Bytes that a change of one endpoint adds to the journal.
 pub const JOURNAL_OF_A_CHANGE: Quantity = of("changes", "journal bytes of a change of one endpoint");
 /// Resident memory by messages held.
@@ -92,6 +109,10 @@
 
 /// The record of hollow couriers at the full size, over sockets of one machine.
 const HOLLOW: &str = "hollow-11000";
+/// Processor time of a turn of the loop, by the destinations that have messages waiting.
+pub const WAITING_TURN: Quantity = of("waiting", "turn");
+/// ... as it was released before the capacity page.
+pub const WAITING_TURN_BEFORE: Quantity = of("waiting-before", "turn");
 /// What each part of the distribution takes in a phase of that record.
 pub struct PartCost {
     /// Messages a second, both ways.
@@ -201,6 +222,7 @@
     HELD_TAKE,
     HELD_TURN,
     RESTART,
+    WAITING_TURN,
     COURIER_USUAL.messages,
     COURIER_USUAL.bytes,
     COURIER_USUAL.core,
--- a/crates/gullcart-scale/src/capacity/roles.rs
+++ b/crates/gullcart-scale/src/capacity/roles.rs
@@ -19,6 +19,8 @@
     Missing,
     /// Replaced by a better one.
     Mended,
+    /// A better one is not measured yet.
+    BeingMended,
 }
 
 impl Standing {
@@ -29,6 +31,7 @@
             Standing::Begun => "begun, not in the daemon",
             Standing::Missing => "missing",
             Standing::Mended => "mended",
+            Standing::BeingMended => "being mended",
         }
     }
 }
@@ -223,8 +226,8 @@
 
 fn courier(moment: Moment, workbook: &mut Workbook) -> Result<Load, CapacityError> {
     let events = target::events_a_courier() * moment.share_of_events();
-    let delivery = workbook.at(q::DELIVERY, target::endpoints_a_courier())?;
-    let endpoints = workbook.at(q::ENDPOINTS_MEMORY, target::endpoints_a_courier())?;
+    let delivery = workbook.latest(q::DELIVERY, target::endpoints_a_courier())?;
+    let endpoints = workbook.latest(q::ENDPOINTS_MEMORY, target::endpoints_a_courier())?;
     let backlog = moment.backlog();
     let held = workbook.each(q::HELD_MEMORY, backlog)? * backlog;
     Ok(Load {
@@ -232,14 +235,14 @@
         bytes: Figure::Open,
         processor: delivery * events,
         memory: endpoints + held,
-        disk: workbook.at(q::HELD_JOURNAL, backlog)?,
+        disk: workbook.latest(q::HELD_JOURNAL, backlog)?,
     })
 }
 
 /// The journal grows by each change that is taken in, in a day.
 fn courier_control(moment: Moment, workbook: &mut Workbook) -> Result<Load, CapacityError> {
     let load = part(moment, &q::COURIER_USUAL, &q::COURIER_BURST, workbook)?;
-    let change = workbook.at(q::JOURNAL_OF_A_CHANGE, target::endpoints_a_courier())?;
+    let change = workbook.latest(q::JOURNAL_OF_A_CHANGE, target::endpoints_a_courier())?;
     Ok(Load { disk: change * target::CHANGES_A_DAY, ..load })
 }
 
--- a/crates/gullcart-scale/src/capacity/workbook.rs
+++ b/crates/gullcart-scale/src/capacity/workbook.rs
@@ -191,8 +191,20 @@
         Ok(self.take(source) * factor)
     }
 
+    /// A quantity of the daemon at a size: as it is, or as it was before where it was not measured again yet.
+    pub fn latest(&mut self, quantity: Quantity, size: f64) -> Result<Figure, CapacityError> {
+        let quantity = self.newest(quantity);
+        self.at(quantity, size)
+    }
+
+    fn newest(&self, quantity: Quantity) -> Quantity {
+        let is_open = NOT_MEASURED.contains(&quantity) && self.measurement(quantity).is_none();
+        quantity.before().filter(|_| is_open).unwrap_or(quantity)
+    }
+
     /// What each one of size adds to a quantity, at a size: its growth from nothing, over the size.
     pub fn each(&mut self, quantity: Quantity, size: f64) -> Result<Figure, CapacityError> {
+        let quantity = self.newest(quantity);
         let intercept = |of: &Measurement| of.fit.at(0.0).max(0.0) * factor_of(&of.unit);
         let base = self.measurement(quantity).map_or(0.0, intercept);
         Ok(self.at(quantity, size)?.map(|value| (value - base) / size))
@@ -229,6 +241,12 @@
         })
     }
 
+    /// The same of a quantity as it is, or as it was before where it was not measured again yet.
+    pub fn size_at_latest(&mut self, quantity: Quantity, limit: f64) -> Result<Figure, CapacityError> {
+        let quantity = self.newest(quantity);
+        self.size_at(quantity, limit)
+    }
+
     /// A record by its name.
     pub fn record(&self, name: &str) -> Option<&RunRecord> {
         self.records.get(name)
