--- a/crates/gullcart-scale/src/capacity/budget.rs
+++ b/crates/gullcart-scale/src/capacity/budget.rs
@@ -72,9 +72,9 @@
 fn distribution(workbook: &mut Workbook) -> Result<Part, CapacityError> {
     Ok(Part {
         mechanism: "distribution: lease at the relay, settings in scope",
-        processor: workbook.read_figure(q::COURIER_USUAL.core)?,
-        memory: workbook.read_figure(q::COURIER_USUAL.memory)?,
-        network: workbook.read_figure(q::COURIER_USUAL.bytes)?,
+        processor: workbook.at(q::COURIER_USUAL.core, target::COURIERS)?,
+        memory: workbook.at(q::COURIER_USUAL.memory, target::COURIERS)?,
+        network: workbook.at(q::COURIER_USUAL.bytes, target::COURIERS)?,
     })
 }
 
--- a/crates/gullcart-scale/src/capacity/quantity.rs
+++ b/crates/gullcart-scale/src/capacity/quantity.rs
@@ -107,13 +107,15 @@
 /// Time in which no client is served while a setting changes by a restart, by messages held.
 pub const RESTART: Quantity = of("restart", "time without service");
 
-/// The record of hollow couriers at the full size, over sockets of one machine.
-const HOLLOW: &str = "hollow-11000";
+/// The record of hollow couriers by their number, over sockets of one machine.
+const HOLLOW: &str = "hollow-slope";
+/// The record of faults among hollow couriers at the full size.
+const HOLLOW_FAULTS: &str = "hollow-11000";
 /// Processor time of a turn of the loop, by the destinations that have messages waiting.
 pub const WAITING_TURN: Quantity = of("waiting", "turn");
 /// ... as it was released before the capacity page.
 pub const WAITING_TURN_BEFORE: Quantity = of("waiting-before", "turn");
-/// What each part of the distribution takes in a phase of that record.
+/// What each part of the distribution takes in a phase, by couriers.
 pub struct PartCost {
     /// Messages a second, both ways.
     pub messages: Quantity,
@@ -185,14 +187,16 @@
 pub const IN_FORCE_USUAL: Quantity = of(HOLLOW, "usual/in_force_everywhere_worst");
 /// ... and one of the burst.
 pub const IN_FORCE_BURST: Quantity = of(HOLLOW, "burst/in_force_everywhere_worst");
+/// Time until the source knew that a change of the burst was in force, at the worst.
+pub const KNOWN_BURST: Quantity = of(HOLLOW, "burst/in_force_known_worst");
 /// Time until all are current after a courier, a rack and a zone came back, and after regions could reach the source again.
-pub const COURIER_BACK: Quantity = of(HOLLOW, "lost_courier/all_current_after_end");
+pub const COURIER_BACK: Quantity = of(HOLLOW_FAULTS, "lost_courier/all_current_after_end");
 /// ... a rack.
-pub const RACK_BACK: Quantity = of(HOLLOW, "lost_rack/all_current_after_end");
+pub const RACK_BACK: Quantity = of(HOLLOW_FAULTS, "lost_rack/all_current_after_end");
 /// ... a zone.
-pub const ZONE_BACK: Quantity = of(HOLLOW, "lost_zone/all_current_after_end");
+pub const ZONE_BACK: Quantity = of(HOLLOW_FAULTS, "lost_zone/all_current_after_end");
 /// ... the regions.
-pub const REGIONS_BACK: Quantity = of(HOLLOW, "cut_tier/all_current_after_end");
+pub const REGIONS_BACK: Quantity = of(HOLLOW_FAULTS, "cut_tier/all_current_after_end");
 /// Most bytes that one courier heard and said in a second, by what happens, in virtual time.
 pub const VIRTUAL_ZONE_BACK_BYTES: Quantity = of(
     "distribution-virtual",
@@ -223,40 +227,6 @@
     HELD_TURN,
     RESTART,
     WAITING_TURN,
-    COURIER_USUAL.messages,
-    COURIER_USUAL.bytes,
-    COURIER_USUAL.core,
-    COURIER_USUAL.memory,
-    COURIER_BURST.messages,
-    COURIER_BURST.bytes,
-    COURIER_BURST.core,
-    COURIER_BURST.memory,
-    ZONE_RELAY_USUAL.messages,
-    ZONE_RELAY_USUAL.bytes,
-    ZONE_RELAY_USUAL.core,
-    ZONE_RELAY_USUAL.memory,
-    ZONE_RELAY_BURST.messages,
-    ZONE_RELAY_BURST.bytes,
-    ZONE_RELAY_BURST.core,
-    ZONE_RELAY_BURST.memory,
-    REGION_RELAY_USUAL.messages,
-    REGION_RELAY_USUAL.bytes,
-    REGION_RELAY_USUAL.core,
-    REGION_RELAY_USUAL.memory,
-    REGION_RELAY_BURST.messages,
-    REGION_RELAY_BURST.bytes,
-    REGION_RELAY_BURST.core,
-    REGION_RELAY_BURST.memory,
-    SOURCE_USUAL.messages,
-    SOURCE_USUAL.bytes,
-    SOURCE_USUAL.core,
-    SOURCE_USUAL.memory,
-    SOURCE_BURST.messages,
-    SOURCE_BURST.bytes,
-    SOURCE_BURST.core,
-    SOURCE_BURST.memory,
-    IN_FORCE_USUAL,
-    IN_FORCE_BURST,
     COURIER_BACK,
     RACK_BACK,
     ZONE_BACK,
--- a/crates/gullcart-scale/src/capacity/render.rs
+++ b/crates/gullcart-scale/src/capacity/render.rs
@@ -97,13 +97,15 @@
 
 /// How long changes took at the full size, over sockets of one machine.
 fn in_force(workbook: &mut Workbook) -> Result<String, CapacityError> {
-    let usual = figure(&workbook.read_figure(q::IN_FORCE_USUAL)?, Unit::Seconds);
-    let burst = figure(&workbook.read_figure(q::IN_FORCE_BURST)?, Unit::Seconds);
+    let usual = figure(&workbook.at(q::IN_FORCE_USUAL, target::COURIERS)?, Unit::Seconds);
+    let burst = figure(&workbook.at(q::IN_FORCE_BURST, target::COURIERS)?, Unit::Seconds);
+    let known = figure(&workbook.at(q::KNOWN_BURST, target::COURIERS)?, Unit::Seconds);
     let states = figure(&workbook.read_figure(q::VIRTUAL_STATES_BYTES)?, Unit::ByteRate);
     let zone = figure(&workbook.read_figure(q::VIRTUAL_ZONE_BACK_BYTES)?, Unit::ByteRate);
     let rows = [
         ("the worst change at the usual rate was in force everywhere after", usual),
         ("the worst change of the burst was in force everywhere after", burst),
+        ("... and the source knew of it after", known),
         ("network of a courier with falls and returns of destinations, virtual time", states),
         ("the busiest second of a zone's relay as the zone is back, virtual time", zone),
     ];
--- a/crates/gullcart-scale/src/capacity/roles.rs
+++ b/crates/gullcart-scale/src/capacity/roles.rs
@@ -267,10 +267,10 @@
         Moment::Burst => burst,
     };
     Ok(Load {
-        messages: workbook.read_figure(cost.messages)?,
-        bytes: workbook.read_figure(cost.bytes)?,
-        processor: workbook.read_figure(cost.core)?,
-        memory: workbook.read_figure(cost.memory)?,
+        messages: workbook.at(cost.messages, target::COURIERS)?,
+        bytes: workbook.at(cost.bytes, target::COURIERS)?,
+        processor: workbook.at(cost.core, target::COURIERS)?,
+        memory: workbook.at(cost.memory, target::COURIERS)?,
         disk: Figure::given(NOTHING),
     })
 }
