--- a/crates/gullcartctl/src/scale.rs
+++ b/crates/gullcartctl/src/scale.rs
@@ -1,5 +1,8 @@
 //! `gullcartctl scale`: what a daemon costs by size, measured on real processes and kept as records.
 
+mod page;
+mod shared;
+
 use clap::{Args, Subcommand};
 use gullcart_scale::daemon::{
     changes, couriers, endpoints, held, restart, waiting, Cancellation, Collector, Launch, Limits,
@@ -47,6 +50,10 @@
     Restart(Run),
     /// By the couriers that it is told of: memory, and calls for the list while discovery is down
     Couriers(Run),
+    /// By the couriers of a deployment, without daemons: what all of them do toward what they share
+    Shared(shared::Arguments),
+    /// Render the figures of docs/CAPACITY.md from the records, or compare them
+    Page(page::Arguments),
 }
 
 /// What all measurements of a daemon take.
@@ -103,6 +110,8 @@
         What::Changes(run) => (CHANGES, run),
         What::Restart(run) => (RESTART, run),
         What::Couriers(run) => (COURIERS, run),
+        What::Shared(arguments) => return shared::shared(arguments),
+        What::Page(arguments) => return page::page(arguments),
     };
     let record = measure(&kind, run).map_err(|error| error.to_string())?;
     show(&record);
