Work failures out of the faults among hollow couriers, and add virtual time

The rows of failures had only what couriers do today. They have the time until settings are current again, and the worst change meanwhile, from the record of faults at the full size; the distribution has its times with the latencies of networks, from the fleet in virtual time. Its faults are not recorded yet.

--- a/crates/gullcart-scale/src/capacity/quantity.rs
+++ b/crates/gullcart-scale/src/capacity/quantity.rs
@@ -110,7 +110,11 @@
 /// The record of hollow couriers by their number, over sockets of one machine.
 const HOLLOW: &str = "hollow-slope";
 /// The record of faults among hollow couriers at the full size.
-const HOLLOW_FAULTS: &str = "hollow-11000";
+const HOLLOW_FAULTS: &str = "hollow-11000-faults";
+/// The record of a fleet of the full size in virtual time, where nothing fails.
+const VIRTUAL: &str = "distribution-virtual-steady";
+/// ... and of faults there.
+const VIRTUAL_FAULTS: &str = "distribution-virtual-faults";
 /// Processor time of a turn of the loop, by the destinations that have messages waiting.
 pub const WAITING_TURN: Quantity = of("waiting", "turn");
 /// ... as it was released before the capacity page.
@@ -189,27 +193,56 @@
 pub const IN_FORCE_BURST: Quantity = of(HOLLOW, "burst/in_force_everywhere_worst");
 /// Time until the source knew that a change of the burst was in force, at the worst.
 pub const KNOWN_BURST: Quantity = of(HOLLOW, "burst/in_force_known_worst");
-/// Time until all are current after a courier, a rack and a zone came back, and after regions could reach the source again.
-pub const COURIER_BACK: Quantity = of(HOLLOW_FAULTS, "lost_courier/all_current_after_end");
-/// ... a rack.
-pub const RACK_BACK: Quantity = of(HOLLOW_FAULTS, "lost_rack/all_current_after_end");
-/// ... a zone.
-pub const ZONE_BACK: Quantity = of(HOLLOW_FAULTS, "lost_zone/all_current_after_end");
-/// ... the regions.
-pub const REGIONS_BACK: Quantity = of(HOLLOW_FAULTS, "cut_tier/all_current_after_end");
-/// Most bytes that one courier heard and said in a second, by what happens, in virtual time.
+/// What a fault among hollow couriers at the full size was like.
+pub struct FaultCost {
+    /// Until all couriers were current again after its end.
+    pub back: Quantity,
+    /// The worst change meanwhile: until it was in force everywhere.
+    pub in_force: Quantity,
+}
+
+/// A courier is lost and returns.
+pub const LOST_COURIER: FaultCost = FaultCost {
+    back: of(HOLLOW_FAULTS, "lost_courier/all_current_after_end"),
+    in_force: of(HOLLOW_FAULTS, "lost_courier/in_force_everywhere_worst"),
+};
+/// A rack is lost and returns.
+pub const LOST_RACK: FaultCost = FaultCost {
+    back: of(HOLLOW_FAULTS, "lost_rack/all_current_after_end"),
+    in_force: of(HOLLOW_FAULTS, "lost_rack/in_force_everywhere_worst"),
+};
+/// A zone is lost and returns.
+pub const LOST_ZONE: FaultCost = FaultCost {
+    back: of(HOLLOW_FAULTS, "lost_zone/all_current_after_end"),
+    in_force: of(HOLLOW_FAULTS, "lost_zone/in_force_everywhere_worst"),
+};
+/// A relay of a zone is lost, and others take its couriers in.
+pub const LOST_RELAY: FaultCost = FaultCost {
+    back: of(HOLLOW_FAULTS, "lost_relay/all_current_after_loss"),
+    in_force: of(HOLLOW_FAULTS, "lost_relay/in_force_everywhere_worst"),
+};
+/// All regions are cut off from the source.
+pub const CUT_REGIONS: FaultCost = FaultCost {
+    back: of(HOLLOW_FAULTS, "cut_tier/all_current_after_end"),
+    in_force: of(HOLLOW_FAULTS, "cut_tier/in_force_everywhere_worst"),
+};
+/// Most bytes that a zone's relay heard and said in a second as its couriers came back, in virtual time.
 pub const VIRTUAL_ZONE_BACK_BYTES: Quantity = of(
-    "distribution-virtual",
+    VIRTUAL_FAULTS,
     "zone-returns/traffic_sent_and_received/zone_relays/bytes_in_the_busiest_second_of_any",
 );
-/// ... where two regions are cut off, and come back.
+/// ... a region's relay, where two regions were cut off.
 pub const VIRTUAL_REGIONS_BACK_BYTES: Quantity = of(
-    "distribution-virtual",
+    VIRTUAL_FAULTS,
     "two-regions-cut/traffic_sent_and_received/region_relays/bytes_in_the_busiest_second_of_any",
 );
 /// Bytes a second of a courier where destinations fall and return as well, in virtual time.
 pub const VIRTUAL_STATES_BYTES: Quantity =
-    of("distribution-virtual", "endpoints/traffic_sent_and_received/couriers/bytes_per_second_mean");
+    of(VIRTUAL, "endpoints/traffic_sent_and_received/couriers/bytes_per_second_mean");
+/// The worst change of an ordinary time, with the latencies of networks, in virtual time.
+pub const VIRTUAL_IN_FORCE: Quantity = of(VIRTUAL, "ordinary/in_force_micros/worst");
+/// ... and where destinations fall and return as well.
+pub const VIRTUAL_STATES_IN_FORCE: Quantity = of(VIRTUAL, "endpoints/in_force_micros/worst");
 
 /// What the model needs and nothing measures yet: the page says so in its place. A quantity that is measured has to leave
 /// this list, and one that is on no list and in no record fails the page.
@@ -227,11 +260,6 @@
     HELD_TURN,
     RESTART,
     WAITING_TURN,
-    COURIER_BACK,
-    RACK_BACK,
-    ZONE_BACK,
-    REGIONS_BACK,
     VIRTUAL_ZONE_BACK_BYTES,
     VIRTUAL_REGIONS_BACK_BYTES,
-    VIRTUAL_STATES_BYTES,
 ];
--- a/crates/gullcart-scale/src/capacity/render.rs
+++ b/crates/gullcart-scale/src/capacity/render.rs
@@ -101,12 +101,16 @@
     let usual = figure(&workbook.at(q::IN_FORCE_USUAL, target::COURIERS)?, Unit::Seconds);
     let burst = figure(&workbook.at(q::IN_FORCE_BURST, target::COURIERS)?, Unit::Seconds);
     let known = figure(&workbook.at(q::KNOWN_BURST, target::COURIERS)?, Unit::Seconds);
+    let latencies = figure(&workbook.read_figure(q::VIRTUAL_IN_FORCE)?, Unit::Seconds);
+    let with_states = figure(&workbook.read_figure(q::VIRTUAL_STATES_IN_FORCE)?, Unit::Seconds);
     let states = figure(&workbook.read_figure(q::VIRTUAL_STATES_BYTES)?, Unit::ByteRate);
     let zone = figure(&workbook.read_figure(q::VIRTUAL_ZONE_BACK_BYTES)?, Unit::ByteRate);
     let rows = [
         ("the worst change at the usual rate was in force everywhere after", usual),
         ("the worst change of the burst was in force everywhere after", burst),
         ("... and the source knew of it after", known),
+        ("in virtual time, with latencies of networks: the worst change of the usual rate", latencies),
+        ("... and the worst one with falls and returns of destinations as well", with_states),
         ("network of a courier with falls and returns of destinations, virtual time", states),
         ("the busiest second of a zone's relay as the zone is back, virtual time", zone),
     ];
