--- a/crates/gullcart-hollow/src/courier.rs
+++ b/crates/gullcart-hollow/src/courier.rs
@@ -59,7 +59,7 @@
 }
 
 /// An endpoint as a courier's engine is told of it.
-pub fn target(uid: String, destination: u16, is_serving: bool) -> Target {
+pub fn target(uid: String, destination: u32, is_serving: bool) -> Target {
     Target {
         uid,
         // Nothing is ever sent there.
--- a/crates/gullcart-hollow/src/layout.rs
+++ b/crates/gullcart-hollow/src/layout.rs
@@ -228,7 +228,7 @@
         let destination = share * ENTRIES_PER_SHARE + self.number;
         let endpoint = |place: u32| {
             let is_serving = place > 0 || version.is_multiple_of(2);
-            target(format!("endpoint-{destination}-{place}"), destination as u16, is_serving)
+            target(format!("endpoint-{destination}-{place}"), destination, is_serving)
         };
         Endpoints((0..ENDPOINTS_PER_ENTRY).map(endpoint).collect())
     }
--- a/crates/gullcart-hollow/src/serve.rs
+++ b/crates/gullcart-hollow/src/serve.rs
@@ -170,7 +170,7 @@
         for number in 0..probe.couriers {
             let mut engine = HollowEngine::new(&settings, u64::from(number))?;
             let uid = |endpoint: u32| format!("endpoint-{endpoint}");
-            let targets = (0..probe.endpoints).map(|endpoint| target(uid(endpoint), endpoint as u16, true));
+            let targets = (0..probe.endpoints).map(|endpoint| target(uid(endpoint), endpoint, true));
             engine.apply(Update { rev: 1, all: true, targets: targets.collect() })?;
             self.probed.push(engine);
         }
--- a/crates/gullcart-hollow/src/structures.rs
+++ b/crates/gullcart-hollow/src/structures.rs
@@ -140,7 +140,7 @@
         let destinations = first..self.destinations.min(first + self.per_entry);
         let endpoint = |destination: u32, place: u32| {
             let is_serving = place > 0 || version.is_multiple_of(2);
-            target(format!("endpoint-{destination}-{place}"), destination as u16, is_serving)
+            target(format!("endpoint-{destination}-{place}"), destination, is_serving)
         };
         let all = destinations.flat_map(|destination| {
             (0..ENDPOINTS_PER_DESTINATION).map(move |place| endpoint(destination, place))
