--- a/crates/gullcart-scale/src/capacity/quantity.rs
+++ b/crates/gullcart-scale/src/capacity/quantity.rs
@@ -114,7 +114,7 @@
 /// The record of a fleet of the full size in virtual time, where nothing fails.
 const VIRTUAL: &str = "distribution-virtual-steady";
 /// ... and of faults there.
-const VIRTUAL_FAULTS: &str = "distribution-virtual-faults";
+const VIRTUAL_FAULTS: &str = "distribution-virtual-disturbed";
 /// Processor time of a turn of the loop, by the destinations that have messages waiting.
 pub const WAITING_TURN: Quantity = of("waiting", "turn");
 /// ... as it was released before the capacity page.
@@ -236,6 +236,18 @@
     VIRTUAL_FAULTS,
     "two-regions-cut/traffic_sent_and_received/region_relays/bytes_in_the_busiest_second_of_any",
 );
+/// Most bytes that one courier heard and said in a second of the burst, in virtual time.
+pub const VIRTUAL_BURST_BYTES: Quantity =
+    of(VIRTUAL_FAULTS, "burst/traffic_sent_and_received/couriers/bytes_in_the_busiest_second_of_any");
+/// ... and a zone's relay.
+pub const VIRTUAL_BURST_RELAY_BYTES: Quantity =
+    of(VIRTUAL_FAULTS, "burst/traffic_sent_and_received/zone_relays/bytes_in_the_busiest_second_of_any");
+/// The worst change of the burst, in virtual time.
+pub const VIRTUAL_BURST_IN_FORCE: Quantity = of(VIRTUAL_FAULTS, "burst/in_force_micros/worst");
+/// The worst change of the burst in another run over sockets: until it was in force everywhere ...
+pub const IN_FORCE_BURST_AGAIN: Quantity = of("hollow-11000", "burst/in_force_everywhere_worst");
+/// ... and until the source knew of it.
+pub const KNOWN_BURST_AGAIN: Quantity = of("hollow-11000", "burst/in_force_known_worst");
 /// Bytes a second of a courier where destinations fall and return as well, in virtual time.
 pub const VIRTUAL_STATES_BYTES: Quantity =
     of(VIRTUAL, "endpoints/traffic_sent_and_received/couriers/bytes_per_second_mean");
@@ -260,6 +272,4 @@
     HELD_TURN,
     RESTART,
     WAITING_TURN,
-    VIRTUAL_ZONE_BACK_BYTES,
-    VIRTUAL_REGIONS_BACK_BYTES,
 ];
--- a/crates/gullcart-scale/src/capacity/render.rs
+++ b/crates/gullcart-scale/src/capacity/render.rs
@@ -96,24 +96,63 @@
     pairs(["assumed", "size"], &rows)
 }
 
-/// How long changes took at the full size, over sockets of one machine.
+/// How long changes took at the full size, and what the worst seconds were.
 fn in_force(workbook: &mut Workbook) -> Result<String, CapacityError> {
-    let usual = figure(&workbook.at(q::IN_FORCE_USUAL, target::COURIERS)?, Unit::Seconds);
-    let burst = figure(&workbook.at(q::IN_FORCE_BURST, target::COURIERS)?, Unit::Seconds);
-    let known = figure(&workbook.at(q::KNOWN_BURST, target::COURIERS)?, Unit::Seconds);
-    let latencies = figure(&workbook.read_figure(q::VIRTUAL_IN_FORCE)?, Unit::Seconds);
-    let with_states = figure(&workbook.read_figure(q::VIRTUAL_STATES_IN_FORCE)?, Unit::Seconds);
-    let states = figure(&workbook.read_figure(q::VIRTUAL_STATES_BYTES)?, Unit::ByteRate);
-    let zone = figure(&workbook.read_figure(q::VIRTUAL_ZONE_BACK_BYTES)?, Unit::ByteRate);
-    let rows = [
-        ("the worst change at the usual rate was in force everywhere after", usual),
-        ("the worst change of the burst was in force everywhere after", burst),
-        ("... and the source knew of it after", known),
-        ("in virtual time, with latencies of networks: the worst change of the usual rate", latencies),
-        ("... and the worst one with falls and returns of destinations as well", with_states),
-        ("network of a courier with falls and returns of destinations, virtual time", states),
-        ("the busiest second of a zone's relay as the zone is back, virtual time", zone),
+    let slope = [
+        (
+            "sockets: the worst change at the usual rate, until in force everywhere",
+            q::IN_FORCE_USUAL,
+            Unit::Seconds,
+        ),
+        (
+            "sockets: the worst change of the burst, until in force everywhere",
+            q::IN_FORCE_BURST,
+            Unit::Seconds,
+        ),
+        ("... until the source knew of it", q::KNOWN_BURST, Unit::Seconds),
+    ];
+    let runs = [
+        (
+            "sockets, another run: the worst change of the burst, until in force everywhere",
+            q::IN_FORCE_BURST_AGAIN,
+            Unit::Seconds,
+        ),
+        ("... until the source knew of it", q::KNOWN_BURST_AGAIN, Unit::Seconds),
+        ("virtual time: the worst change at the usual rate", q::VIRTUAL_IN_FORCE, Unit::Seconds),
+        (
+            "virtual time: the worst one where destinations fall and return as well",
+            q::VIRTUAL_STATES_IN_FORCE,
+            Unit::Seconds,
+        ),
+        ("virtual time: the worst change of the burst", q::VIRTUAL_BURST_IN_FORCE, Unit::Seconds),
+        (
+            "virtual time: a courier where destinations fall and return as well",
+            q::VIRTUAL_STATES_BYTES,
+            Unit::ByteRate,
+        ),
+        (
+            "virtual time: a courier in its busiest second of the burst",
+            q::VIRTUAL_BURST_BYTES,
+            Unit::ByteRate,
+        ),
+        (
+            "virtual time: a zone's relay in its busiest second of the burst",
+            q::VIRTUAL_BURST_RELAY_BYTES,
+            Unit::ByteRate,
+        ),
+        (
+            "virtual time: a zone's relay in its busiest second as the zone is back",
+            q::VIRTUAL_ZONE_BACK_BYTES,
+            Unit::ByteRate,
+        ),
     ];
+    let mut rows = Vec::new();
+    for (what, quantity, unit) in slope {
+        rows.push((what, figure(&workbook.at(quantity, target::COURIERS)?, unit)));
+    }
+    for (what, quantity, unit) in runs {
+        rows.push((what, figure(&workbook.read_figure(quantity)?, unit)));
+    }
     Ok(pairs(["distribution at the full size", "measured"], &rows))
 }
 
