--- a/crates/gullcart-scale/src/capacity/render.rs
+++ b/crates/gullcart-scale/src/capacity/render.rs
@@ -188,6 +188,7 @@
         Method::Between => "two measured sizes".to_owned(),
         Method::Line => "the fitted line".to_owned(),
         Method::Secant => "the slope between the two largest".to_owned(),
+        Method::Level => "no growth, the most measured".to_owned(),
         Method::Power(exponent) => format!("size to the power of {}", value(exponent, Unit::Count)),
     }
 }
--- a/crates/gullcart-scale/src/capacity/workbook.rs
+++ b/crates/gullcart-scale/src/capacity/workbook.rs
@@ -95,6 +95,8 @@
     Secant,
     /// Carried on from the largest size by this power.
     Power(f64),
+    /// No growth was seen: the most that was measured at any size. A falling line is noise, as no cost falls with size.
+    Level,
 }
 
 /// The records, and what was taken from them.
@@ -337,6 +339,8 @@
             (Method::Power(exponent), secant)
         } else if measurement.fit.worst_relative_residual > WORST_RESIDUAL && secant > 0.0 {
             (Method::Secant, secant)
+        } else if measurement.fit.slope <= 0.0 {
+            (Method::Level, 0.0)
         } else {
             (Method::Line, measurement.fit.slope)
         };
@@ -347,6 +351,7 @@
         match self.method {
             Method::Power(exponent) => self.largest.value * (size / self.largest.size).powf(exponent),
             Method::Secant => self.largest.value + self.slope * (size - self.largest.size),
+            Method::Level => measurement.points.iter().map(|point| point.value).fold(0.0, f64::max),
             Method::Line | Method::Between | Method::Read => measurement.fit.at(size),
         }
     }
@@ -356,6 +361,7 @@
         match self.method {
             Method::Power(exponent) => self.largest.size * (limit / self.largest.value).powf(1.0 / exponent),
             Method::Secant => self.largest.size + (limit - self.largest.value) / self.slope,
+            Method::Level => f64::INFINITY,
             Method::Line | Method::Between | Method::Read => {
                 (limit - measurement.fit.intercept) / measurement.fit.slope
             }
--- a/crates/gullcart-scale/tests/workbook.rs
+++ b/crates/gullcart-scale/tests/workbook.rs
@@ -98,6 +98,20 @@
     assert_eq!((value, method), (1_900.0, Method::Secant));
 }
 
+/// Noise about a cost that does not grow: no cost is worked out to be less than what was measured, and never nothing.
+#[test]
+fn a_falling_line_stands_for_no_growth() {
+    let falling = &[(1_000.0, 74.0), (10_000.0, 53.0), (100_000.0, 32.0)];
+    let folder = Folder::new("falling", "us", &[("falling", falling)]);
+    let (value, is_extrapolated, method) = at(&mut folder.workbook(), "falling", 3e6);
+    assert!((value - 74e-6).abs() < 1e-12, "{value}");
+    assert_eq!((is_extrapolated, method), (true, Method::Level));
+    let Figure::Worked(limit) = folder.workbook().size_at(quantity("falling"), 1.0).unwrap() else {
+        panic!("it is measured")
+    };
+    assert_eq!(limit.value, f64::INFINITY);
+}
+
 #[test]
 fn a_limit_is_met_where_the_value_comes_to_it() {
     let folder = Folder::new(
