--- a/crates/gullcart-journal/src/journal.rs
+++ b/crates/gullcart-journal/src/journal.rs
@@ -7,10 +7,12 @@
 use crate::log::{name, Active, Log, Sealed, Start};
 use crate::parts::parts;
 use crate::plan::{cost, on_disk, Plan, Purpose, Room};
-use crate::replay::{read, End, Form, Window};
+use crate::repaired_folder::unfinished_repair;
+use crate::replay::{read, End, Form};
 use crate::store::{Folder, Store};
 use crate::survey::survey;
-use crate::{repair, Durability, Options};
+use crate::window::Window;
+use crate::{Durability, Options};
 use gullcart_message::{Taken, Update, Verdict};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::Bound;
@@ -106,7 +108,7 @@
     /// Opens the journal of a folder that nobody else uses, and replays it.
     pub fn open(folder: &Path, disk: u64, options: Options) -> Result<Self, JournalError> {
         let store = Folder::lock(folder).map_err(JournalError::Folder)?;
-        if let Some(unfinished) = repair::unfinished(folder) {
+        if let Some(unfinished) = unfinished_repair(folder) {
             return Err(JournalError::Unfinished(unfinished));
         }
         Self::replay(store, disk, options, fastrand::u64(1..))
--- a/crates/gullcart-journal/src/legacy.rs
+++ b/crates/gullcart-journal/src/legacy.rs
@@ -4,8 +4,8 @@
 
 use crate::error::Wrong;
 use crate::image::{Held, OutageNote, Record, Sent};
-use crate::replay::Window;
 use crate::store::Store;
+use crate::window::Window;
 use gullcart_message::{Taken, Update, Verdict};
 use serde::{Deserialize, Serialize};
 use std::io;
--- a/crates/gullcart-journal/src/lib.rs
+++ b/crates/gullcart-journal/src/lib.rs
@@ -21,11 +21,13 @@
 mod parts;
 mod plan;
 mod repair;
+mod repaired_folder;
 mod replay;
 mod salvage;
 pub mod simulated;
 mod store;
 mod survey;
+mod window;
 
 pub use error::{Damage, JournalError, Wrong};
 pub use image::{Held, Image, OutageNote, Sent, MOST_FORMER, MOST_SUSPENDED};
--- a/crates/gullcart-journal/src/repair.rs
+++ b/crates/gullcart-journal/src/repair.rs
@@ -8,6 +8,7 @@
 use crate::frame::{Header, HEADER};
 use crate::journal::Journal;
 use crate::log::sequence;
+use crate::repaired_folder::{unfinished_repair, BUILT};
 use crate::salvage::{salvage, Report};
 use crate::store::{Folder, Store};
 use crate::Options;
@@ -16,7 +17,6 @@
 use std::path::{Path, PathBuf};
 
 const BUILDING: &str = "journal.repairing";
-const BUILT: &str = "journal.repaired";
 
 /// What a repair did.
 #[derive(Clone, Debug)]
@@ -27,17 +27,11 @@
     pub kept: Option<PathBuf>,
 }
 
-/// The folder of a repair that was not finished.
-pub(crate) fn unfinished(folder: &Path) -> Option<PathBuf> {
-    let built = folder.join(BUILT);
-    built.is_dir().then_some(built)
-}
-
 /// Keeps a damaged journal aside and takes over what can be proven. A sound one is left as it is. It needs room for
 /// both, whatever the courier may use.
 pub fn repair(folder: &Path, disk: u64, options: Options) -> Result<Repaired, JournalError> {
     let store = Folder::lock(folder).map_err(JournalError::Folder)?;
-    if unfinished(folder).is_none() {
+    if unfinished_repair(folder).is_none() {
         let salvaged = salvage(&store)?;
         if salvaged.report.is_sound() {
             return Ok(Repaired { report: salvaged.report, kept: None });
--- a/crates/gullcart-journal/src/replay.rs
+++ b/crates/gullcart-journal/src/replay.rs
@@ -5,52 +5,12 @@
 use crate::image::Record;
 use crate::legacy;
 use crate::store::Store;
+use crate::window::{Window, CHUNK};
 use std::io;
 
-/// Bytes read at a time.
-const CHUNK: usize = 64 << 10;
 /// Bytes whose sums are tried behind a bad record; more of them can only be made on purpose.
 const MOST_TRIED: u64 = 64 << 20;
 
-/// A part of a file, read as needed.
-pub(crate) struct Window<'a, S: Store> {
-    store: &'a S,
-    file: &'a S::File,
-    start: u64,
-    buffer: Vec<u8>,
-}
-
-impl<'a, S: Store> Window<'a, S> {
-    pub fn new(store: &'a S, file: &'a S::File) -> Self {
-        Window { store, file, start: 0, buffer: Vec::new() }
-    }
-
-    /// Some bytes; none where the file ends before.
-    pub fn get(&mut self, offset: u64, length: usize) -> io::Result<Option<&[u8]>> {
-        let inside = offset >= self.start && offset + length as u64 <= self.start + self.buffer.len() as u64;
-        if !inside {
-            self.start = offset;
-            self.buffer.resize(length.max(CHUNK), 0);
-            let mut filled = 0;
-            while filled < self.buffer.len() {
-                let place = offset + filled as u64;
-                match self.store.read_at(self.file, &mut self.buffer[filled..], place) {
-                    Ok(0) => break,
-                    Ok(more) => filled += more,
-                    Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                    Err(error) => return Err(error),
-                }
-            }
-            self.buffer.truncate(filled);
-            if filled < length {
-                return Ok(None);
-            }
-        }
-        let from = (offset - self.start) as usize;
-        Ok(Some(&self.buffer[from..from + length]))
-    }
-}
-
 /// How a segment ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum End {
--- a/crates/gullcart-journal/src/salvage.rs
+++ b/crates/gullcart-journal/src/salvage.rs
@@ -6,9 +6,10 @@
 use crate::ledger::Ledger;
 use crate::log::name;
 use crate::plan::on_disk;
-use crate::replay::{good_after, read, End, Form, Window};
+use crate::replay::{good_after, read, End, Form};
 use crate::store::Store;
 use crate::survey::{survey, Present};
+use crate::window::Window;
 use serde::Serialize;
 use std::collections::BTreeSet;
 
--- a/crates/gullcart-journal/src/survey.rs
+++ b/crates/gullcart-journal/src/survey.rs
@@ -5,8 +5,9 @@
 use crate::legacy;
 use crate::log::{name, sequence, SPARE};
 use crate::plan::on_disk;
-use crate::replay::{Form, Window};
+use crate::replay::Form;
 use crate::store::Store;
+use crate::window::Window;
 use std::collections::BTreeMap;
 
 /// A segment that is there.
