--- a/crates/gullcart-engine/src/engine.rs
+++ b/crates/gullcart-engine/src/engine.rs
@@ -7,7 +7,7 @@
 use gullcart_message::{Taken, Update, Verdict};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
-use tracing::{error, info, warn};
+use tracing::{debug, error, info, warn};
 
 #[cfg(feature = "broken")]
 use crate::broken::{Broken, Fault, DEAF_FOR};
@@ -360,7 +360,7 @@
             let written = self.journal.outcome(number, true);
             self.note(now, written);
         }
-        trail::found(&held.taken.id, number, held.attempts, held.maybe_ran.or(held.out).is_some());
+        trail::found(number, held);
         let maybe_ran = held.maybe_ran.or(held.out).map(|(ms, zone)| {
             // Sent after now: the wall clock was put back, and how long ago it was cannot be told.
             let sent = Some(self.clock.of_wall(ms)).filter(|sent| *sent <= now).unwrap_or(Time::ZERO);
@@ -396,7 +396,7 @@
         match input {
             Input::Enqueue(ticket, enqueue) => {
                 let class = self.class(&enqueue.class);
-                let answer = self.enqueue(now, enqueue);
+                let answer = self.hand_in(now, enqueue);
                 let ends = self.counts.of(class.map(|class| usize::from(class.0)));
                 match &answer {
                     Answer::Busy(_) => ends.turned_away += 1,
@@ -424,6 +424,9 @@
             Input::Ended(message, endpoint, ended) => self.ended(now, message, endpoint, ended, true),
             Input::Heard(messages) => {
                 for message in messages {
+                    if let Some(held) = self.journal.image().held.get(&message.0) {
+                        trail::heard(&held.taken.id);
+                    }
                     self.over(now, message);
                     self.courier.handle(now, Event::Heard(message));
                 }
@@ -443,30 +446,47 @@
         self.effects.push(Doing::Answer(ticket, answer));
     }
 
-    fn enqueue(&mut self, now: Time, enqueue: Enqueue) -> Answer {
-        let Some(class) = self.class(&enqueue.class) else { return Answer::Error("unknown class") };
+    fn hand_in(&mut self, now: Time, enqueue: Enqueue) -> Answer {
+        let most = match self.admit(now, &enqueue) {
+            Ok(most) => most,
+            Err(answer) => {
+                trail::not_taken(&enqueue, &answer);
+                return answer;
+            }
+        };
+        self.take_on(now, enqueue, most)
+    }
+
+    /// Whether a message may be taken on, and then the longest time that its class may have; the answer of one that may not.
+    fn admit(&mut self, now: Time, enqueue: &Enqueue) -> Result<Duration, Answer> {
+        let Some(class) = self.class(&enqueue.class) else { return Err(Answer::Error("unknown class")) };
         if let Some(known) = self.known.get_mut(&enqueue.id) {
             // Sent once more on a new connection; or by somebody else, to whom the id does not belong.
             let held = self.journal.image().held.get(&known.number);
             if !held.is_some_and(|held| enqueue.is_same(&held.taken)) {
-                return Answer::Error("the id is in use for another message");
+                return Err(Answer::Error("the id is in use for another message"));
             }
             known.shared = true;
-            return Answer::Held;
+            return Err(Answer::Held);
         }
         let destination = DestinationId(enqueue.destination);
         if !self.journal.image().destinations.contains(&enqueue.destination) {
-            return Answer::Error("unknown destination");
+            return Err(Answer::Error("unknown destination"));
         }
         let admitted = self.courier.admits(class);
         let class = &self.classes[usize::from(class.0)];
         if class.effect == Effect::Keyed && enqueue.idempotency_key.is_none() {
-            return Answer::Error("k is missing");
+            return Err(Answer::Error("k is missing"));
         }
         let most = class.deadline;
         if !admitted || self.journal.image().held.len() >= self.most_held {
-            return Answer::Busy(Some(self.courier.come_back(now, destination)));
+            return Err(Answer::Busy(Some(self.courier.come_back(now, destination))));
         }
+        Ok(most)
+    }
+
+    fn take_on(&mut self, now: Time, enqueue: Enqueue, most: Duration) -> Answer {
+        let destination = DestinationId(enqueue.destination);
         let taken = Taken {
             id: enqueue.id,
             key: enqueue.key,
@@ -494,7 +514,9 @@
             }
             Err(error) => {
                 self.note(now, Err(error));
-                Answer::Busy(Some(self.courier.come_back(now, destination)))
+                let answer = Answer::Busy(Some(self.courier.come_back(now, destination)));
+                debug!(target: trail::TRAIL, id, ?answer, "not taken on, as the journal cannot be written");
+                answer
             }
         }
     }
@@ -503,7 +525,11 @@
     /// hand-in of it was answered meanwhile.
     fn unheard(&mut self, now: Time, message: MessageId) {
         let id = self.journal.image().held.get(&message.0).map(|held| &held.taken.id);
-        if id.and_then(|id| self.known.get(id)).is_some_and(|known| !known.shared) {
+        let known = id.and_then(|id| self.known.get(id));
+        if let (Some(id), Some(known)) = (id, known) {
+            trail::unheard(id, known.shared);
+        }
+        if known.is_some_and(|known| !known.shared) {
             self.counts.abandoned += u64::from(self.has_no_end(message));
             self.over(now, message);
             self.courier.handle(now, Event::ClientGone(message));
--- a/crates/gullcart-engine/src/trail.rs
+++ b/crates/gullcart-engine/src/trail.rs
@@ -1,24 +1,39 @@
 //! What becomes of each message, step by step, for who follows one of them by its id through the logs of couriers.
 
 use cloverstile::Outcome;
+use gullcart_journal::Held;
 use gullcart_message::{Taken, Verdict};
 use std::time::Duration;
 use tracing::debug;
 
-use crate::vocabulary::Call;
+use crate::vocabulary::{Answer, Call, Enqueue};
 
 /// The log's target of these lines: `GULLCART_LOG=gullcart::trail=debug` switches them on.
 pub const TRAIL: &str = "gullcart::trail";
 
 /// A message was taken on.
 pub(crate) fn taken(number: u32, taken: &Taken) {
-    let Taken { id, class, destination, again, idempotency_key: key, .. } = taken;
-    debug!(target: TRAIL, id, number, class, destination, again, key, "taken on");
+    let Taken { id, class, destination, again, idempotency_key: key, key: order, .. } = taken;
+    debug!(target: TRAIL, id, number, order = format_args!("{order:016x}"), class, destination, again, key, "taken on");
+}
+
+/// A hand-in that brought no new message: it was turned away, or the message is held already.
+pub(crate) fn not_taken(enqueue: &Enqueue, answer: &Answer) {
+    let Enqueue { id, key: order, class, destination, .. } = enqueue;
+    debug!(target: TRAIL, id, order = format_args!("{order:016x}"), class, destination, ?answer, "not taken on");
+}
+
+/// Its client did not hear that it was taken on. A hand-in of it that was answered meanwhile (`shared`) keeps it.
+pub(crate) fn unheard(id: &str, shared: bool) {
+    debug!(target: TRAIL, id, shared, "its client did not hear the answer");
 }
 
 /// It was found in the journal after a restart.
-pub(crate) fn found(id: &str, number: u32, attempts: u32, may_have_run: bool) {
-    debug!(target: TRAIL, id, number, attempts, may_have_run, "found in the journal");
+pub(crate) fn found(number: u32, held: &Held) {
+    let Held { taken: Taken { id, key: order, .. }, attempts, maybe_ran, out, verdict } = held;
+    let may_have_run = maybe_ran.or(*out).is_some();
+    let order = format_args!("{order:016x}");
+    debug!(target: TRAIL, id, number, order, attempts, may_have_run, ?verdict, "found in the journal");
 }
 
 /// An attempt is handed out.
@@ -38,6 +53,11 @@
     debug!(target: TRAIL, id, ?verdict, "its end is to be told");
 }
 
+/// The platform has answered its notice.
+pub(crate) fn heard(id: &str) {
+    debug!(target: TRAIL, id, "its notice was answered");
+}
+
 /// Nothing more is owed for it.
 pub(crate) fn over(id: &str) {
     debug!(target: TRAIL, id, "it is over");
--- a/crates/gullcart/src/calls.rs
+++ b/crates/gullcart/src/calls.rs
@@ -256,6 +256,8 @@
                 reason = &mut stop => End::Stopped(reason.ok()),
             };
             let latency = start.elapsed();
+            let (written, read) = wire.counts();
+            debug!(target: TRAIL, id = call.id, ?end_of_call, written, read, status = wire.status(), "it ends without an answer");
             let outcome = match end_of_call {
                 // Not a byte of it was written: it has never run. That it was too late for it says nothing of the endpoint.
                 End::Broken | End::TimedOut if wire.is_untouched() && wire.is_too_late() => Outcome::Moot,
@@ -323,7 +325,7 @@
 }
 
 /// How a call came to its end without the head of an answer.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 enum End {
     Broken,
     TimedOut,
--- a/crates/gullcart/src/clients.rs
+++ b/crates/gullcart/src/clients.rs
@@ -12,12 +12,12 @@
 use tokio::sync::{watch, SemaphorePermit};
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
-use tracing::warn;
+use tracing::{debug, enabled, warn, Level};
 
 use crate::places::{ClientLimits, Doing, Place, Places};
 use crate::resp::{decode, encode, read_enqueue};
 use crate::vocabulary::Inputs;
-use gullcart_engine::{Answer, Enqueue, Input, Seldom, EPOCH};
+use gullcart_engine::{Answer, Enqueue, Input, Seldom, EPOCH, TRAIL};
 
 /// Read at once, as far as it is there. A request that needs more waits for one of the places for long ones.
 const READ: usize = 4 << 10;
@@ -106,9 +106,11 @@
         let place = self.places.clone().enter();
         let (driver, phase, moved) = (self.driver.clone(), self.phase.clone(), self.moved.clone());
         tokio::task::spawn_local(async move {
+            let peer = is_trailed().then(|| stream.peer_addr().ok());
             let client = Client { stream, driver, phase, place, buffer, out: Vec::new(), moved };
             // A connection that breaks is its client's affair: what was taken on stays so.
-            let _ = client.run(fresh).await;
+            let ended = client.run(fresh).await;
+            debug!(target: TRAIL, ?peer, ?ended, "a client's connection is over");
         });
     }
 }
@@ -147,6 +149,7 @@
 }
 
 /// What came of reading on.
+#[derive(Debug)]
 enum Come {
     More,
     /// The client has gone, or its connection may be closed.
@@ -221,7 +224,11 @@
                 }
                 // Nothing was answered on it yet that could be lost, and somebody waits for its place.
                 Come::GiveWay if fresh => return Ok(()),
-                Come::End | Come::GiveWay => return self.part().await,
+                come @ (Come::End | Come::GiveWay) => {
+                    let (peer, phase) = (self.stream.peer_addr().ok(), *self.phase.borrow());
+                    debug!(target: TRAIL, ?peer, ?phase, ?come, served, "a client's connection is shut");
+                    return self.part().await;
+                }
                 Come::Late => return self.refuse("the request did not come to its end").await,
                 Come::Move => return self.give_up(fresh).await,
             }
@@ -337,9 +344,13 @@
     async fn hand_in(&mut self, enqueue: Enqueue) -> io::Result<Option<()>> {
         // What was answered before must not be lost with this answer, nor this one with those.
         self.flush().await?;
+        let id = is_trailed().then(|| enqueue.id.clone());
         let Some(answer) = self.driver.hand_in(enqueue).await else { return Ok(None) };
         self.out.extend_from_slice(encode(&answer).as_bytes());
         let written = self.flush().await;
+        if let Some(id) = id {
+            debug!(target: TRAIL, id, peer = ?self.stream.peer_addr().ok(), ?answer, ?written, "its client is answered");
+        }
         if let (Err(_), Answer::Taken(message)) = (&written, answer) {
             // The client never heard that it was taken on, and hands it in again under another id.
             self.driver.tell(Input::Unheard(message)).await;
@@ -364,6 +375,7 @@
 
     /// Tells the client its error and closes.
     async fn refuse(mut self, error: &str) -> io::Result<()> {
+        debug!(target: TRAIL, peer = ?self.stream.peer_addr().ok(), error, "a client is refused");
         self.out.extend_from_slice(format!("-ERR {error}\r\n").as_bytes());
         self.part().await
     }
@@ -398,6 +410,11 @@
     }
 }
 
+/// Whether the log follows each message.
+fn is_trailed() -> bool {
+    enabled!(target: TRAIL, Level::DEBUG)
+}
+
 /// Reads what is there and throws it away, into the one buffer that all connections share for that.
 fn discard(stream: &TcpStream) -> io::Result<usize> {
     thread_local! {
--- a/crates/gullcart/src/discovery.rs
+++ b/crates/gullcart/src/discovery.rs
@@ -1,7 +1,7 @@
 //! The watch on the list of endpoints, and the notices that end messages.
 
 use bytes::Bytes;
-use gullcart_engine::{CallsForLists, Input, Notice, CALL, SILENCE};
+use gullcart_engine::{CallsForLists, Input, Notice, CALL, SILENCE, TRAIL};
 use gullcart_message::{Update, Verdict};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -14,7 +14,7 @@
 use tokio::sync::mpsc::Receiver;
 use tokio::sync::watch;
 use tokio::time::{timeout, timeout_at, Instant};
-use tracing::{error, info, warn};
+use tracing::{debug, error, info, warn};
 
 use crate::update_stream::{LongestList, Piece, StreamError, UpdateStream};
 use crate::vocabulary::Inputs;
@@ -227,6 +227,7 @@
                 Ok(()) => failures = 0,
                 Err(reason) => {
                     connection = None;
+                    debug!(target: TRAIL, %reason, is_kept, ?patience, waiting = batch.len(), "notices go once more");
                     if failures == 0 {
                         warn!(%reason, waiting = batch.len(), "notices are not answered");
                     }
--- a/crates/gullcart/src/wire.rs
+++ b/crates/gullcart/src/wire.rs
@@ -264,6 +264,11 @@
         self.written.get() == 0
     }
 
+    /// Bytes of the call that were written, and bytes read since it began.
+    pub fn counts(&self) -> (u64, u64) {
+        (self.written.get(), self.read.get())
+    }
+
     /// The call may not be written any more.
     pub fn is_too_late(&self) -> bool {
         self.send_by.get().is_some_and(|by| Instant::now() > by)
