Show that a call is over for its key before its connection is let go, as known red

Callers saw two messages of one key overtake each other, once. A partner whose answer stops short and whose connection stays open has not ended the call; the courier tells its end and lets go of the connection later, in another task, or, after a status of 500, when the rest of the answer has not come for half a second. Seen: after 'HTTP/1' the call is Spoilt with its connection open; after half a body behind a 500 the next message of the key comes while the first call's connection is open.

--- a/crates/gullcart/src/calls/tests.rs
+++ b/crates/gullcart/src/calls/tests.rs
@@ -215,3 +215,49 @@
     endpoint.join().unwrap();
     assert_eq!((ended.outcome, ended.complete), (Outcome::Timeout, false));
 }
+
+/// Answers one call with that, and keeps its connection open; the connection, once the call has come.
+fn answer_and_stay(door: TcpListener, answer: &'static [u8]) -> std::thread::JoinHandle<std::net::TcpStream> {
+    std::thread::spawn(move || {
+        let (mut stream, _) = door.accept().unwrap();
+        let mut seen = Vec::new();
+        while !seen.ends_with(b"\r\n\r\nx") {
+            let mut piece = [0; 1024];
+            let count = std::io::Read::read(&mut stream, &mut piece).unwrap();
+            seen.extend_from_slice(&piece[..count]);
+        }
+        std::io::Write::write_all(&mut stream, answer).unwrap();
+        stream
+    })
+}
+
+/// Order of keys, incident 64b87a: a call that the courier breaks off was over before its connection was let go, and the rest of
+/// its key began too early.
+#[test]
+fn a_call_is_over_only_once_its_connection_is_let_go() {
+    let answers: [&[u8]; 5] = [
+        b"HTTP/1",
+        b"noise\r\n\r\n",
+        b"HTTP/1.1 500 Oops\r\nContent-Length: 50\r\n\r\nshort",
+        b"HTTP/1.1 500 Oops\r\nContent-Length: 90000\r\n\r\nshort",
+        b"HTTP/1.1 503 Busy\r\nContent-Length: 50\r\n\r\nshort",
+    ];
+    for answer in answers {
+        let door = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = door.local_addr().unwrap();
+        let endpoint = answer_and_stay(door, answer);
+        let (outcome, is_let_go) = run(async {
+            let (_stop, stopped) = oneshot::channel();
+            let ended = pool().call(call(address), None, stopped, Rc::default(), None).await;
+            // Nothing else of the courier has run since.
+            let mut stream = endpoint.join().unwrap();
+            stream.set_nonblocking(true).unwrap();
+            let read = std::io::Read::read(&mut stream, &mut [0; 64]);
+            (ended.outcome, !matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock))
+        });
+        let answer = String::from_utf8_lossy(answer);
+        assert!(is_let_go, "{answer}: {outcome:?}, and its connection is open");
+        // It may still run at the endpoint.
+        assert_eq!(outcome, Outcome::Spoilt, "{answer}");
+    }
+}
