Tell a call's end only once its connection is let go, whatever ended it

Callers could see two messages of one key overtake each other, and a second copy of a message, where a partner's answer stopped short. Cause: calls that were timed out or called off were given up before their end was told; calls that the courier broke off itself (an answer that stops short, no head within 250 ms) were told first and closed by another task (calls.rs, 'if !matches!(end_of_call, End::Broken)'), and an error was told by its first line while its connection stayed open for up to half a second. Now every end without a whole answer ends the sending side first and waits for the endpoint, 40 ms at most; an error whose answer is not whole may still run, and its key rests. a_call_is_over_only_once_its_connection_is_let_go and a_key_rests_after_an_answer_that_stops_short failed before and pass; all tests of the package pass (release).

--- a/crates/gullcart/src/calls.rs
+++ b/crates/gullcart/src/calls.rs
@@ -58,9 +58,16 @@
     /// closed too. Only then has it let go of the call, so that the slot is free and a next attempt is no
     /// second copy.
     async fn give_up(self) {
+        let Connection { wire, quit, sender, .. } = self;
         let (done, closed) = oneshot::channel();
-        if self.quit.send(done).is_ok() {
-            let _ = closed.await;
+        let is_kept = match quit.send(done) {
+            // The library has the connection.
+            Ok(()) => closed.await.is_err(),
+            Err(_) => true,
+        };
+        drop(sender);
+        if is_kept {
+            let _ = timeout(LINGER, wire.close()).await;
         }
     }
 }
@@ -276,15 +283,14 @@
                 End::TimedOut => Outcome::Timeout,
                 End::Stopped(_) => Outcome::Cancelled,
             };
-            if !matches!(end_of_call, End::Broken) {
-                connection.give_up().await;
-            }
+            // First, whatever ended it: until then the endpoint may still have the call.
+            connection.give_up().await;
             return Ended { latency, complete: outcome == Outcome::Ok, ..ended(outcome) };
         }
     }
 
-    /// Reads an answer. That a call never ran is believed only of an answer that is whole; of others the first
-    /// line is enough.
+    /// Reads an answer. A delivery is believed of its first line. All else is believed only of an answer that is whole: the
+    /// endpoint has let go of the call by then.
     async fn read(
         self: &Rc<Self>,
         endpoint: EndpointId,
@@ -294,7 +300,7 @@
     ) -> Ended {
         let ended = read_answer(&response, start.elapsed());
         let rest = finish(self.clone(), endpoint, connection, response);
-        if matches!(ended.outcome, Outcome::Ok | Outcome::Error) {
+        if ended.outcome == Outcome::Ok {
             tokio::task::spawn_local(rest);
             return ended;
         }
@@ -385,7 +391,8 @@
     sound.then_some(Allowance { left, limit })
 }
 
-/// Reads the rest of an answer, so that its connection can be used again; false where it is not whole.
+/// Reads the rest of an answer, so that its connection can be used again; false where it is not whole, and its connection is
+/// given up.
 async fn finish(
     pool: Rc<Pool>,
     endpoint: EndpointId,
@@ -393,6 +400,7 @@
     answer: Response<Incoming>,
 ) -> bool {
     if answer.body().size_hint().lower() > LONGEST_BODY {
+        connection.give_up().await;
         return false;
     }
     // Where its end is told in two ways, one of them may be wrong.
@@ -400,7 +408,9 @@
     let two_ends = headers.contains_key("content-length") && headers.contains_key("transfer-encoding");
     let body = Limited::new(answer.into_body(), LONGEST_BODY as usize).collect();
     let whole = matches!(timeout(DRAIN, body).await, Ok(Ok(_)));
-    if whole && !two_ends {
+    if !whole {
+        connection.give_up().await;
+    } else if !two_ends {
         tokio::task::spawn_local(async move {
             // Ready once all of the answer is read, and closed when something came behind it: the connection's
             // own task has looked by then.
--- a/crates/gullcart/src/wire.rs
+++ b/crates/gullcart/src/wire.rs
@@ -316,7 +316,7 @@
 
     /// Ends the sending side and waits until the other side has closed too. The call is over for both sides with that: an
     /// answer that crosses it counts for nothing there, and must not here, or the message would get no end at all.
-    async fn close(&self) -> io::Result<()> {
+    pub async fn close(&self) -> io::Result<()> {
         SockRef::from(&self.stream).shutdown(Shutdown::Write)?;
         let mut rest = [0; 1024];
         loop {
