Let a key rest for as long as the courier may have been held up, too

Callers saw two messages of one key overtake each other, once. Cause: the rest of a key counts from the clock reading with which a call's end is told (choice.rs, on_finished), and was exactly the settings' 100 ms; a courier that is held up for 0.15 s between its clock and a write lets go of the call's connection that much later, so that the next message may come at once behind it.

--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -450,7 +450,7 @@
         let unsettled = !never_ran && !matches!(finished.outcome, Outcome::Ok | Outcome::Error);
         if let (true, true, Some(key)) = (unsettled, class.in_order, message.taken.key) {
             self.rests.retain(|_, until| *until > now);
-            self.rests.insert(key, now + self.settings.rules.order_settle);
+            self.rests.insert(key, now + key_rest(&self.settings));
         }
         // Only a call's last outcome counts for the route: its messages share one fate.
         call.unanswered -= 1;
@@ -1241,6 +1241,15 @@
     }
 }
 
+/// How long a key rests after a call that may still run. Its connection may be let go after the clock was
+/// read.
+fn key_rest(settings: &Settings) -> Duration {
+    match settings.rules.order_settle {
+        Duration::ZERO => Duration::ZERO,
+        settle => settle + settings.held_up,
+    }
+}
+
 /// Until when a keyed message may be resent that may first have run in an attempt sent then.
 fn window_end(class: &Class, first: Time) -> Time {
     first + class.repeat_window.mul_f64(1.0 - WINDOW_MARGIN)
--- a/crates/cloverstile/src/interface.rs
+++ b/crates/cloverstile/src/interface.rs
@@ -215,6 +215,8 @@
     pub second_copies: bool,
     /// A final answer is over, and frees its key, only when [`Event::Heard`] says that it has arrived.
     pub answers_take_time: bool,
+    /// How long a courier may stand still between reading its clock and what it then does.
+    pub held_up: Duration,
     /// Worth of a message beyond its tenant's share, as a part of its class's worth.
     pub over_share_worth: f64,
     /// A connection that takes longer has failed.
@@ -241,6 +243,7 @@
             cancel: true,
             second_copies: false,
             answers_take_time: false,
+            held_up: Duration::ZERO,
             over_share_worth: 1.0,
             connect_timeout: Duration::from_secs(1),
             conn_idle: Duration::from_secs(15),
--- a/crates/cloverstile/src/settings.rs
+++ b/crates/cloverstile/src/settings.rs
@@ -171,6 +171,7 @@
         cancel: lines.or("Permissions.Cancel", false)?,
         second_copies: lines.or("Permissions.SecondCopies", false)?,
         answers_take_time: base.answers_take_time,
+        held_up: base.held_up,
         over_share_worth: lines.or("OverShareWorth", base.over_share_worth)?,
         connect_timeout: lines.span("Permissions.ConnectTimeout", base.connect_timeout)?,
         conn_idle: lines.span("Permissions.ConnIdle", base.conn_idle)?,
--- a/crates/gullcart-engine/src/engine.rs
+++ b/crates/gullcart-engine/src/engine.rs
@@ -28,6 +28,9 @@
 /// From SIGTERM until it ends at the earliest: new connections go on coming for 0.4 s.
 const CLOSING_LEAST: Duration = Duration::from_millis(600);
 
+/// How long a courier may be held up between reading its clock and writing.
+const HELD_UP: Duration = Duration::from_millis(150);
+
 /// A message that is held.
 struct Known {
     number: u32,
@@ -192,6 +195,7 @@
     fn empty(start: Start, journal: Journal<S>) -> Self {
         let Start { mut parsed, seed, epoch_ms, fingerprint, .. } = start;
         parsed.settings.answers_take_time = true;
+        parsed.settings.held_up = HELD_UP;
         let directory = Directory::new(&parsed);
         let settings = parsed.settings;
         let mut engine = Engine {
