Tell an end too where a delivery comes right before the end of its message's time

A message's time counts from when its client sent it, and the courier counts from its own clock reading, which may lie behind by as long as it was held up; an answer that comes in between is a delivery for it and none for the message, which got no end at all.

--- a/crates/gullcart-engine/src/engine.rs
+++ b/crates/gullcart-engine/src/engine.rs
@@ -633,13 +633,20 @@
             self.withdraw(|other, directory| directory.destination(other) == destination);
         }
         if ended.complete {
-            if self.has_no_end(message) {
+            let is_first_end = self.has_no_end(message);
+            if is_first_end {
                 match ended.outcome {
                     Outcome::Ok => self.ends_of(message).served += 1,
                     _ => self.counts.abandoned += 1,
                 }
             }
-            self.over(now, message);
+            if is_first_end && ended.outcome == Outcome::Ok && self.is_near_its_end(now, message) {
+                let written = self.journal.owe(message.0, Verdict::Failed);
+                self.note(now, written);
+                self.tell(message, Verdict::Failed);
+            } else {
+                self.over(now, message);
+            }
         } else if is_written {
             // One that is not written has no outcome there either: it would be taken for that of the attempt before, which may
             // have run, where its own could not be written.
@@ -663,6 +670,13 @@
         }
     }
 
+    /// A message was handed in up to so long before the courier read its clock for it: a delivery right before its time may
+    /// count as too late, and is told an end besides, which does no harm.
+    fn is_near_its_end(&self, now: Time, message: MessageId) -> bool {
+        let held = self.journal.image().held.get(&message.0);
+        held.is_some_and(|held| now + 2 * HELD_UP > self.clock.of_wall(held.taken.deadline_ms))
+    }
+
     /// A message is held, and its end is not decided.
     fn has_no_end(&self, message: MessageId) -> bool {
         self.journal.image().held.get(&message.0).is_some_and(|held| held.verdict.is_none())
@@ -785,6 +799,11 @@
             }
         }
         self.note(now, written);
+        self.tell(message, verdict);
+    }
+
+    /// Tells the end of a message, which is in the journal.
+    fn tell(&mut self, message: MessageId, verdict: Verdict) {
         if let Some(held) = self.journal.image().held.get(&message.0) {
             trail::owed(&held.taken.id, verdict);
             #[cfg(feature = "broken")]
--- a/crates/gullcart-engine/tests/held_up.rs
+++ b/crates/gullcart-engine/tests/held_up.rs
@@ -6,6 +6,7 @@
 use common::{engine, enqueue, DISK};
 use gullcart_engine::{Effect, Ended, Input, Ticket, EPOCH};
 use gullcart_journal::simulated::{Crash, Disk};
+use gullcart_message::Verdict;
 use std::time::Duration;
 
 const STEP: Duration = Duration::from_millis(5);
@@ -47,3 +48,34 @@
         assert!(now - EPOCH < Duration::from_secs(30), "the next message never goes");
     }
 }
+
+/// A courier that was held up counts a message's time from too late a moment: an answer just before its end may have come behind it,
+/// and the message was lost.
+#[test]
+fn a_delivery_right_before_the_end_of_its_time_is_told_an_end_too() {
+    for (before, is_told) in [(Duration::from_millis(140), true), (Duration::from_secs(2), false)] {
+        let disk = Disk::new(DISK, Crash::Process, 1);
+        let mut engine = engine(&disk, Crash::Process, EPOCH);
+        let message = enqueue(3, "salary", 0);
+        let at = EPOCH + message.left - before;
+        engine.handle(EPOCH, Input::Enqueue(Ticket(3), message));
+        let effects = engine.turn(EPOCH).unwrap();
+        let begun = effects.into_iter().find_map(|effect| match effect {
+            Effect::Begin(call) => Some(call),
+            _ => None,
+        });
+        let call = begun.expect("a call");
+        let ended = Ended { outcome: Outcome::Ok, latency: at - EPOCH, complete: true, allowance: None };
+        engine.handle(at, Input::Ended(call.message, call.endpoint, ended));
+        let told = engine.turn(at).unwrap().into_iter().find_map(|effect| match effect {
+            Effect::Tell(notice) => Some(notice),
+            _ => None,
+        });
+        assert_eq!(told.as_ref().map(|notice| notice.verdict), is_told.then_some(Verdict::Failed));
+        assert_eq!(engine.load().0, usize::from(is_told));
+        if let Some(notice) = told {
+            engine.handle(at, Input::Heard(vec![notice.message]));
+            assert_eq!(engine.load().0, 0, "it is over once the notice is answered");
+        }
+    }
+}
