--- a/crates/gullcart/src/calls/tests.rs
+++ b/crates/gullcart/src/calls/tests.rs
@@ -171,6 +171,16 @@
     });
 }
 
+/// Reads a call to its last byte.
+fn read_call(stream: &mut std::net::TcpStream) {
+    let mut seen = Vec::new();
+    while !seen.ends_with(b"\r\n\r\nx") {
+        let mut piece = [0; 1024];
+        let count = std::io::Read::read(stream, &mut piece).unwrap();
+        seen.extend_from_slice(&piece[..count]);
+    }
+}
+
 /// The process stands still across the end of a call, and finds its answer and its end at once. Whether the answer came in time
 /// cannot be told: it was held to be a delivery, and a message whose time was up before got no end at all.
 #[test]
@@ -182,12 +192,7 @@
     let (done, is_done) = std::sync::mpsc::channel();
     let endpoint = std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().unwrap();
-        let mut seen = Vec::new();
-        while !seen.ends_with(b"\r\n\r\nx") {
-            let mut piece = [0; 1024];
-            let count = std::io::Read::read(&mut stream, &mut piece).unwrap();
-            seen.extend_from_slice(&piece[..count]);
-        }
+        read_call(&mut stream);
         come.send(()).unwrap();
         let () = may_go.recv().unwrap();
         std::io::Write::write_all(&mut stream, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
@@ -220,12 +225,7 @@
 fn answer_and_stay(door: TcpListener, answer: &'static [u8]) -> std::thread::JoinHandle<std::net::TcpStream> {
     std::thread::spawn(move || {
         let (mut stream, _) = door.accept().unwrap();
-        let mut seen = Vec::new();
-        while !seen.ends_with(b"\r\n\r\nx") {
-            let mut piece = [0; 1024];
-            let count = std::io::Read::read(&mut stream, &mut piece).unwrap();
-            seen.extend_from_slice(&piece[..count]);
-        }
+        read_call(&mut stream);
         std::io::Write::write_all(&mut stream, answer).unwrap();
         stream
     })
