--- a/crates/gullcart/src/calls.rs
+++ b/crates/gullcart/src/calls.rs
@@ -119,19 +119,31 @@
 
     /// Closes the idle connections to an endpoint.
     pub fn close(&self, endpoint: EndpointId) {
-        self.idle.borrow_mut().remove(&endpoint);
+        if self.idle.borrow_mut().remove(&endpoint).is_some() {
+            log_closed(endpoint, "they are not trusted any more");
+        }
     }
 
     /// Closes the idle connections to all endpoints but some.
     pub fn keep_only(&self, which: impl Fn(EndpointId) -> bool) {
-        self.idle.borrow_mut().retain(|endpoint, _| which(*endpoint));
+        self.idle.borrow_mut().retain(|endpoint, _| {
+            let is_kept = which(*endpoint);
+            if !is_kept {
+                log_closed(*endpoint, "the endpoint gets nothing new");
+            }
+            is_kept
+        });
     }
 
     /// Closes what has been idle for too long or was closed by the other side.
     pub fn sweep(&self) {
         let mut idle = self.idle.borrow_mut();
-        for connections in idle.values_mut() {
+        for (endpoint, connections) in idle.iter_mut() {
+            let before = connections.len();
             connections.retain(|c| self.usable(c));
+            if connections.len() < before {
+                log_closed(*endpoint, "they were idle for too long, or closed by the endpoint");
+            }
         }
         idle.retain(|_, connections| !connections.is_empty());
     }
@@ -159,7 +171,7 @@
 
     fn put(&self, endpoint: EndpointId, mut connection: Connection) {
         if !self.share.borrow_mut().keeps() {
-            return;
+            return log_closed(endpoint, "it is not kept, so that the endpoint has room for others");
         }
         connection.idle_since = Instant::now();
         if self.idle.borrow().values().map(Vec::len).sum::<usize>() >= self.most_idle {
@@ -172,8 +184,10 @@
     fn close_oldest(&self) {
         let mut idle = self.idle.borrow_mut();
         let oldest = idle.iter().filter_map(|(at, c)| c.first().map(|c| (c.idle_since, *at))).min();
-        if let Some(connections) = oldest.and_then(|(_, at)| idle.get_mut(&at)) {
+        let Some((_, endpoint)) = oldest else { return };
+        if let Some(connections) = idle.get_mut(&endpoint) {
             connections.remove(0);
+            log_closed(endpoint, "room is needed for another one");
         }
     }
 
@@ -271,6 +285,7 @@
                 End::Broken if wire.is_untouched() && !fresh => {
                     // A kept connection that turned out to be closed, or to hold bytes that belong to no call:
                     // it goes out on another one.
+                    debug!(target: TRAIL, id = call.id, "it goes out on another connection");
                     continue;
                 }
                 End::Stopped(reason) if wire.is_untouched() => never_sent(reason),
@@ -312,6 +327,11 @@
     }
 }
 
+/// Says why idle connections to an endpoint are closed.
+fn log_closed(endpoint: EndpointId, reason: &str) {
+    debug!(target: TRAIL, endpoint = endpoint.0, reason, "idle connections are closed");
+}
+
 /// Until when a connection may come up, and what it means that it has not.
 #[derive(Clone, Copy)]
 struct ConnectBy {
