--- /dev/null
+++ b/docs/incidents/64b87a-stops.c
@@ -0,0 +1,87 @@
+/* Stops the daemon for 20 to 150 ms before some of its writes, for rehearsals. Evidence of incident 64b87a, no part of the daemon.
+ *
+ *     cc -O1 -shared -fPIC -o stops.so docs/incidents/64b87a-stops.c
+ *     STOP_PROBABILITY=0.01 LD_PRELOAD=$PWD/stops.so target/release/gullcartctl rehearse gauntlet --seed 11
+ *
+ * Which writes are hit goes by process and time, so that a run cannot be played again. */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <time.h>
+#include <unistd.h>
+
+static const char PROGRAM[] = "gullcart\n";
+enum { SHORTEST_MS = 20, LONGEST_MS = 150 };
+
+static int is_ready, is_courier;
+static double probability = 0.01;
+static unsigned long long state = 88172645463325252ull;
+
+static void prepare(void) {
+    char name[64] = {0};
+    FILE *file = fopen("/proc/self/comm", "r");
+    if (file) {
+        if (!fgets(name, sizeof name, file)) name[0] = 0;
+        fclose(file);
+    }
+    is_courier = strcmp(name, PROGRAM) == 0;
+    state ^= (unsigned long long)getpid() * 2654435761ull ^ (unsigned long long)time(0) << 20;
+    if (getenv("STOP_PROBABILITY")) probability = atof(getenv("STOP_PROBABILITY"));
+    is_ready = 1;
+}
+
+static unsigned long long next_random(void) {
+    state ^= state << 13;
+    state ^= state >> 7;
+    return state ^= state << 17;
+}
+
+static void maybe_stop(void) {
+    if (!is_ready) prepare();
+    if (!is_courier || (next_random() >> 11) * 0x1p-53 >= probability) return;
+    long length_ms = SHORTEST_MS + next_random() % (LONGEST_MS - SHORTEST_MS + 1);
+    struct timespec length = {0, length_ms * 1000000};
+    nanosleep(&length, 0);
+}
+
+/* The next function of that name: the C library's own. */
+#define NEXT(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
+
+ssize_t write(int fd, const void *bytes, size_t count) {
+    if (fd > 2) maybe_stop();
+    return NEXT(write)(fd, bytes, count);
+}
+
+ssize_t writev(int fd, const struct iovec *parts, int count) {
+    maybe_stop();
+    return NEXT(writev)(fd, parts, count);
+}
+
+ssize_t pwrite64(int fd, const void *bytes, size_t count, off64_t offset) {
+    maybe_stop();
+    return NEXT(pwrite64)(fd, bytes, count, offset);
+}
+
+ssize_t send(int fd, const void *bytes, size_t count, int flags) {
+    maybe_stop();
+    return NEXT(send)(fd, bytes, count, flags);
+}
+
+ssize_t sendmsg(int fd, const struct msghdr *message, int flags) {
+    maybe_stop();
+    return NEXT(sendmsg)(fd, message, flags);
+}
+
+int shutdown(int fd, int how) {
+    maybe_stop();
+    return NEXT(shutdown)(fd, how);
+}
+
+int close(int fd) {
+    maybe_stop();
+    return NEXT(close)(fd);
+}
