Keep the key of a delivery that may have come too late until its end is heard

A delivery right before its message's time was told an end besides, and its key was free at once: where the delivery did come too late, the next message went out before the one before it was over.

--- a/crates/cloverstile/src/choice.rs
+++ b/crates/cloverstile/src/choice.rs
@@ -16,6 +16,7 @@
 
 mod carried;
 mod looking;
+mod margins;
 mod placing;
 mod standing;
 #[cfg(test)]
@@ -450,7 +451,7 @@
         let unsettled = !never_ran && !matches!(finished.outcome, Outcome::Ok | Outcome::Error);
         if let (true, true, Some(key)) = (unsettled, class.in_order, message.taken.key) {
             self.rests.retain(|_, until| *until > now);
-            self.rests.insert(key, now + key_rest(&self.settings));
+            self.rests.insert(key, now + margins::key_rest(&self.settings));
         }
         // Only a call's last outcome counts for the route: its messages share one fate.
         call.unanswered -= 1;
@@ -460,6 +461,9 @@
             }
         }
         if finished.complete {
+            if finished.outcome == Outcome::Ok && !self.is_surely_in_time(now, finished.message) {
+                self.await_hearing(finished.message);
+            }
             self.close(now, finished.message);
         } else if let Some(end) = self.messages.get(&finished.message).and_then(|m| self.last_send(m)) {
             // What can never be sent again is answered at once: it would only fill what may be held and keep
@@ -1055,8 +1059,8 @@
 
     fn answer(&mut self, now: Time, id: MessageId) {
         let action = self.permitted_answer(now, id);
-        if let Some(message) = self.messages.get_mut(&id).filter(|_| action.is_some()) {
-            message.unheard = self.settings.answers_take_time;
+        if action.is_some() {
+            self.await_hearing(id);
         }
         self.actions.extend(action);
         self.close(now, id);
@@ -1241,15 +1245,6 @@
     }
 }
 
-/// How long a key rests after a call that may still run. Its connection may be let go after the clock was
-/// read.
-fn key_rest(settings: &Settings) -> Duration {
-    match settings.rules.order_settle {
-        Duration::ZERO => Duration::ZERO,
-        settle => settle + settings.held_up,
-    }
-}
-
 /// Until when a keyed message may be resent that may first have run in an attempt sent then.
 fn window_end(class: &Class, first: Time) -> Time {
     first + class.repeat_window.mul_f64(1.0 - WINDOW_MARGIN)
--- a/crates/gullcart-engine/src/engine.rs
+++ b/crates/gullcart-engine/src/engine.rs
@@ -7,7 +7,7 @@
 use gullcart_message::{Taken, Update, Verdict};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
-use tracing::{debug, error, info, warn};
+use tracing::{error, info, warn};
 
 #[cfg(feature = "broken")]
 use crate::broken::{Broken, Fault, DEAF_FOR};
@@ -454,7 +454,7 @@
         let most = match self.admit(now, &enqueue) {
             Ok(most) => most,
             Err(answer) => {
-                trail::not_taken(&enqueue, &answer);
+                trail::not_taken(&enqueue, &answer, self.journal.image().held.len());
                 return answer;
             }
         };
@@ -519,7 +519,7 @@
             Err(error) => {
                 self.note(now, Err(error));
                 let answer = Answer::Busy(Some(self.courier.come_back(now, destination)));
-                debug!(target: trail::TRAIL, id, ?answer, "not taken on, as the journal cannot be written");
+                trail::not_written(&id, &answer);
                 answer
             }
         }
@@ -633,14 +633,13 @@
             self.withdraw(|other, directory| directory.destination(other) == destination);
         }
         if ended.complete {
-            let is_first_end = self.has_no_end(message);
-            if is_first_end {
+            if self.has_no_end(message) {
                 match ended.outcome {
                     Outcome::Ok => self.ends_of(message).served += 1,
                     _ => self.counts.abandoned += 1,
                 }
             }
-            if is_first_end && ended.outcome == Outcome::Ok && self.is_near_its_end(now, message) {
+            if ended.outcome == Outcome::Ok && !self.courier.is_surely_in_time(now, message) {
                 let written = self.journal.owe(message.0, Verdict::Failed);
                 self.note(now, written);
                 self.tell(message, Verdict::Failed);
@@ -670,13 +669,6 @@
         }
     }
 
-    /// A message was handed in up to so long before the courier read its clock for it: a delivery right before its time may
-    /// count as too late, and is told an end besides, which does no harm.
-    fn is_near_its_end(&self, now: Time, message: MessageId) -> bool {
-        let held = self.journal.image().held.get(&message.0);
-        held.is_some_and(|held| now + 2 * HELD_UP > self.clock.of_wall(held.taken.deadline_ms))
-    }
-
     /// A message is held, and its end is not decided.
     fn has_no_end(&self, message: MessageId) -> bool {
         self.journal.image().held.get(&message.0).is_some_and(|held| held.verdict.is_none())
--- a/crates/gullcart-engine/src/trail.rs
+++ b/crates/gullcart-engine/src/trail.rs
@@ -17,10 +17,16 @@
     debug!(target: TRAIL, id, number, order = format_args!("{order:016x}"), class, destination, again, key, "taken on");
 }
 
-/// A hand-in that brought no new message: it was turned away, or the message is held already.
-pub(crate) fn not_taken(enqueue: &Enqueue, answer: &Answer) {
+/// A hand-in that brought no new message: it was turned away with so many messages held, or the message is one of them.
+pub(crate) fn not_taken(enqueue: &Enqueue, answer: &Answer, held: usize) {
     let Enqueue { id, key: order, class, destination, .. } = enqueue;
-    debug!(target: TRAIL, id, order = format_args!("{order:016x}"), class, destination, ?answer, "not taken on");
+    let order = format_args!("{order:016x}");
+    debug!(target: TRAIL, id, order, class, destination, ?answer, held, "not taken on");
+}
+
+/// A hand-in was turned away, as the journal could not be written.
+pub(crate) fn not_written(id: &str, answer: &Answer) {
+    debug!(target: TRAIL, id, ?answer, "not taken on, as the journal cannot be written");
 }
 
 /// Its client did not hear that it was taken on. A hand-in of it that was answered meanwhile (`shared`) keeps it.
--- a/crates/gullcart-engine/tests/held_up.rs
+++ b/crates/gullcart-engine/tests/held_up.rs
@@ -4,7 +4,7 @@
 
 use cloverstile::Outcome;
 use common::{engine, enqueue, DISK};
-use gullcart_engine::{Effect, Ended, Input, Ticket, EPOCH};
+use gullcart_engine::{Call, Effect, Ended, Input, Ticket, EPOCH};
 use gullcart_journal::simulated::{Crash, Disk};
 use gullcart_message::Verdict;
 use std::time::Duration;
@@ -60,11 +60,7 @@
         let at = EPOCH + message.left - before;
         engine.handle(EPOCH, Input::Enqueue(Ticket(3), message));
         let effects = engine.turn(EPOCH).unwrap();
-        let begun = effects.into_iter().find_map(|effect| match effect {
-            Effect::Begin(call) => Some(call),
-            _ => None,
-        });
-        let call = begun.expect("a call");
+        let call = begun(effects).expect("a call");
         let ended = Ended { outcome: Outcome::Ok, latency: at - EPOCH, complete: true, allowance: None };
         engine.handle(at, Input::Ended(call.message, call.endpoint, ended));
         let told = engine.turn(at).unwrap().into_iter().find_map(|effect| match effect {
@@ -79,3 +75,35 @@
         }
     }
 }
+
+/// ... and until that is answered its key goes to nobody else.
+#[test]
+fn a_key_waits_for_the_end_of_a_delivery_that_may_have_come_too_late() {
+    let disk = Disk::new(DISK, Crash::Process, 1);
+    let mut engine = engine(&disk, Crash::Process, EPOCH);
+    let (first, next) = (enqueue(3, "notice", 0), enqueue(6, "notice", 0));
+    let mut at = EPOCH + first.left - Duration::from_millis(140);
+    engine.handle(EPOCH, Input::Enqueue(Ticket(3), first));
+    let call = begun(engine.turn(EPOCH).unwrap()).expect("a call");
+    engine.handle(at, Input::Enqueue(Ticket(6), next));
+    let ended = Ended { outcome: Outcome::Ok, latency: at - EPOCH, complete: true, allowance: None };
+    engine.handle(at, Input::Ended(call.message, call.endpoint, ended));
+    for _ in 0..100 {
+        assert_eq!(begun(engine.turn(at).unwrap()).map(|call| call.id), None);
+        at = at + STEP;
+    }
+    engine.handle(at, Input::Heard(vec![call.message]));
+    let mut next = None;
+    while next.is_none() && at < EPOCH + Duration::from_secs(40) {
+        next = begun(engine.turn(at).unwrap());
+        at = at + STEP;
+    }
+    assert_eq!(next.map(|call| call.id).as_deref(), Some("m6"));
+}
+
+fn begun(effects: Vec<Effect>) -> Option<Call> {
+    effects.into_iter().find_map(|effect| match effect {
+        Effect::Begin(call) => Some(call),
+        _ => None,
+    })
+}
