--- a/crates/gullcart/src/calls.rs
+++ b/crates/gullcart/src/calls.rs
@@ -49,7 +49,8 @@
     address: SocketAddr,
     sender: Sender,
     wire: Rc<Wire>,
-    quit: oneshot::Sender<oneshot::Sender<()>>,
+    /// The library has the connection until this is dropped.
+    library: oneshot::Sender<()>,
     idle_since: Instant,
 }
 
@@ -58,17 +59,10 @@
     /// closed too. Only then has it let go of the call, so that the slot is free and a next attempt is no
     /// second copy.
     async fn give_up(self) {
-        let Connection { wire, quit, sender, .. } = self;
-        let (done, closed) = oneshot::channel();
-        let is_kept = match quit.send(done) {
-            // The library has the connection.
-            Ok(()) => closed.await.is_err(),
-            Err(_) => true,
-        };
-        drop(sender);
-        if is_kept {
-            let _ = timeout(LINGER, wire.close()).await;
-        }
+        let Connection { wire, library, .. } = self;
+        // The library writes and reads no more.
+        drop(library);
+        let _ = timeout(LINGER, wire.close()).await;
     }
 }
 
@@ -456,21 +450,16 @@
     let io = TokioIo::new(WireStream(wire.clone()));
     let handshake = http1::Builder::new().title_case_headers(true).max_buf_size(LONGEST_HEAD).handshake(io);
     let (sender, mut connection) = handshake.await.map_err(io::Error::other)?;
-    let (quit, told) = oneshot::channel::<oneshot::Sender<()>>();
+    let (library, dropped) = oneshot::channel();
     tokio::task::spawn_local(async move {
-        let done = tokio::select! {
+        tokio::select! {
             // First, as a given-up answer would also end the connection, without the wait for the other side.
             biased;
-            done = told => done,
-            _ = &mut connection => return,
-        };
-        if let Ok(done) = done {
-            let stream = connection.into_parts().io.into_inner();
-            let _ = timeout(LINGER, stream.close()).await;
-            let _ = done.send(());
+            _ = dropped => {}
+            _ = &mut connection => {}
         }
     });
-    Ok(Connection { address, sender, wire, quit, idle_since: Instant::now() })
+    Ok(Connection { address, sender, wire, library, idle_since: Instant::now() })
 }
 
 #[cfg(test)]
--- a/crates/gullcart/src/clients.rs
+++ b/crates/gullcart/src/clients.rs
@@ -225,8 +225,10 @@
                 // Nothing was answered on it yet that could be lost, and somebody waits for its place.
                 Come::GiveWay if fresh => return Ok(()),
                 come @ (Come::End | Come::GiveWay) => {
-                    let (peer, phase) = (self.stream.peer_addr().ok(), *self.phase.borrow());
-                    debug!(target: TRAIL, ?peer, ?phase, ?come, served, "a client's connection is shut");
+                    debug!(
+                        target: TRAIL, peer = ?self.stream.peer_addr().ok(), phase = ?*self.phase.borrow(), ?come, served,
+                        "a client's connection is shut"
+                    );
                     return self.part().await;
                 }
                 Come::Late => return self.refuse("the request did not come to its end").await,
--- a/crates/gullcart/src/wire.rs
+++ b/crates/gullcart/src/wire.rs
@@ -391,11 +391,6 @@
 pub struct WireStream(pub Rc<Wire>);
 
 impl WireStream {
-    /// Ends the sending side and waits until the other side has closed too.
-    pub async fn close(self) -> io::Result<()> {
-        self.0.close().await
-    }
-
     fn write(
         &self,
         cx: &mut Context<'_>,
--- a/crates/gullcart/src/wire/tests.rs
+++ b/crates/gullcart/src/wire/tests.rs
@@ -45,7 +45,7 @@
             endpoint.write_all(after.as_bytes()).await.unwrap();
             drop(endpoint);
         };
-        let (closed, ()) = tokio::join!(reader.close(), answers);
+        let (closed, ()) = tokio::join!(reader.0.close(), answers);
         closed.unwrap();
         assert_eq!(wire.status(), status, "{before:?} and {after:?}");
     }
