--- /dev/null
+++ b/crates/gullcartctl/tests/stops.rs
@@ -0,0 +1,37 @@
+//! Rehearsals among couriers that stand still for a moment before some of their writes.
+
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+
+const SEEDS: [u64; 5] = [11, 12, 13, 21, 22];
+
+/// Builds the library that stops couriers.
+fn stops() -> std::path::PathBuf {
+    let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/stops/stops.c");
+    let library = Path::new(env!("CARGO_TARGET_TMPDIR")).join("stops.so");
+    let built = Command::new("cc").args(["-O1", "-shared", "-fPIC", "-o"]).arg(&library).arg(source).status();
+    assert!(built.unwrap().success());
+    library
+}
+
+fn rehearse(seed: u64, library: &Path) -> Child {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_gullcartctl")).with_file_name("gullcart");
+    let mut rehearsal = Command::new(env!("CARGO_BIN_EXE_gullcartctl"));
+    rehearsal.args(["rehearse", "gauntlet", "--quiet", "--seed", &seed.to_string(), "--program"]).arg(daemon);
+    rehearsal.env("LD_PRELOAD", library).env("STOP_SEED", seed.to_string());
+    rehearsal.stdout(Stdio::piped()).spawn().unwrap()
+}
+
+#[test]
+fn gauntlet_is_kept_while_couriers_stand_still() {
+    let library = stops();
+    let rehearsals = SEEDS.map(|seed| (seed, rehearse(seed, &library)));
+    let mut broken = String::new();
+    for (seed, rehearsal) in rehearsals {
+        let output = rehearsal.wait_with_output().unwrap();
+        if !output.status.success() {
+            broken += &format!("seed {seed}: {}\n", String::from_utf8_lossy(&output.stdout));
+        }
+    }
+    assert!(broken.is_empty(), "{broken}");
+}
--- a/docs/incidents/64b87a-stops.c
+++ b/crates/gullcartctl/tests/stops/stops.c
@@ -1,9 +1,8 @@
-/* Stops the daemon for 20 to 150 ms before some of its writes, for rehearsals. Evidence of incident 64b87a, no part of the daemon.
+/* Stops the daemon for 20 to 150 ms before some of its writes: STOP_PROBABILITY of them, drawn from STOP_SEED and the courier's name.
+ * For rehearsals, by LD_PRELOAD:
  *
- *     cc -O1 -shared -fPIC -o stops.so docs/incidents/64b87a-stops.c
- *     STOP_PROBABILITY=0.01 LD_PRELOAD=$PWD/stops.so target/release/gullcartctl rehearse gauntlet --seed 11
- *
- * Which writes are hit goes by process and time, so that a run cannot be played again. */
+ *     cc -O1 -shared -fPIC -o stops.so crates/gullcartctl/tests/stops/stops.c
+ *     STOP_SEED=11 LD_PRELOAD=$PWD/stops.so target/release/gullcartctl rehearse gauntlet --seed 11 */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <stdio.h>
@@ -29,8 +28,10 @@
         fclose(file);
     }
     is_courier = strcmp(name, PROGRAM) == 0;
-    state ^= (unsigned long long)getpid() * 2654435761ull ^ (unsigned long long)time(0) << 20;
     if (getenv("STOP_PROBABILITY")) probability = atof(getenv("STOP_PROBABILITY"));
+    if (getenv("STOP_SEED")) state ^= strtoull(getenv("STOP_SEED"), 0, 10) * 2654435761ull;
+    const char *courier = getenv("BALANCER_NAME");
+    for (; courier && *courier; courier++) state = state * 31 + (unsigned char)*courier;
     is_ready = 1;
 }
 
