Believe a delivery on a used connection only where it cannot be a copy of an earlier one

An endpoint wrote its last 200 once more when the next call had come on the connection; the courier took that for the answer to the call that was out. The call's own answer, a 503, then counted for the call behind it.

Cause: an HTTP/1.1 answer names no call, and whatever came first behind a call counted as its answer. The rest of 5 ms and the look for unread bytes find a copy that comes before the call is written, not one behind that.

Now (gullcart-engine/answer_trust.rs, no I/O): the first answer of a connection counts as before. A connection is used again only while it has brought whole deliveries that say something, only where the last answers of its endpoint differed, and for eight calls at most; a delivery counts there only once it is whole and says what none before it on the connection said. One that does not count may have run: its connection is given up, the message goes on under its key on a new connection, or is told as failed. A message that may have run already gets a new connection. What a connection has brought moves with it to the next process (hand-over version 3).

--- /dev/null
+++ b/crates/gullcart-engine/src/answer_trust.rs
@@ -0,0 +1,126 @@
+//! Whether an answer belongs to the call that is out on its connection. No socket and no clock.
+//!
+//! An HTTP/1.1 answer names no call. On a connection that has carried calls before, an endpoint or a proxy may write an
+//! earlier answer once more, and only what an answer says tells it from that copy. So a connection is used again only while it
+//! has brought nothing but deliveries, and only where the endpoint's answers differ from each other; and a delivery counts
+//! there only if no answer before it on the connection said the same. The first answer of a connection needs no such proof.
+
+use std::collections::VecDeque;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Calls that one connection carries at most: as many answers are compared with each new one.
+const CALLS_OF_A_CONNECTION: usize = 8;
+/// Answers of an endpoint in a row that have to differ before its connections are used again, ...
+const LEAST_DIFFERING: usize = 4;
+/// ... and as many at most, where answers were alike: the number doubles each time.
+const MOST_DIFFERING: usize = 16;
+
+/// What an answer says, in short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fingerprint(u64);
+
+impl Fingerprint {
+    /// Of an answer's body; none of an empty one, which says nothing.
+    pub fn of(body: &[u8]) -> Option<Self> {
+        (!body.is_empty()).then(|| Fingerprint(xxh3_64(body)))
+    }
+}
+
+/// Why a delivery does not count: it may be a copy of an earlier answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Doubt {
+    /// It says nothing that could tell it from a copy.
+    Empty,
+    /// An answer before it on the connection said the same.
+    Repeated,
+}
+
+/// The deliveries that one connection has brought.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ConnectionAnswers {
+    seen: Vec<Fingerprint>,
+    /// It brought an answer that cannot be told from a copy, and carries no further call.
+    has_ended: bool,
+}
+
+impl ConnectionAnswers {
+    /// Those of a connection that another process has used.
+    pub fn carried_over(seen: &[u64]) -> Self {
+        let seen = seen.iter().copied().take(CALLS_OF_A_CONNECTION).map(Fingerprint).collect();
+        ConnectionAnswers { seen, has_ended: false }
+    }
+
+    /// The same, for another process.
+    pub fn to_carry(&self) -> Vec<u64> {
+        self.seen.iter().map(|fingerprint| fingerprint.0).collect()
+    }
+
+    /// It has brought none: the next one belongs to its call.
+    pub fn is_empty(&self) -> bool {
+        self.seen.is_empty()
+    }
+
+    /// A delivery has come.
+    pub fn accept(&mut self, answer: Option<Fingerprint>) -> Result<(), Doubt> {
+        match answer {
+            Some(answer) if !self.seen.contains(&answer) => {
+                self.seen.push(answer);
+                Ok(())
+            }
+            answer => {
+                self.has_ended = true;
+                match answer {
+                    _ if self.seen.is_empty() => Ok(()),
+                    Some(_) => Err(Doubt::Repeated),
+                    None => Err(Doubt::Empty),
+                }
+            }
+        }
+    }
+
+    /// Whether the connection may carry one more call.
+    pub fn allow_another_call(&self) -> bool {
+        !self.has_ended && self.seen.len() < CALLS_OF_A_CONNECTION
+    }
+}
+
+/// What the last answers of an endpoint were like.
+#[derive(Clone, Debug)]
+pub struct EndpointAnswers {
+    /// The last ones in a row that all differ.
+    differing: VecDeque<Fingerprint>,
+    needed: usize,
+}
+
+impl Default for EndpointAnswers {
+    fn default() -> Self {
+        EndpointAnswers { differing: VecDeque::new(), needed: LEAST_DIFFERING }
+    }
+}
+
+impl EndpointAnswers {
+    /// A delivery that counts.
+    pub fn observe(&mut self, answer: Option<Fingerprint>) {
+        if answer.is_none_or(|answer| self.differing.contains(&answer)) {
+            self.differing.clear();
+        }
+        self.differing.extend(answer);
+        if self.differing.len() > self.needed {
+            self.differing.pop_front();
+        }
+    }
+
+    /// A delivery that does not count: its answers have to prove themselves anew, and for longer.
+    pub fn doubt(&mut self) {
+        self.differing.clear();
+        self.needed = (2 * self.needed).min(MOST_DIFFERING);
+    }
+
+    /// Whether they can be told apart, so that its connections may be used again.
+    pub fn differ(&self) -> bool {
+        self.differing.len() >= self.needed
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/gullcart-engine/src/engine.rs
+++ b/crates/gullcart-engine/src/engine.rs
@@ -179,12 +179,21 @@
     /// A call that is out, as it was begun; none if it is not.
     pub fn call(&self, message: MessageId, try_for: Duration) -> Option<Call> {
         let out = self.out.get(&message)?;
-        let taken = &self.journal.image().held.get(&message.0)?.taken;
+        let held = self.journal.image().held.get(&message.0)?;
         let address = self.directory.address(out.endpoint)?;
-        let Taken { id, idempotency_key, body, .. } = taken.clone();
-        // All of it is sent already.
-        let send_by = None;
-        Some(Call { message, endpoint: out.endpoint, address, id, idempotency_key, body, try_for, send_by })
+        let Taken { id, idempotency_key, body, .. } = held.taken.clone();
+        Some(Call {
+            message,
+            endpoint: out.endpoint,
+            address,
+            id,
+            idempotency_key,
+            body,
+            try_for,
+            // All of it is sent already.
+            send_by: None,
+            may_have_run: held.maybe_ran.is_some(),
+        })
     }
 
     /// Calls that are out.
@@ -737,6 +746,7 @@
         let held = self.journal.image().held.get(&message.0);
         let attempt = held.map_or(0, |held| held.attempts as u16);
         let taken = held.map(|held| held.taken.clone());
+        let may_have_run = held.is_some_and(|held| held.maybe_ran.or(held.out).is_some());
         self.out.insert(message, Out { endpoint, attempt, is_stopped: false });
         // An attempt that the next process would not know of is not made.
         let start = (self.clock.to_wall(now), self.directory.zone(endpoint).0);
@@ -761,7 +771,8 @@
         });
         #[cfg(feature = "broken")]
         let send_by = send_by.filter(|_| !self.broken.is(Fault::LateRepeats));
-        let call = Call { message, endpoint, address, id, idempotency_key, body, try_for, send_by };
+        let call =
+            Call { message, endpoint, address, id, idempotency_key, body, try_for, send_by, may_have_run };
         trail::begins(&call, attempt);
         #[cfg(feature = "broken")]
         if self.broken.is(Fault::SideBySide) {
--- a/crates/gullcart-engine/src/lib.rs
+++ b/crates/gullcart-engine/src/lib.rs
@@ -8,6 +8,7 @@
 //! effects of a turn by what happened in it, notices by the messages held.
 #![forbid(unsafe_code)]
 
+mod answer_trust;
 #[cfg(feature = "broken")]
 pub mod broken;
 mod calls_for_lists;
@@ -23,6 +24,7 @@
 mod trials;
 mod vocabulary;
 
+pub use answer_trust::{ConnectionAnswers, Doubt, EndpointAnswers, Fingerprint};
 pub use calls_for_lists::{CallsForLists, CALL, SILENCE, TOLD};
 pub use carried::{CarriedError, CarriedOut};
 pub use clock::{Clock, EPOCH};
--- a/crates/gullcart-engine/src/vocabulary.rs
+++ b/crates/gullcart-engine/src/vocabulary.rs
@@ -117,6 +117,8 @@
     pub try_for: Duration,
     /// After this nothing of it may be sent; none where only `try_for` bounds it.
     pub send_by: Option<Time>,
+    /// An earlier attempt may have run: what becomes of this one is to be read from a connection of its own.
+    pub may_have_run: bool,
 }
 
 /// Why a call is stopped.
--- a/crates/gullcart-handover/src/baggage.rs
+++ b/crates/gullcart-handover/src/baggage.rs
@@ -22,6 +22,8 @@
     pub elapsed_us: u64,
     /// What was read of its answer.
     pub answer: Vec<u8>,
+    /// Fingerprints of the answers that its connection has brought before.
+    pub earlier_answers: Vec<u64>,
 }
 
 /// The courier.
--- a/crates/gullcart-handover/src/frame.rs
+++ b/crates/gullcart-handover/src/frame.rs
@@ -4,7 +4,7 @@
 use thiserror::Error;
 
 /// What this release speaks. Whoever changes a type that is carried raises it.
-pub const VERSION: u32 = 2;
+pub const VERSION: u32 = 3;
 /// Bytes of a body at most; a courier that holds more starts anew from its journal.
 pub const LONGEST: usize = 64 << 20;
 /// Descriptors at most.
--- a/crates/gullcart-handover/src/frame/tests.rs
+++ b/crates/gullcart-handover/src/frame/tests.rs
@@ -3,8 +3,13 @@
 use proptest::prelude::*;
 
 fn baggage(books: Vec<u8>) -> Baggage {
-    let call =
-        CarriedCall { message: 7, try_for_us: 1_500_000, elapsed_us: 20_000, answer: b"HTTP".to_vec() };
+    let call = CarriedCall {
+        message: 7,
+        try_for_us: 1_500_000,
+        elapsed_us: 20_000,
+        answer: b"HTTP".to_vec(),
+        earlier_answers: vec![5],
+    };
     Baggage {
         epoch_ms: 1_790_000_000_000,
         stopped_ns: 5,
--- a/crates/gullcart/src/calls.rs
+++ b/crates/gullcart/src/calls.rs
@@ -2,11 +2,11 @@
 
 use bytes::Bytes;
 use cloverstile::{Allowance, EndpointId, Outcome};
-use gullcart_engine::{Call, Ended, IdleShare, Stop, TRAIL};
+use gullcart_engine::{Call, ConnectionAnswers, Ended, EndpointAnswers, Fingerprint, IdleShare, Stop, TRAIL};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -18,7 +18,7 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
-use tracing::debug;
+use tracing::{debug, warn};
 
 use crate::wire::{Descriptor, Progress, Wire, WireStream};
 
@@ -72,6 +72,8 @@
     pub stream: Option<std::net::TcpStream>,
     /// What was read of its answer.
     pub answer: Vec<u8>,
+    /// What its connection has brought before.
+    pub earlier: ConnectionAnswers,
     /// How long it has taken.
     pub elapsed: Duration,
 }
@@ -80,6 +82,8 @@
 /// to another endpoint by now, which must not be given what is left of the one before.
 pub struct Pool {
     idle: RefCell<HashMap<EndpointId, Vec<Connection>>>,
+    /// What the answers of each endpoint in use are like.
+    answers: RefCell<HashMap<EndpointId, EndpointAnswers>>,
     /// Descriptors in use: idle, with a call, ending an answer, or being given up.
     open: Rc<Cell<usize>>,
     closed: Rc<Notify>,
@@ -101,6 +105,7 @@
     ) -> Self {
         Pool {
             idle: RefCell::default(),
+            answers: RefCell::default(),
             open: Rc::default(),
             closed: Rc::default(),
             connect_timeout,
@@ -127,6 +132,7 @@
             }
             is_kept
         });
+        self.answers.borrow_mut().retain(|endpoint, _| which(*endpoint));
     }
 
     /// Closes what has been idle for too long or was closed by the other side.
@@ -163,6 +169,36 @@
         }
     }
 
+    /// Whether a delivery belongs to the call that was out on its connection; learns from it what the endpoint's answers are
+    /// like.
+    fn accept(&self, endpoint: EndpointId, wire: &Wire, body: &[u8]) -> bool {
+        let fingerprint = Fingerprint::of(body);
+        let accepted = wire.answers.borrow_mut().accept(fingerprint);
+        let mut answers = self.answers.borrow_mut();
+        let of_endpoint = answers.entry(endpoint).or_default();
+        match accepted {
+            Ok(()) => of_endpoint.observe(fingerprint),
+            Err(doubt) => {
+                of_endpoint.doubt();
+                let (port, calls) = (wire.local_port(), wire.calls());
+                warn!(
+                    endpoint = endpoint.0,
+                    port,
+                    calls,
+                    ?doubt,
+                    "a delivery may be a copy of an earlier answer"
+                );
+            }
+        }
+        accepted.is_ok()
+    }
+
+    /// Whether a connection may carry one more call.
+    fn may_be_used_again(&self, endpoint: EndpointId, wire: &Wire) -> bool {
+        let differ = self.answers.borrow().get(&endpoint).is_some_and(EndpointAnswers::differ);
+        differ && wire.answers.borrow().allow_another_call()
+    }
+
     fn put(&self, endpoint: EndpointId, mut connection: Connection) {
         if !self.share.borrow_mut().keeps() {
             return log_closed(endpoint, "it is not kept, so that the endpoint has room for others");
@@ -207,10 +243,12 @@
             // It was written, so that it may have run.
             return connected.await.map(|connection| (connection, true)).map_err(|_| Outcome::Reset);
         }
-        match self.take(call.endpoint, call.address).await {
-            Some(kept) => Ok((kept, false)),
-            None => Ok((self.open(call.address, limit).await?, true)),
+        if !call.may_have_run {
+            if let Some(kept) = self.take(call.endpoint, call.address).await {
+                return Ok((kept, false));
+            }
         }
+        Ok((self.open(call.address, limit).await?, true))
     }
 
     async fn open(&self, address: SocketAddr, limit: ConnectBy) -> Result<Connection, Outcome> {
@@ -256,7 +294,7 @@
             let wire = connection.wire.clone();
             wire.begin(call.body.len(), progress.clone(), send_by);
             if let Some(carried) = carried.take() {
-                wire.go_on(carried.answer);
+                wire.go_on(carried.answer, carried.earlier);
             }
             let end_of_call = tokio::select! {
                 biased;
@@ -267,7 +305,7 @@
                     Ok(response) => {
                         let (status, after) = (response.status().as_u16(), start.elapsed());
                         debug!(target: TRAIL, id = call.id, port, before, status, ?after, "it is answered");
-                        return self.read(call.endpoint, connection, response, start).await;
+                        return self.read(call.endpoint, connection, response, start, end).await;
                     }
                     Err(_) => End::Broken,
                 },
@@ -290,8 +328,8 @@
                 }
                 End::Stopped(reason) if wire.is_untouched() => never_sent(reason),
                 End::Broken | End::TimedOut if wire.is_untouched() => Outcome::ConnectFailed,
-                // What the first line says is true, whatever came behind it.
-                _ if wire.is_delivered_by(end) => Outcome::Ok,
+                // What the first line says is true, whatever came behind it, where it cannot be a copy.
+                _ if wire.is_delivered_by(end) && wire.answers.borrow().is_empty() => Outcome::Ok,
                 End::Broken if wire.is_answered() => Outcome::Spoilt,
                 // Some of it was written, and how much of that arrived cannot be told: it may have run.
                 End::Broken => Outcome::Reset,
@@ -304,18 +342,21 @@
         }
     }
 
-    /// Reads an answer. A delivery is believed of its first line. All else is believed only of an answer that is whole: the
-    /// endpoint has let go of the call by then.
+    /// Reads an answer. A delivery is believed of its first line where it is the first answer of its connection. All else is
+    /// believed only of an answer that is whole: the endpoint has let go of the call by then, and a copy of an earlier answer
+    /// can be told from a delivery.
     async fn read(
         self: &Rc<Self>,
         endpoint: EndpointId,
         connection: Connection,
         response: Response<Incoming>,
         start: Instant,
+        end: Instant,
     ) -> Ended {
         let ended = read_answer(&response, start.elapsed());
-        let rest = finish(self.clone(), endpoint, connection, response);
-        if ended.outcome == Outcome::Ok {
+        let is_first = connection.wire.answers.borrow().is_empty();
+        let rest = finish(self.clone(), endpoint, connection, response, end);
+        if ended.outcome == Outcome::Ok && is_first {
             tokio::task::spawn_local(rest);
             return ended;
         }
@@ -417,27 +458,30 @@
     sound.then_some(Allowance { left, limit })
 }
 
-/// Reads the rest of an answer, so that its connection can be used again; false where it is not whole, and its connection is
-/// given up.
+/// Reads the rest of an answer, by the end of its call; false where it is not whole or may belong to another call, and its
+/// connection is given up.
 async fn finish(
     pool: Rc<Pool>,
     endpoint: EndpointId,
     mut connection: Connection,
     answer: Response<Incoming>,
+    end: Instant,
 ) -> bool {
-    if answer.body().size_hint().lower() > LONGEST_BODY {
-        connection.give_up().await;
-        return false;
-    }
+    let is_delivery = answer.status() == StatusCode::OK;
     // Where its end is told in two ways, one of them may be wrong.
     let headers = answer.headers();
     let two_ends = headers.contains_key("content-length") && headers.contains_key("transfer-encoding");
-    let body = Limited::new(answer.into_body(), LONGEST_BODY as usize).collect();
-    let whole = matches!(timeout(DRAIN, body).await, Ok(Ok(_)));
-    if !whole {
+    let Some(body) = whole_body(answer, end).await else {
         debug!(target: TRAIL, endpoint = endpoint.0, port = connection.wire.local_port(), "an answer is not whole");
         connection.give_up().await;
-    } else if !two_ends {
+        return false;
+    };
+    if is_delivery && !pool.accept(endpoint, &connection.wire, &body) {
+        connection.give_up().await;
+        return false;
+    }
+    // A copy of a refusal or an error could be told from the next one by nothing.
+    if is_delivery && !two_ends && pool.may_be_used_again(endpoint, &connection.wire) {
         tokio::task::spawn_local(async move {
             // Ready once all of the answer is read, and closed when something came behind it: the connection's
             // own task has looked by then.
@@ -451,7 +495,18 @@
             }
         });
     }
-    whole
+    true
+}
+
+/// The body of an answer; none where it is too long, does not come by the end of its call, or breaks off.
+async fn whole_body(answer: Response<Incoming>, end: Instant) -> Option<Bytes> {
+    if answer.body().size_hint().lower() > LONGEST_BODY {
+        return None;
+    }
+    let body = Limited::new(answer.into_body(), LONGEST_BODY as usize).collect();
+    let by = end.min(Instant::now() + DRAIN);
+    let body = timeout_at(by, body).await.ok()?.ok()?;
+    Some(body.to_bytes())
 }
 
 async fn connect(address: SocketAddr, descriptor: Descriptor) -> io::Result<Connection> {
--- a/crates/gullcart/src/calls/tests.rs
+++ b/crates/gullcart/src/calls/tests.rs
@@ -63,7 +63,17 @@
 fn call(address: SocketAddr) -> Call {
     let (message, endpoint, body) = (MessageId(1), EndpointId(1), Bytes::from_static(b"x"));
     let (id, try_for) = ("a".to_owned(), Duration::from_secs(4));
-    Call { message, endpoint, address, id, idempotency_key: None, body, try_for, send_by: None }
+    Call {
+        message,
+        endpoint,
+        address,
+        id,
+        idempotency_key: None,
+        body,
+        try_for,
+        send_by: None,
+        may_have_run: false,
+    }
 }
 
 fn run<F: std::future::Future>(future: F) -> F::Output {
@@ -117,8 +127,12 @@
     let ended = run(async {
         let (stop, stopped) = oneshot::channel();
         stop.send(Stop::CalledOff).unwrap();
-        let carried =
-            CarriedCall { stream: Some(stream), answer: Vec::new(), elapsed: Duration::from_millis(20) };
+        let carried = CarriedCall {
+            stream: Some(stream),
+            answer: Vec::new(),
+            earlier: ConnectionAnswers::default(),
+            elapsed: Duration::from_millis(20),
+        };
         let progress = Rc::new(Progress::carried_over());
         pool().call(call(door.local_addr().unwrap()), None, stopped, progress, Some(carried)).await
     });
--- a/crates/gullcart/src/driver.rs
+++ b/crates/gullcart/src/driver.rs
@@ -286,6 +286,7 @@
                             try_for_us: out.try_for.as_micros() as u64,
                             elapsed_us: elapsed.as_micros() as u64,
                             answer: carried.answer,
+                            earlier_answers: carried.earlier_answers,
                         });
                         continue;
                     }
--- a/crates/gullcart/src/service.rs
+++ b/crates/gullcart/src/service.rs
@@ -1,7 +1,7 @@
 //! The courier's parts put together, in a process that begins with it or that goes on with that of another.
 
 use cloverstile::{parse_settings_json, MessageId, Time};
-use gullcart_engine::{CallsForLists, Engine, Input, Reading, Start, TrialDuties};
+use gullcart_engine::{CallsForLists, ConnectionAnswers, Engine, Input, Reading, Start, TrialDuties};
 use gullcart_handover::{Act, Baggage, CarriedClient};
 use gullcart_journal::{Folder, Journal, JournalError, Options};
 use std::net::SocketAddr;
@@ -187,7 +187,8 @@
                 let stream = std::net::TcpStream::from(connection);
                 stream.set_nonblocking(true).ok()?;
                 let elapsed = Duration::from_micros(carried.elapsed_us);
-                Some((call, CarriedCall { stream: Some(stream), answer: carried.answer, elapsed }))
+                let earlier = ConnectionAnswers::carried_over(&carried.earlier_answers);
+                Some((call, CarriedCall { stream: Some(stream), answer: carried.answer, earlier, elapsed }))
             })
             .collect();
 
--- a/crates/gullcart/src/wire.rs
+++ b/crates/gullcart/src/wire.rs
@@ -1,6 +1,7 @@
 //! What is seen of a connection's bytes on their way to and from the HTTP library: whether any of a call was
 //! written, what the first line of its answer says, and whether bytes lie there that belong to no call.
 
+use gullcart_engine::ConnectionAnswers;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -68,6 +69,8 @@
     pub connection: OwnedFd,
     /// What was read of its answer.
     pub answer: Vec<u8>,
+    /// Fingerprints of the answers that the connection has brought before.
+    pub earlier_answers: Vec<u64>,
 }
 
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
@@ -113,7 +116,9 @@
             return None;
         }
         let answer = wire.kept.borrow().clone()?;
-        Some(Carried { connection: wire.stream.as_fd().try_clone_to_owned().ok()?, answer })
+        let connection = wire.stream.as_fd().try_clone_to_owned().ok()?;
+        let earlier_answers = wire.answers.borrow().to_carry();
+        Some(Carried { connection, answer, earlier_answers })
     }
 
     /// Waits until its last byte is written. To be waited for once.
@@ -168,6 +173,8 @@
     stream: TcpStream,
     /// Calls that were begun on it.
     calls: Cell<u32>,
+    /// What it has brought before the answer that is due.
+    pub answers: RefCell<ConnectionAnswers>,
     /// Bytes written since the call began.
     written: Cell<u64>,
     /// Bytes read since then.
@@ -195,6 +202,7 @@
         Wire {
             stream,
             calls: Cell::default(),
+            answers: RefCell::default(),
             written: Cell::default(),
             read: Cell::default(),
             first_line: RefCell::default(),
@@ -227,7 +235,8 @@
     }
 
     /// The call that was begun is written already, by the process before, which has read so much of its answer.
-    pub fn go_on(&self, answer: Vec<u8>) {
+    pub fn go_on(&self, answer: Vec<u8>, earlier: ConnectionAnswers) {
+        self.answers.replace(earlier);
         self.is_swallowing.set(true);
         self.written.set(1);
         self.before.replace((answer, 0));
