Give each request to the platform a connection to itself

Callers would see messages that end without a delivery and without a notice: a second copy of a 204, behind the next request with notices of the connection, counted as the answer to that request, and its notices were not told again. A 204 says nothing that could tell it from a copy, so no connection is used for two batches of notices, nor for the whole list and the watch behind it. A batch that fails goes once more at once, as before.

--- a/crates/gullcart/src/discovery.rs
+++ b/crates/gullcart/src/discovery.rs
@@ -1,4 +1,5 @@
-//! The watch on the list of endpoints, and the notices that end messages.
+//! The watch on the list of endpoints, and the notices that end messages. Each request has a connection to itself: nothing tells
+//! its answer from a second copy of the one before.
 
 use bytes::Bytes;
 use gullcart_engine::{CallsForLists, Input, Notice, CALL, SILENCE, TRAIL};
@@ -113,8 +114,8 @@
     lasts: &mut bool,
 ) -> Result<(), AgentError> {
     let by = Instant::now() + CALL;
-    let mut connection = timeout_at(by, connect(agent)).await??;
     if *whole {
+        let mut connection = timeout_at(by, connect(agent)).await??;
         let request = Request::get("/v1/endpoints").header("Host", agent).body(Full::default())?;
         let list = timeout_at(by, fetch(&mut connection, request, longest)).await??;
         // An agent that has heard less than the one before must not take back a drain.
@@ -125,6 +126,7 @@
         }
         *whole = false;
     }
+    let mut connection = timeout_at(by, connect(agent)).await??;
     let request = Request::get(format!("/v1/endpoints?watch=1&after={rev}"))
         .header("Host", agent)
         .body(Full::default())?;
@@ -205,35 +207,26 @@
     driver: Inputs,
     mut chance: fastrand::Rng,
 ) {
-    let mut connection = None;
     let mut batch = Vec::new();
     let mut failures = 0_u32;
     while queue.recv_many(&mut batch, NOTICES).await > 0 {
         while !batch.is_empty() {
-            if agent.has_changed().unwrap_or_default() {
-                connection = None;
-            }
             let address = agent.borrow_and_update().clone();
-            let is_kept = connection.is_some();
             let patience = (PATIENCE * (1 << failures.min(8))).min(LONGEST_PATIENCE);
             let told = tokio::select! {
-                told = tell(&address, &mut connection, &mut batch, &driver, patience) => told,
-                Ok(()) = agent.changed() => {
-                    connection = None;
-                    continue;
-                }
+                told = tell(&address, &mut batch, &driver, patience) => told,
+                Ok(()) = agent.changed() => continue,
             };
             match told {
                 Ok(()) => failures = 0,
                 Err(reason) => {
-                    connection = None;
-                    debug!(target: TRAIL, %reason, is_kept, ?patience, waiting = batch.len(), "notices go once more");
+                    debug!(target: TRAIL, %reason, failures, ?patience, waiting = batch.len(), "notices go once more");
                     if failures == 0 {
                         warn!(%reason, waiting = batch.len(), "notices are not answered");
                     }
                     failures = failures.saturating_add(1);
-                    // A kept connection may have fallen silent by itself; a new one is tried at once.
-                    if !is_kept {
+                    // One connection may have fallen silent by itself: another one is tried at once.
+                    if failures > 1 {
                         let _ = timeout(BACK_OFF.mul_f64(0.5 + chance.f64()), agent.changed()).await;
                     }
                 }
@@ -245,12 +238,11 @@
 /// Sends a batch of notices; those that are answered leave it.
 async fn tell(
     agent: &str,
-    connection: &mut Option<Connection>,
     batch: &mut Vec<Notice>,
     driver: &Inputs,
     patience: Duration,
 ) -> Result<(), AgentError> {
-    match post(agent, connection, batch.iter().map(line).collect(), patience).await {
+    match post(agent, batch.iter().map(line).collect(), patience).await {
         // One bad line must not hold up the others: they go one by one, and it is let go.
         Err(AgentError::Status(StatusCode::BAD_REQUEST)) => {}
         result => {
@@ -261,7 +253,7 @@
         }
     }
     while let Some(notice) = batch.last() {
-        match post(agent, connection, line(notice), patience).await {
+        match post(agent, line(notice), patience).await {
             Err(refused @ AgentError::Status(StatusCode::BAD_REQUEST)) => {
                 error!(id = notice.id, %refused, "a notice is not understood");
             }
@@ -273,17 +265,9 @@
     Ok(())
 }
 
-async fn post(
-    agent: &str,
-    kept: &mut Option<Connection>,
-    lines: String,
-    patience: Duration,
-) -> Result<(), AgentError> {
+async fn post(agent: &str, lines: String, patience: Duration) -> Result<(), AgentError> {
     let by = Instant::now() + patience;
-    let mut connection = match kept.take().filter(|connection| !connection.is_closed()) {
-        Some(connection) => connection,
-        None => timeout_at(by, connect(agent)).await??,
-    };
+    let mut connection = timeout_at(by, connect(agent)).await??;
     let request = Request::post("/v1/notices").header("Host", agent).body(Full::new(Bytes::from(lines)))?;
     let exchange = async {
         connection.ready().await?;
@@ -293,7 +277,6 @@
         Ok::<_, hyper::Error>(status)
     };
     let status = timeout_at(by, exchange).await??;
-    *kept = Some(connection);
     if status == StatusCode::NO_CONTENT {
         Ok(())
     } else {
