--- a/crates/gullcart-rehearsal/src/day/actions.rs
+++ b/crates/gullcart-rehearsal/src/day/actions.rs
@@ -182,6 +182,7 @@
             FaultKind::Shut => self.put_trouble(site, Trouble::Shut(tells_wait)),
             FaultKind::Reset => self.put_trouble(site, Trouble::Reset(severity)),
             FaultKind::Spoil => self.put_trouble(site, Trouble::Spoil(severity)),
+            FaultKind::Copies => self.put_trouble(site, Trouble::Copies(severity)),
             FaultKind::Stall => self.put_stalls(site),
             FaultKind::Outage => {
                 self.put_trouble(site, outage_trouble(how, tells_wait));
--- a/crates/gullcart-rehearsal/src/scenario/faults.rs
+++ b/crates/gullcart-rehearsal/src/scenario/faults.rs
@@ -25,6 +25,8 @@
     Reset,
     /// Spoils a share of `severity` of the answers.
     Spoil,
+    /// Writes the last delivery of a connection once more behind a share of `severity` of its later calls.
+    Copies,
     /// Endpoints are drained, one every `step_s`, and gone `length_s` later.
     Drain,
     /// Out, and back cold at the end.
@@ -176,7 +178,8 @@
     }
 
     fn check_severity(&self, table: &Table) -> Result<(), Invalid> {
-        let is_share = matches!(self.kind, FaultKind::Refuse | FaultKind::Reset | FaultKind::Spoil);
+        let is_share =
+            matches!(self.kind, FaultKind::Refuse | FaultKind::Reset | FaultKind::Spoil | FaultKind::Copies);
         let share = !is_share || (0.0..=1.0).contains(&self.severity);
         let what = "is a share of the calls here: it must lie between 0 and 1";
         table.require(share, "severity", what)?;
--- a/crates/gullcart-rehearsal/src/shipped.rs
+++ b/crates/gullcart-rehearsal/src/shipped.rs
@@ -23,6 +23,7 @@
     "smoke",
     "upgrade",
     "suspend",
+    "copies",
     "gauntlet",
     "cut-off",
     "cold-return",
--- a/crates/gullcart-standins/src/endpoint.rs
+++ b/crates/gullcart-standins/src/endpoint.rs
@@ -3,7 +3,7 @@
 
 use crate::http::{Reader, Request};
 use crate::ids;
-use crate::partner::{Fate, Partner};
+use crate::partner::{Fate, Partner, SecondCopy};
 use crate::Recorder;
 use gullcart_judge::trace::*;
 use hdrhistogram::Histogram;
@@ -196,8 +196,9 @@
                 site.counters.connections.set(site.counters.connections.get() + 1);
                 let (site, endpoint) = (site.clone(), endpoint.borrow().clone());
                 spawn_local(async move {
+                    let reader = Reader::default();
                     let connection =
-                        Connection { site, courier, endpoint, stream, reader: Reader::default() };
+                        Connection { site, courier, endpoint, stream, reader, last_delivery: None };
                     // One that breaks is written down where a call was out on it.
                     let _ = connection.serve().await;
                 });
@@ -250,6 +251,8 @@
     endpoint: Rc<Endpoint>,
     stream: TcpStream,
     reader: Reader,
+    /// The bytes of its last delivery.
+    last_delivery: Option<Vec<u8>>,
 }
 
 impl Connection {
@@ -310,19 +313,28 @@
             self.answer(call, Answer::Error, "400 Bad Request", "").await?;
             return Ok(false);
         }
-        let fate = self.endpoint.partner.borrow_mut().call(self.endpoint.place, at);
+        let copy = self.last_delivery.take().zip(self.second_copy());
+        let refused_after = copy.as_ref().and_then(|(_, copy)| copy.refused_after);
+        let fate = match refused_after {
+            Some(_) => Fate::Refused(None),
+            None => self.endpoint.partner.borrow_mut().call(self.endpoint.place, at),
+        };
         let handshake = if fresh { HANDSHAKE } else { Duration::ZERO };
         let due = match fate {
             Fate::Done(at) | Fate::Error(at) | Fate::Reset(at) | Fate::Spoilt(at) => Some(at + handshake),
-            Fate::Refused(_) => Some(at + handshake),
+            Fate::Refused(_) => Some(at + refused_after.unwrap_or(handshake)),
             Fate::Silent => None,
         };
-        if let Err(by) = self.wait(due, breaks).await {
-            site.recorder.note(Event::CallCut { call, by });
-            if by == By::Partner {
-                self.reset()?;
+        if let Some((bytes, copy)) = copy {
+            if let Err(by) = self.wait(Some(at + copy.after), breaks).await {
+                return self.cut(call, by);
+            }
+            if self.stream.write_all(&bytes).await.is_err() {
+                return self.cut(call, By::Courier);
             }
-            return Ok(false);
+        }
+        if let Err(by) = self.wait(due, breaks).await {
+            return self.cut(call, by);
         }
         match fate {
             Fate::Done(_) => self.answer(call, Answer::Ok, "200 OK", "").await?,
@@ -338,11 +350,7 @@
                     None => self.answer(call, Answer::Full(None), "503 Full", "").await?,
                 }
             }
-            Fate::Reset(_) | Fate::Silent => {
-                site.recorder.note(Event::CallCut { call, by: By::Partner });
-                self.reset()?;
-                return Ok(false);
-            }
+            Fate::Reset(_) | Fate::Silent => return self.cut(call, By::Partner),
             Fate::Spoilt(_) => {
                 let (answer, bytes) = spoilt(call);
                 self.stream.write_all(bytes).await?;
@@ -353,6 +361,20 @@
         Ok(true)
     }
 
+    /// The second copy of its last delivery that the call gets now, if it gets one.
+    fn second_copy(&self) -> Option<SecondCopy> {
+        self.endpoint.partner.borrow_mut().second_copy(self.endpoint.place)
+    }
+
+    /// A call ends with its connection.
+    fn cut(&self, call: CallId, by: By) -> io::Result<bool> {
+        self.site.recorder.note(Event::CallCut { call, by });
+        if by == By::Partner {
+            self.reset()?;
+        }
+        Ok(false)
+    }
+
     /// Waits until an answer is due, and longer while the partner stands still.
     async fn wait(&mut self, due: Option<At>, breaks: &mut watch::Receiver<u32>) -> Result<(), By> {
         let recorder = self.site.recorder.clone();
@@ -395,6 +417,7 @@
         let text = format!("HTTP/1.1 {status}\r\n{header}{report}Content-Length: {length}\r\n\r\n{body}");
         let at = self.site.recorder.now();
         let written = self.stream.write_all(text.as_bytes()).await;
+        self.last_delivery = (answer == Answer::Ok).then(|| text.into_bytes());
         let event = match written {
             Ok(()) => Event::CallAnswered { call, answer },
             Err(_) => Event::CallCut { call, by: By::Courier },
--- a/crates/gullcart-standins/src/partner.rs
+++ b/crates/gullcart-standins/src/partner.rs
@@ -76,6 +76,8 @@
     Reset(f64),
     /// Spoils this share of the answers.
     Spoil(f64),
+    /// Writes the last delivery of a connection once more behind this share of the calls that come on it after that.
+    Copies(f64),
     /// Refuses connections, and breaks those that there are.
     Down,
     /// Cut off: what is open says nothing, and new connections come up only when it is over.
@@ -92,6 +94,15 @@
     until: At,
 }
 
+/// A second copy of an earlier answer, written while a call is out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SecondCopy {
+    /// How long behind the call.
+    pub after: Duration,
+    /// Whether the call is turned away, and how long behind it; else it goes on as any other.
+    pub refused_after: Option<Duration>,
+}
+
 /// What becomes of a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fate {
@@ -131,6 +142,11 @@
     fallen: bool,
 }
 
+/// A second copy comes at once or so long behind the call, ...
+const LONGEST_COPY_DELAY_MS: u64 = 40;
+/// ... and the call is turned away so long behind the copy, where it is.
+const REFUSAL_BEHIND_COPY: Duration = Duration::from_millis(80);
+
 /// The part of a second's calls that a plain rate takes at once.
 const BURST_S: f64 = 0.2;
 
@@ -223,6 +239,22 @@
         self.active(endpoint).filter(|active| active.what == Trouble::Stall).map(|active| active.until).max()
     }
 
+    /// The second copy of an earlier answer that a call gets on a connection that has brought a delivery, if it gets one.
+    pub fn second_copy(&mut self, endpoint: usize) -> Option<SecondCopy> {
+        let share = self.active(endpoint).find_map(|active| match active.what {
+            Trouble::Copies(share) => Some(share),
+            _ => None,
+        })?;
+        if self.rng.f64() >= share {
+            return None;
+        }
+        let is_at_once = self.rng.bool();
+        let delay_ms = if is_at_once { 0 } else { self.rng.u64(..LONGEST_COPY_DELAY_MS) };
+        let after = Duration::from_millis(delay_ms);
+        let refused_after = self.rng.bool().then_some(after + REFUSAL_BEHIND_COPY);
+        Some(SecondCopy { after, refused_after })
+    }
+
     /// A call's last byte has come. Troubles come first, then the limit, then the queue.
     pub fn call(&mut self, endpoint: usize, now: At) -> Fate {
         let fallen_now = self.cold.as_mut().and_then(|cold| cold.call(now, false)).is_some();
