Hear a call's own answer behind a copy of an earlier one

Callers saw calls sent into a told wait, and messages that may run only once told as failed though they were delivered: a connection was closed over the copy, and what its call was answered behind it was not read.

A used connection keeps the bytes of the deliveries it has brought (eight of 2 KiB at most), and leaves out what is the same byte for byte behind a later call. The call's own answer has to come within the time in which a begun answer has to. A copy with another head is doubted by its body, as before.

--- a/crates/gullcart-engine/src/answer_trust.rs
+++ b/crates/gullcart-engine/src/answer_trust.rs
@@ -4,12 +4,16 @@
 //! earlier answer once more, and only what an answer says tells it from that copy. So a connection is used again only while it
 //! has brought nothing but deliveries, and only where the endpoint's answers differ from each other; and a delivery counts
 //! there only if no answer before it on the connection said the same. The first answer of a connection needs no such proof.
+//!
+//! A copy that is the same byte for byte is left out ([`CopyFilter`]), so that the call's own answer can be heard behind it.
 
 use std::collections::VecDeque;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Calls that one connection carries at most: as many answers are compared with each new one.
 const CALLS_OF_A_CONNECTION: usize = 8;
+/// Bytes of an answer, head and body, behind which a connection is used again at most: they are kept to find copies.
+const LONGEST_COMPARED: usize = 2 << 10;
 /// Answers of an endpoint in a row that have to differ before its connections are used again, ...
 const LEAST_DIFFERING: usize = 4;
 /// ... and as many at most, where answers were alike: the number doubles each time.
@@ -39,6 +43,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ConnectionAnswers {
     seen: Vec<Fingerprint>,
+    /// All bytes of those that this process has read.
+    raw: Vec<Vec<u8>>,
     /// It brought an answer that cannot be told from a copy, and carries no further call.
     has_ended: bool,
 }
@@ -47,7 +53,7 @@
     /// Those of a connection that another process has used.
     pub fn carried_over(seen: &[u64]) -> Self {
         let seen = seen.iter().copied().take(CALLS_OF_A_CONNECTION).map(Fingerprint).collect();
-        ConnectionAnswers { seen, has_ended: false }
+        ConnectionAnswers { seen, ..ConnectionAnswers::default() }
     }
 
     /// The same, for another process.
@@ -78,12 +84,53 @@
         }
     }
 
+    /// The bytes of the delivery that was accepted last, of which all and nothing else has been read.
+    pub fn remember(&mut self, answer: Option<Vec<u8>>) {
+        match answer.filter(|answer| (1..=LONGEST_COMPARED).contains(&answer.len())) {
+            Some(answer) => self.raw.push(answer),
+            None => self.has_ended = true,
+        }
+    }
+
     /// Whether the connection may carry one more call.
     pub fn allow_another_call(&self) -> bool {
         !self.has_ended && self.seen.len() < CALLS_OF_A_CONNECTION
     }
 }
 
+/// Leaves copies of earlier answers out of the bytes that come behind a call.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CopyFilter {
+    /// Bytes that may be the beginning of a copy.
+    held: Vec<u8>,
+    /// What has come is no copy: all that follows belongs to the same answer.
+    has_passed: bool,
+    left_out: u32,
+}
+
+impl CopyFilter {
+    /// Copies left out so far.
+    pub fn left_out(&self) -> u32 {
+        self.left_out
+    }
+
+    /// Bytes have come; those of them, and of what was held back, that are part of no copy.
+    pub fn pass(&mut self, earlier: &ConnectionAnswers, bytes: &[u8]) -> Vec<u8> {
+        self.held.extend_from_slice(bytes);
+        while !self.has_passed && !self.held.is_empty() {
+            if let Some(copy) = earlier.raw.iter().find(|answer| self.held.starts_with(answer)) {
+                self.held.drain(..copy.len());
+                self.left_out += 1;
+            } else if earlier.raw.iter().any(|answer| answer.starts_with(&self.held)) {
+                return Vec::new();
+            } else {
+                self.has_passed = true;
+            }
+        }
+        std::mem::take(&mut self.held)
+    }
+}
+
 /// What the last answers of an endpoint were like.
 #[derive(Clone, Debug)]
 pub struct EndpointAnswers {
--- a/crates/gullcart-engine/src/answer_trust/tests.rs
+++ b/crates/gullcart-engine/src/answer_trust/tests.rs
@@ -89,3 +89,53 @@
     // Sixteen in a row cannot differ where there are eight.
     assert!((1..=2).contains(&doubts), "{doubts}");
 }
+
+/// A connection that has brought these answers.
+fn after(answers: &[&[u8]]) -> ConnectionAnswers {
+    let mut connection = ConnectionAnswers::default();
+    for answer in answers {
+        assert_eq!(connection.accept(Fingerprint::of(answer)), Ok(()));
+        connection.remember(Some(answer.to_vec()));
+    }
+    connection
+}
+
+#[test]
+fn copies_are_left_out_in_pieces_of_any_size() {
+    let (one, two, own) = (&b"200 first"[..], &b"200 second"[..], &b"200 third"[..]);
+    let connection = after(&[one, two]);
+    for copies in [vec![], vec![one], vec![two, one, two]] {
+        let come = [copies.concat().as_slice(), own].concat();
+        for size in 1..=come.len() {
+            let mut filter = CopyFilter::default();
+            let passed = come.chunks(size).flat_map(|piece| filter.pass(&connection, piece));
+            assert_eq!(passed.collect::<Vec<u8>>(), own, "{} copies in pieces of {size}", copies.len());
+        }
+    }
+}
+
+#[test]
+fn what_only_begins_as_an_earlier_answer_passes() {
+    let connection = after(&[b"200 first"]);
+    let mut filter = CopyFilter::default();
+    assert_eq!(filter.pass(&connection, b"200 f"), b"");
+    assert_eq!(filter.pass(&connection, b"our"), b"200 four");
+    // The rest of an answer is not looked at, whatever it says.
+    assert_eq!(filter.pass(&connection, b"200 first"), b"200 first");
+}
+
+#[test]
+fn nothing_is_left_out_on_a_new_connection() {
+    let mut filter = CopyFilter::default();
+    assert_eq!(filter.pass(&ConnectionAnswers::default(), b"200 first"), b"200 first");
+}
+
+#[test]
+fn a_connection_whose_answer_cannot_be_kept_carries_no_further_call() {
+    for answer in [None, Some(Vec::new()), Some(vec![b'x'; LONGEST_COMPARED + 1])] {
+        let mut connection = after(&[b"200 first"]);
+        assert!(connection.allow_another_call());
+        connection.remember(answer);
+        assert!(!connection.allow_another_call());
+    }
+}
--- a/crates/gullcart-engine/src/lib.rs
+++ b/crates/gullcart-engine/src/lib.rs
@@ -24,7 +24,7 @@
 mod trials;
 mod vocabulary;
 
-pub use answer_trust::{ConnectionAnswers, Doubt, EndpointAnswers, Fingerprint};
+pub use answer_trust::{ConnectionAnswers, CopyFilter, Doubt, EndpointAnswers, Fingerprint};
 pub use calls_for_lists::{CallsForLists, CALL, SILENCE, TOLD};
 pub use carried::{CarriedError, CarriedOut};
 pub use clock::{Clock, EPOCH};
--- a/crates/gullcart/src/calls.rs
+++ b/crates/gullcart/src/calls.rs
@@ -304,7 +304,8 @@
                     Ok(_) if wire.status() == Some(200) && !wire.is_delivered_by(end) => End::TimedOut,
                     Ok(response) => {
                         let (status, after) = (response.status().as_u16(), start.elapsed());
-                        debug!(target: TRAIL, id = call.id, port, before, status, ?after, "it is answered");
+                        let copies = wire.copies();
+                        debug!(target: TRAIL, id = call.id, port, before, copies, status, ?after, "it is answered");
                         return self.read(call.endpoint, connection, response, start, end).await;
                     }
                     Err(_) => End::Broken,
@@ -314,8 +315,8 @@
                 reason = &mut stop => End::Stopped(reason.ok()),
             };
             let latency = start.elapsed();
-            let (written, read) = wire.counts();
-            debug!(target: TRAIL, id = call.id, ?end_of_call, written, read, status = wire.status(), "it ends without an answer");
+            let ((written, read), copies) = (wire.counts(), wire.copies());
+            debug!(target: TRAIL, id = call.id, ?end_of_call, written, read, copies, status = wire.status(), "it ends without an answer");
             let outcome = match end_of_call {
                 // Not a byte of it was written: it has never run. That it was too late for it says nothing of the endpoint.
                 End::Broken | End::TimedOut if wire.is_untouched() && wire.is_too_late() => Outcome::Moot,
@@ -487,10 +488,11 @@
             // own task has looked by then.
             if let Ok(Ok(())) = timeout(DRAIN, connection.sender.ready()).await {
                 yield_now().await;
-                if connection.wire.is_quiet() {
-                    pool.put(endpoint, connection);
-                } else {
+                connection.wire.remember_answer();
+                if !connection.wire.is_quiet() {
                     log_stray(endpoint, &connection.wire, "behind an answer");
+                } else if pool.may_be_used_again(endpoint, &connection.wire) {
+                    pool.put(endpoint, connection);
                 }
             }
         });
--- a/crates/gullcart/src/wire.rs
+++ b/crates/gullcart/src/wire.rs
@@ -1,9 +1,10 @@
 //! What is seen of a connection's bytes on their way to and from the HTTP library: whether any of a call was
 //! written, what the first line of its answer says, and whether bytes lie there that belong to no call.
 
-use gullcart_engine::ConnectionAnswers;
+use gullcart_engine::{ConnectionAnswers, CopyFilter};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
@@ -26,6 +27,9 @@
 /// cannot be carried over.
 const LONGEST_KEPT: usize = 20 << 10;
 
+/// Bytes that are read at a time where copies of earlier answers are looked for.
+const PIECE: usize = 4 << 10;
+
 /// One of a bounded number of descriptors, free again when dropped.
 pub struct Descriptor {
     open: Rc<Cell<usize>>,
@@ -190,7 +194,10 @@
     reader: RefCell<Option<Waker>>,
     /// What the process before has read of the answer, and where this one stands in it.
     before: RefCell<(Vec<u8>, usize)>,
-    /// What was read of the answer, for the process after; none where it is too long.
+    copies: RefCell<CopyFilter>,
+    /// What is no copy, and the library has not read yet.
+    passed: RefCell<VecDeque<u8>>,
+    /// What was read of the answer, for the process after and to find copies of it; none where it is too long.
     kept: RefCell<Option<Vec<u8>>>,
     answered: Notify,
     /// After the stream: the descriptor is closed by then.
@@ -212,6 +219,8 @@
             is_swallowing: Cell::default(),
             reader: RefCell::default(),
             before: RefCell::default(),
+            copies: RefCell::default(),
+            passed: RefCell::default(),
             kept: RefCell::new(Some(Vec::new())),
             answered: Notify::new(),
             _descriptor: descriptor,
@@ -232,6 +241,14 @@
         self.read.set(0);
         self.first_line.take();
         self.told_at.set(None);
+        self.copies.take();
+        self.passed.take();
+    }
+
+    /// The answer to the call was whole, and was the last that was read: a copy of it is none to the next call.
+    pub fn remember_answer(&self) {
+        let answer = self.kept.borrow().clone();
+        self.answers.borrow_mut().remember(answer);
     }
 
     /// The call that was begun is written already, by the process before, which has read so much of its answer.
@@ -264,6 +281,38 @@
         }
     }
 
+    /// What has come behind the call, but for copies of earlier answers.
+    fn come_without_copies(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<usize>> {
+        if self.answers.borrow().is_empty() {
+            let count = ready!(self.come(cx, buf))?;
+            self.count_read(count);
+            return Poll::Ready(Ok(count));
+        }
+        while self.passed.borrow().is_empty() {
+            let mut piece = [0; PIECE];
+            let count = ready!(self.come(cx, &mut ReadBuf::new(&mut piece)))?;
+            self.count_read(count);
+            if count == 0 {
+                return Poll::Ready(Ok(0));
+            }
+            let passed = self.copies.borrow_mut().pass(&self.answers.borrow(), &piece[..count]);
+            self.passed.borrow_mut().extend(passed);
+        }
+        let mut passed = self.passed.borrow_mut();
+        let count = buf.remaining().min(passed.len());
+        for (to, from) in buf.initialize_unfilled_to(count).iter_mut().zip(passed.drain(..count)) {
+            *to = from;
+        }
+        Poll::Ready(Ok(count))
+    }
+
+    /// Bytes have come. The first of them, a copy's too, begin the time within which the head of the answer has to come.
+    fn count_read(&self, count: usize) {
+        if self.read.replace(self.read.get() + count as u64) == 0 && count > 0 {
+            self.answered.notify_one();
+        }
+    }
+
     fn keep(&self, come: &[u8]) {
         let mut kept = self.kept.borrow_mut();
         match kept.as_mut() {
@@ -292,6 +341,11 @@
         (self.written.get(), self.read.get())
     }
 
+    /// Copies of earlier answers that have come behind the call.
+    pub fn copies(&self) -> u32 {
+        self.copies.borrow().left_out()
+    }
+
     /// The call may not be written any more.
     pub fn is_too_late(&self) -> bool {
         self.send_by.get().is_some_and(|by| Instant::now() > by)
@@ -462,16 +516,13 @@
 impl AsyncRead for WireStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let wire = &self.0;
-        let count = ready!(wire.come(cx, buf))?;
+        let count = ready!(wire.come_without_copies(cx, buf))?;
         let come = &buf.initialize_unfilled()[..count];
         wire.keep(come);
         wire.first_line.borrow_mut().feed(come)?;
         if wire.told_at.get().is_none() && wire.status().is_some() {
             wire.told_at.set(Some(Instant::now()));
         }
-        if wire.read.replace(wire.read.get() + count as u64) == 0 && count > 0 {
-            wire.answered.notify_one();
-        }
         buf.advance(count);
         Poll::Ready(Ok(()))
     }
--- a/crates/gullcart/tests/stale_answers.rs
+++ b/crates/gullcart/tests/stale_answers.rs
@@ -5,7 +5,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::{channel, Sender};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_gullcart");
 
@@ -168,3 +168,58 @@
         assert!(lines.is_ok_and(|lines| lines.contains(&id)), "{id} was not accepted");
     }
 }
+
+/// A world whose endpoint has answered often enough that its connections are used again, and one of them that was.
+fn with_used_connection(act: impl FnOnce(&World, &mut Client, &[u8])) {
+    let world = World::new(PROGRAM, 1, 3.0);
+    let courier = world.start();
+    let mut client = courier.client();
+    let mut last: Option<(SocketAddr, Vec<u8>)> = None;
+    for number in 0..MESSAGES {
+        let id = format!("u{number}");
+        assert_eq!(client.enqueue(&id, "0", "salary", 1, b"x"), "+OK");
+        let call = world.call();
+        let is_used = last.as_ref().is_some_and(|(connection, _)| *connection == call.connection());
+        let answer = call.whole_answer("200 OK", "");
+        last = Some((call.connection(), answer.clone()));
+        call.raw(&answer);
+        world.nothing();
+        if is_used {
+            return act(&world, &mut client, &answer);
+        }
+    }
+    panic!("no connection was used again, so that nothing was shown");
+}
+
+/// The call's own answer comes behind a copy of an earlier one: it counts, and nothing goes twice or is told.
+#[test]
+fn a_delivery_behind_a_second_copy_counts() {
+    with_used_connection(|world, client, last| {
+        assert_eq!(client.enqueue("own", "0", "salary", 1, b"x"), "+OK");
+        let call = world.call();
+        call.stream().write_all(last).unwrap();
+        assert_eq!(client.ask(&["PING"]), "+PONG");
+        call.answer("200 OK", "");
+        world.nothing();
+    });
+}
+
+/// Rule on waits: the courier closed the connection over a refusal that came right behind a copy, and did not hear of the wait.
+#[test]
+fn a_wait_that_is_told_behind_a_second_copy_is_heeded() {
+    const WAIT: Duration = Duration::from_millis(1500);
+    with_used_connection(|world, client, last| {
+        assert_eq!(client.enqueue("w1", "0", "salary", 1, b"x"), "+OK");
+        let call = world.call();
+        let refusal = call.whole_answer("429 Later", &format!("X-Come-Back-Ms: {}\r\n", WAIT.as_millis()));
+        let told = Instant::now();
+        call.raw(&[last, &refusal].concat());
+        assert_eq!(client.enqueue("w2", "0", "salary", 1, b"x"), "+OK");
+        for _ in 0..2 {
+            let call = world.call();
+            assert!(told.elapsed() >= WAIT, "{} was sent {:?} into the wait", call.id, told.elapsed());
+            call.answer("200 OK", "");
+        }
+        world.nothing();
+    });
+}
