Show that an answer that stops short ends with its call

An error or refusal whose body stopped short was waited for up to half a second, also behind the end of its call and so of its message's time, and a message is lost 300 ms behind that.

--- a/crates/gullcart/src/calls/tests.rs
+++ b/crates/gullcart/src/calls/tests.rs
@@ -275,3 +275,23 @@
         assert_eq!(outcome, Outcome::Spoilt, "{answer}");
     }
 }
+
+/// Rule on lost requests: an answer that stopped short was waited for behind the end of its call, and the message's end was told
+/// half a second after its time.
+#[test]
+fn an_answer_that_stops_short_ends_with_its_call() {
+    const TRY_FOR: Duration = Duration::from_millis(150);
+    let door = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = door.local_addr().unwrap();
+    let endpoint = answer_and_stay(door, b"HTTP/1.1 503 Busy\r\nContent-Length: 50\r\n\r\nshort");
+    let begun = Instant::now();
+    let ended = run(async {
+        let (_stop, stopped) = oneshot::channel();
+        let call = Call { try_for: TRY_FOR, ..call(address) };
+        pool().call(call, None, stopped, Rc::default(), None).await
+    });
+    let took = begun.elapsed();
+    drop(endpoint.join().unwrap());
+    assert_eq!(ended.outcome, Outcome::Spoilt);
+    assert!(took < DRAIN, "told {took:?} after a call of {TRY_FOR:?} began");
+}
