--- a/crates/gullcart/src/calls.rs
+++ b/crates/gullcart/src/calls.rs
@@ -1,10 +1,10 @@
 //! Connections to endpoints: one call each at a time, and how it ended.
 
 use bytes::Bytes;
-use cloverstile::{Allowance, EndpointId, Outcome};
+use cloverstile::{EndpointId, Outcome};
 use gullcart_engine::{Call, ConnectionAnswers, Ended, EndpointAnswers, Fingerprint, IdleShare, Stop, TRAIL};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -20,6 +20,8 @@
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 use tracing::{debug, warn};
 
+use answer::{read_answer, whole_body, DRAIN};
+
 use crate::wire::{Descriptor, Progress, Wire, WireStream};
 
 /// Idle connections are closed after this part of the endpoint's own limit, so that no call meets its closing.
@@ -29,18 +31,10 @@
 const REST: Duration = Duration::from_millis(5);
 /// How long a given-up connection may take to be closed by the other side before it is dropped.
 const LINGER: Duration = Duration::from_millis(40);
-/// The body of an answer means nothing; a longer one, or a longer wait for its end, is not worth the connection.
-const LONGEST_BODY: u64 = 64 << 10;
-const DRAIN: Duration = Duration::from_millis(500);
 /// Longest head of an answer.
 const LONGEST_HEAD: usize = 16 << 10;
 /// From the first byte of an answer to the end of its head: one that takes longer is broken.
 const HEAD: Duration = Duration::from_millis(250);
-/// What is reported of a limit beyond these figures is no report.
-const MOST_LEFT: f64 = 2.0;
-const MOST_LIMIT: f64 = 1e6;
-/// A longer wait than this is no wait that anybody can mean.
-const LONGEST_WAIT: Duration = Duration::from_secs(600);
 
 type Sender = SendRequest<Full<Bytes>>;
 
@@ -430,35 +424,6 @@
     request.body(Full::new(call.body.clone()))
 }
 
-fn read_answer(response: &Response<Incoming>, latency: Duration) -> Ended {
-    let header = |name: &str| response.headers().get(name).and_then(|value| value.to_str().ok());
-    let (outcome, complete) = match response.status().as_u16() {
-        200 => (Outcome::Ok, true),
-        429 => {
-            let wait = header("X-Come-Back-Ms").and_then(|text| text.trim().parse().ok());
-            let wait = wait.filter(|ms| *ms > 0).map(|ms| Duration::from_millis(ms).min(LONGEST_WAIT));
-            (Outcome::Full(wait), false)
-        }
-        503 if header("X-Line-Busy").is_some_and(|text| text.trim() == "1") => (Outcome::Moot, false),
-        503 => (Outcome::Full(None), false),
-        504 => (Outcome::Spent, false),
-        410 => (Outcome::Moot, true),
-        // An error, or an answer that nobody knows: it may have run.
-        _ => (Outcome::Error, false),
-    };
-    Ended { outcome, latency, complete, allowance: header("X-Load-Report").and_then(read_report) }
-}
-
-fn read_report(text: &str) -> Option<Allowance> {
-    let value = |name: &str| -> Option<f64> {
-        let fields = text.split(',').filter_map(|field| field.trim().split_once('='));
-        fields.filter(|(field, _)| *field == name).find_map(|(_, value)| value.trim().parse().ok())
-    };
-    let (left, limit) = (value("x0")?, value("x1")?);
-    let sound = (0.0..=MOST_LEFT).contains(&left) && (0.0..=MOST_LIMIT).contains(&limit);
-    sound.then_some(Allowance { left, limit })
-}
-
 /// Reads the rest of an answer, by the end of its call; false where it is not whole or may belong to another call, and its
 /// connection is given up.
 async fn finish(
@@ -500,17 +465,6 @@
     true
 }
 
-/// The body of an answer; none where it is too long, does not come by the end of its call, or breaks off.
-async fn whole_body(answer: Response<Incoming>, end: Instant) -> Option<Bytes> {
-    if answer.body().size_hint().lower() > LONGEST_BODY {
-        return None;
-    }
-    let body = Limited::new(answer.into_body(), LONGEST_BODY as usize).collect();
-    let by = end.min(Instant::now() + DRAIN);
-    let body = timeout_at(by, body).await.ok()?.ok()?;
-    Some(body.to_bytes())
-}
-
 async fn connect(address: SocketAddr, descriptor: Descriptor) -> io::Result<Connection> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
@@ -534,5 +488,6 @@
     Ok(Connection { address, sender, wire, library, idle_since: Instant::now() })
 }
 
+mod answer;
 #[cfg(test)]
 mod tests;
--- a/crates/gullcart/src/calls/tests.rs
+++ b/crates/gullcart/src/calls/tests.rs
@@ -1,7 +1,8 @@
 //! Calls on real sockets: what is concluded of each, held against what came at the other side.
 
+use super::answer::read_report;
 use super::*;
-use cloverstile::MessageId;
+use cloverstile::{Allowance, MessageId};
 use socket2::{Domain, Socket, Type};
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, Ordering};
