Carry over what is held back of an answer that may be a copy

Found by reading the filter again: at a hand-over the bytes held back as the possible beginning of a copy stayed in the process before, so that the next one read an answer without its beginning, and held a call that was delivered to be spoilt. They move with the call now. The test fails without the two lines. A connection's port is asked for once, not for each call.

--- a/crates/gullcart-engine/src/answer_trust.rs
+++ b/crates/gullcart-engine/src/answer_trust.rs
@@ -114,6 +114,11 @@
         self.left_out
     }
 
+    /// What is held back, as it may be the beginning of a copy.
+    pub fn held(&self) -> &[u8] {
+        &self.held
+    }
+
     /// Bytes have come; those of them, and of what was held back, that are part of no copy.
     pub fn pass(&mut self, earlier: &ConnectionAnswers, bytes: &[u8]) -> Vec<u8> {
         self.held.extend_from_slice(bytes);
--- a/crates/gullcart/src/wire.rs
+++ b/crates/gullcart/src/wire.rs
@@ -116,7 +116,9 @@
         if !matches!(self.stage.get(), Stage::Whole | Stage::Told) || wire.is_swallowing.get() {
             return None;
         }
-        let answer = wire.kept.borrow().clone()?;
+        let mut answer = wire.kept.borrow().clone()?;
+        answer.extend(wire.passed.borrow().iter());
+        answer.extend_from_slice(wire.copies.borrow().held());
         let connection = wire.stream.as_fd().try_clone_to_owned().ok()?;
         let earlier_answers = wire.answers.borrow().to_carry();
         Some(Carried { connection, answer, earlier_answers })
@@ -172,6 +174,8 @@
 /// A connection as its owner sees it, beside the library that speaks HTTP on it.
 pub struct Wire {
     stream: TcpStream,
+    /// This side's port.
+    port: Option<u16>,
     /// Calls that were begun on it.
     calls: Cell<u32>,
     /// What it has brought before the answer that is due.
@@ -204,6 +208,7 @@
 impl Wire {
     pub fn new(stream: TcpStream, descriptor: Descriptor) -> Self {
         Wire {
+            port: stream.local_addr().ok().map(|address| address.port()),
             stream,
             calls: Cell::default(),
             answers: RefCell::default(),
@@ -325,7 +330,7 @@
 
     /// This side's port, which tells the connection apart in the logs of both sides.
     pub fn local_port(&self) -> Option<u16> {
-        self.stream.local_addr().ok().map(|address| address.port())
+        self.port
     }
 
     /// Nothing of the call was written.
--- a/crates/gullcart/src/wire/tests.rs
+++ b/crates/gullcart/src/wire/tests.rs
@@ -50,3 +50,38 @@
         assert_eq!(wire.status(), status, "{before:?} and {after:?}");
     }
 }
+
+/// A call that moves to another process takes along what is held back of its answer: it may be the beginning of a copy, or not.
+#[test]
+fn what_is_held_back_of_an_answer_is_carried_over() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let door = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let stream = TcpStream::connect(door.local_addr().unwrap()).await.unwrap();
+        let (mut endpoint, _) = door.accept().unwrap();
+        let wire = Rc::new(Wire::new(stream, Descriptor::new(&Rc::default(), &Rc::default())));
+        let earlier = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+        {
+            let mut answers = wire.answers.borrow_mut();
+            answers.accept(gullcart_engine::Fingerprint::of(b"a")).unwrap();
+            answers.remember(Some(earlier.to_vec()));
+        }
+        let progress = Rc::new(Progress::carried_over());
+        wire.begin(0, progress.clone(), None);
+        let (begun, rest) = earlier.split_at(30);
+        std::io::Write::write_all(&mut endpoint, begun).unwrap();
+        wire.stream.readable().await.unwrap();
+        let mut library = WireStream(wire.clone());
+        let mut buf = [0; 64];
+        let reading = tokio::io::AsyncReadExt::read(&mut library, &mut buf);
+        assert!(tokio::time::timeout(Duration::from_millis(1), reading).await.is_err(), "it may be a copy");
+        assert_eq!(progress.carry().unwrap().answer, begun);
+        // Once it is known to be one, nothing of it is left.
+        std::io::Write::write_all(&mut endpoint, rest).unwrap();
+        wire.stream.readable().await.unwrap();
+        let reading = tokio::io::AsyncReadExt::read(&mut library, &mut buf);
+        assert!(tokio::time::timeout(Duration::from_millis(1), reading).await.is_err(), "it is a copy");
+        assert_eq!(progress.carry().unwrap().answer, b"");
+        assert_eq!(wire.copies(), 1);
+    });
+}
