--- a/crates/gullcart-standins/tests/standins.rs
+++ b/crates/gullcart-standins/tests/standins.rs
@@ -93,7 +93,11 @@
             _ => return String::new(),
         }
     }
-    String::from_utf8(text).unwrap()
+    let head = String::from_utf8(text).unwrap();
+    let length = head.lines().find_map(|line| line.strip_prefix("Content-Length: "));
+    let mut body = vec![0; length.map_or(0, |length| length.parse().unwrap())];
+    stream.read_exact(&mut body).await.unwrap();
+    head + std::str::from_utf8(&body).unwrap()
 }
 
 #[test]
@@ -104,6 +108,7 @@
         send(&mut stream, 3, &ids::body(3, 8)).await;
         let text = answer(&mut stream).await;
         assert!(text.starts_with("HTTP/1.1 200 ") && text.contains("X-Load-Report: x0="), "{text}");
+        assert!(text.ends_with("\r\n\r\n0000000000000001"), "its body names the call: {text}");
         // The same connection serves the next one; a body that was changed is seen, and so is a foreign id.
         send(&mut stream, 4, b"changed!").await;
         assert!(answer(&mut stream).await.starts_with("HTTP/1.1 200 "));
