--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -6,6 +6,7 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -15,7 +16,10 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64, ...) -> i32;
 }
+/// Asks the kernel for a signal to a process when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
 pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
@@ -31,7 +35,7 @@
 pub struct Record {
     start: Instant,
     file: Arc<Mutex<File>>,
-    /// When a first line with 200 was written for a message.
+    /// When the writing of a first line with 200 was begun for a message.
     delivered: Arc<Mutex<BTreeMap<String, f64>>>,
 }
 
@@ -43,7 +47,7 @@
             delivered: Arc::default(),
         }
     }
-    /// The messages for which a first line with 200 was written, and when.
+    /// The messages for which a first line with 200 was written, and when that was begun.
     pub fn delivered(&self) -> BTreeMap<String, f64> {
         self.delivered.lock().unwrap().clone()
     }
@@ -204,10 +208,10 @@
                                 "HTTP/1.1 {status}\r\nContent-Length: {}\r\n{headers}\r\n{body}",
                                 body.len()
                             );
+                            let begun = record.now();
                             let written = out.write_all(text.as_bytes()).is_ok();
                             if written && status.starts_with("200") {
-                                let now = record.now();
-                                record.delivered.lock().unwrap().entry(call.id.clone()).or_insert(now);
+                                record.delivered.lock().unwrap().entry(call.id.clone()).or_insert(begun);
                             }
                             record.line(&format!(
                                 "endpoint {number}: call {} answered {status} {} (written: {written})",
@@ -624,6 +628,13 @@
         if let Some(console) = console {
             command.env("BALANCER_CONSOLE", console);
         }
+        // No courier outlives the play, even if that is killed.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
         let child = match command.spawn() {
             Ok(child) => child,
             Err(error) => cannot_run(record, &format!("the program does not start: {error}")),
@@ -652,6 +663,13 @@
         unsafe { kill(child.id() as i32, signal) };
     }
 
+    /// The same, with the record behind the signal.
+    pub fn signal_fast(&self, signal: i32) {
+        let Some(child) = &self.child else { return };
+        unsafe { kill(child.id() as i32, signal) };
+        self.record.line(&format!("{}: signal {signal}", self.name));
+    }
+
     /// Whether it has ended, and how.
     pub fn has_ended(&mut self) -> Option<String> {
         let status = self.child.as_mut()?.try_wait().ok()??;
