Trace when a request is written and how far a hand-over found it

They had the decision `NotSent` and the endpoint's own times, but neither when the old process wrote the bytes nor what the hand-over saw of the call. So it stayed open whether bytes were written and not counted, whether the new process took up a call that was reported as over, or whether the old one wrote after it had handed the courier over.

Change: two lines of `gullcart::trail`: "request bytes written" with the port and the number of the call on its connection, and "call stopped for a hand-over" with the number of the message, the port and the part of the request that was written.

--- a/crates/gullcart/src/driver.rs
+++ b/crates/gullcart/src/driver.rs
@@ -4,7 +4,7 @@
 use cloverstile::{MessageId, Outcome, Settings, Time};
 use gullcart_engine::{
     Answer, Call, CallResult, CommandError, Effect, Engine, EngineMetrics, IdleConnectionPolicy, Input,
-    Notice, RateLimitedLog, StopReason, Ticket, TrialDuties, PROCESS_START,
+    Notice, RateLimitedLog, StopReason, Ticket, TrialDuties, MESSAGE_TRACE_TARGET, PROCESS_START,
 };
 use gullcart_handover::{HandoverCall, HandoverState};
 use gullcart_journal::{Folder, JournalError};
@@ -18,7 +18,7 @@
 use tokio::sync::{oneshot, watch};
 use tokio::task::{yield_now, AbortHandle};
 use tokio::time::{interval, sleep_until, timeout_at, Instant};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use crate::calls::{self, ConnectionPool};
 use crate::clients::{Clients, Phase};
@@ -293,7 +293,9 @@
                 self.engine.handle(now, Input::CallWritten(message));
             }
             let elapsed = call.started_at.elapsed();
-            let outcome = match (call.progress.written_part(), call.stop.is_some()) {
+            let (written, port) = (call.progress.written_part(), call.progress.local_port());
+            debug!(target: MESSAGE_TRACE_TARGET, number = message.0, port, ?written, "call stopped for a hand-over");
+            let outcome = match (written, call.stop.is_some()) {
                 (WrittenPart::Nothing, _) => Outcome::NotSent,
                 // The courier has cancelled it already.
                 (_, false) => Outcome::Cancelled,
--- a/crates/gullcart/src/tracked_connection.rs
+++ b/crates/gullcart/src/tracked_connection.rs
@@ -1,7 +1,7 @@
 //! Observes the bytes of an endpoint connection below the HTTP library: how much of a request was written, what the status line
 //! of its response says, and whether there are bytes that belong to no call.
 
-use gullcart_engine::{ConnectionAnswers, DuplicateAnswerFilter};
+use gullcart_engine::{ConnectionAnswers, DuplicateAnswerFilter, MESSAGE_TRACE_TARGET};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -17,6 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{sleep, Instant};
+use tracing::debug;
 
 use status_line::StatusLine;
 
@@ -98,6 +99,11 @@
         self.stage.get() != Stage::Unsent
     }
 
+    /// The local port of the connection that carries the call; none if there is none.
+    pub fn local_port(&self) -> Option<u16> {
+        self.connection.borrow().upgrade().and_then(|connection| connection.local_port())
+    }
+
     /// The part of the request that has been written.
     pub fn written_part(&self) -> WrittenPart {
         let connection = self.connection.borrow().upgrade();
@@ -490,6 +496,8 @@
                     if let Ok(count) = result {
                         connection.bytes_written.set(connection.bytes_written.get() + count as u64);
                         connection.record_written(bufs, count);
+                        let (port, calls) = (connection.local_port, connection.call_count());
+                        debug!(target: MESSAGE_TRACE_TARGET, port, calls, count, "request bytes written");
                     }
                     return Poll::Ready(result);
                 }
