Write nothing of a call any more once it has left the process

Cause: `Driver::stop` aborted a call's task and then asked how much was written. What an aborted task owns is dropped when the scheduler comes to it; the HTTP library's task on the connection stood before it in the queue and wrote the request after the hand-over, though the call had been reported as not sent.

Ruled out: bytes written and not counted (none before the stop); a call that the new process takes up (it starts a new attempt).

Change: `WriteProgress::detach` takes the connection from the HTTP library and returns the part that was written, in one step; the stream below the library writes nothing after that, whatever task still runs. It hangs on no order of tasks and on no time, and covers a hand-over that fails and the wait for a group's thread as well. Waiting for the library's task instead would let it write meanwhile, and unsafe messages would fail that can be sent.

--- a/crates/gullcart/src/calls.rs
+++ b/crates/gullcart/src/calls.rs
@@ -539,4 +539,4 @@
 
 mod response;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/crates/gullcart/src/calls/tests.rs
+++ b/crates/gullcart/src/calls/tests.rs
@@ -62,6 +62,22 @@
     Rc::new(ConnectionPool::new(timeout, timeout, 8, 4, share))
 }
 
+/// Opens a connection to `address` and adds it to the pool's idle ones, ready for a call. Returns the connection below the HTTP
+/// library.
+pub(crate) async fn add_idle_connection(
+    pool: &ConnectionPool,
+    endpoint: EndpointId,
+    address: SocketAddr,
+) -> Rc<TrackedConnection> {
+    let descriptor = DescriptorPermit::new(&pool.open_descriptors, &pool.descriptor_released);
+    let mut connection = connect(address, descriptor).await.unwrap();
+    connection.sender.ready().await.unwrap();
+    connection.idle_since = Instant::now().checked_sub(REUSE_DELAY).unwrap();
+    let stream = connection.stream.clone();
+    pool.idle.borrow_mut().entry(endpoint).or_default().push(connection);
+    stream
+}
+
 /// A call of an unsafe message to `address`.
 fn call(address: SocketAddr) -> Call {
     let (message, endpoint, body) = (MessageId(1), EndpointId(1), Bytes::from_static(b"x"));
@@ -80,7 +96,7 @@
 }
 
 /// Runs a future on a runtime with one thread.
-fn run<F: std::future::Future>(future: F) -> F::Output {
+pub(crate) fn run<F: std::future::Future>(future: F) -> F::Output {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, future)
 }
@@ -153,11 +169,8 @@
         let (_stop, stopped) = oneshot::channel();
         let progress: Rc<WriteProgress> = Rc::default();
         let past = Instant::now().checked_sub(Duration::from_millis(1));
-        let connection =
-            connect(address, DescriptorPermit::new(&Rc::default(), &Rc::default())).await.unwrap();
         let pool = pool();
-        let rested = Instant::now().checked_sub(REUSE_DELAY).unwrap();
-        pool.idle.borrow_mut().insert(EndpointId(1), vec![Connection { idle_since: rested, ..connection }]);
+        add_idle_connection(&pool, EndpointId(1), address).await;
         (pool.call(call(address), past, stopped, progress.clone(), None).await, progress)
     });
     assert_eq!(ended.outcome, Outcome::NotSent);
--- a/crates/gullcart/src/driver.rs
+++ b/crates/gullcart/src/driver.rs
@@ -293,7 +293,7 @@
                 self.engine.handle(now, Input::CallWritten(message));
             }
             let elapsed = call.started_at.elapsed();
-            let (written, port) = (call.progress.written_part(), call.progress.local_port());
+            let (written, port) = (call.progress.detach(), call.progress.local_port());
             debug!(target: MESSAGE_TRACE_TARGET, number = message.0, port, ?written, "call stopped for a hand-over");
             let outcome = match (written, call.stop.is_some()) {
                 (WrittenPart::Nothing, _) => Outcome::NotSent,
@@ -547,3 +547,6 @@
             .insert(message, InFlightCall { stop: Some(stop), progress, task, started_at, timeout });
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gullcart/src/driver/tests.rs
@@ -0,0 +1,120 @@
+//! A courier that stops for a hand-over while calls are in flight to an endpoint on a real socket.
+
+use super::*;
+use crate::calls::tests::{add_idle_connection, run};
+use crate::config::read_config;
+use crate::connection_slots::ClientLimits;
+use bytes::Bytes;
+use cloverstile::{parse_settings_json, EndpointId};
+use gullcart_engine::{EngineConfig, Enqueue};
+use gullcart_journal::{Journal, Options};
+use gullcart_standins::world::World;
+use std::future::poll_fn;
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener};
+use std::task::Poll;
+use tokio::sync::mpsc;
+use tokio::task::{spawn_blocking, spawn_local};
+
+/// The only endpoint, as the engine numbers it.
+const ENDPOINT: EndpointId = EndpointId(1);
+/// Tasks that are always ready. A `LocalSet` runs 61 tasks before it polls the driver again. With more than half as many ready
+/// tasks, and fewer than all of them, a call that the driver starts in one turn has passed its request to the HTTP library by
+/// the next turn, and the library has not written it yet.
+const READY_TASKS: usize = 45;
+
+/// A courier on sockets, without a listener.
+struct Courier {
+    driver: Driver,
+    events: Receiver<DriverEvent>,
+    sender: EventSender,
+    clients: Clients,
+    _notices: Receiver<Notice>,
+    _world: World,
+}
+
+impl Courier {
+    /// A courier that knows one endpoint.
+    fn new(endpoint: SocketAddr) -> Self {
+        let world = World::new("", 1, 3.0);
+        world.configure(&world.agent_with_handler(|_, _| {}));
+        let mut config = read_config(&world.folder().join("config.json")).unwrap();
+        config.known.targets[0].endpoint = endpoint.to_string();
+        let parsed_settings = parse_settings_json(&config.settings).unwrap();
+        let journal = Journal::open(&world.state_folder(), config.disk_bytes(), Options::default()).unwrap();
+        let clock = Clock::new();
+        let pool = connection_pool(&parsed_settings.settings, config.limits.sockets, config.seed());
+        let trial_duties = TrialDuties::new(parsed_settings.settings.rules.collapse_window, config.seed());
+        let start = EngineConfig {
+            parsed_settings,
+            seed: config.seed(),
+            initial_list: config.known.clone(),
+            now: clock.now(),
+            start_unix_ms: clock.start_unix_ms,
+            settings_checksum: config.fingerprint(),
+            #[cfg(feature = "broken")]
+            fault_injector: Default::default(),
+        };
+        let (sender, events) = EventSender::channel();
+        let (notices, queued_notices) = mpsc::channel(1);
+        let (phase, phase_receiver) = watch::channel(Phase::Serving);
+        let limits = ClientLimits { max_connections: 1, max_idle: 1, max_long_requests: 1 };
+        let clients = Clients::new(sender.clone(), phase_receiver, limits);
+        let channels = DriverChannels { group: None, events: sender.clone(), notices, phase };
+        let driver = Driver::new(Engine::new(start, journal), clock, pool, channels, trial_duties);
+        Courier { driver, events, sender, clients, _notices: queued_notices, _world: world }
+    }
+
+    /// Puts a message without a safe repeat into the queue of events.
+    fn enqueue(&self, id: &str) {
+        let message = Enqueue {
+            id: id.to_owned(),
+            order_key: 0,
+            class: "salary".to_owned(),
+            destination: 1,
+            time_left: Duration::from_secs(20),
+            idempotency_key: None,
+            from_dead_courier: false,
+            body: Bytes::from_static(b"x"),
+        };
+        let sender = self.sender.clone();
+        spawn_local(async move { sender.enqueue(message).await });
+    }
+}
+
+/// Spawns [`READY_TASKS`] tasks that never end.
+fn spawn_ready_tasks() {
+    for _ in 0..READY_TASKS {
+        spawn_local(poll_fn(|context| {
+            context.waker().wake_by_ref();
+            Poll::<()>::Pending
+        }));
+    }
+}
+
+/// Guards against a message that is sent twice, by the old and by the new process of an upgrade: a request that the hand-over
+/// reported as not sent was written after it, since the HTTP library's task outlives the call's aborted one.
+#[test]
+fn a_request_that_is_unwritten_at_the_hand_over_is_never_written() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    run(async {
+        let mut courier = Courier::new(address);
+        let connection = add_idle_connection(&courier.driver.pool, ENDPOINT, address).await;
+        let (mut endpoint, _) = listener.accept().unwrap();
+        courier.enqueue("a1");
+        while courier.events.is_empty() {
+            yield_now().await;
+        }
+        spawn_ready_tasks();
+        let stopped = courier.driver.stop(&mut courier.events, &courier.clients).await.unwrap();
+        assert_eq!(connection.call_count(), 1, "the call was not started");
+        assert!(stopped.state.calls.is_empty(), "the request was written before the hand-over");
+        drop(connection);
+        let received = spawn_blocking(move || {
+            let mut received = String::new();
+            endpoint.read_to_string(&mut received).map(|_| received)
+        });
+        assert_eq!(received.await.unwrap().unwrap(), "");
+    });
+}
--- a/crates/gullcart/src/tracked_connection.rs
+++ b/crates/gullcart/src/tracked_connection.rs
@@ -104,8 +104,16 @@
         self.connection.borrow().upgrade().and_then(|connection| connection.local_port())
     }
 
-    /// The part of the request that has been written.
-    pub fn written_part(&self) -> WrittenPart {
+    /// Detaches the call from the HTTP library, and returns the part of the request that has been written. Nothing is written
+    /// after that, although the library's task may run again: it ends some time after the call's own task was aborted.
+    pub fn detach(&self) -> WrittenPart {
+        if let Some(connection) = self.connection.borrow().upgrade() {
+            connection.is_detached.set(true);
+        }
+        self.written_part()
+    }
+
+    fn written_part(&self) -> WrittenPart {
         let connection = self.connection.borrow().upgrade();
         match self.stage.get() {
             Stage::Unsent => WrittenPart::Nothing,
@@ -210,6 +218,8 @@
     /// The previous process has written the request, so what the HTTP library writes of it is discarded. Nothing is read
     /// meanwhile.
     is_discarding_request: Cell<bool>,
+    /// The call has left this process, so the HTTP library must not write any more.
+    is_detached: Cell<bool>,
     read_waker: RefCell<Option<Waker>>,
     /// What the previous process has read of the response, and the position up to which it was read here.
     handed_over_response: RefCell<(Vec<u8>, usize)>,
@@ -238,6 +248,7 @@
             outgoing_request: RefCell::default(),
             send_by: Cell::default(),
             is_discarding_request: Cell::default(),
+            is_detached: Cell::default(),
             read_waker: RefCell::default(),
             handed_over_response: RefCell::default(),
             copy_filter: RefCell::default(),
@@ -455,7 +466,8 @@
 pub struct TrackedStream(pub Rc<TrackedConnection>);
 
 impl TrackedStream {
-    /// Writes `bufs` with the given function, unless the request was written by the previous process or must not be sent.
+    /// Writes `bufs` with the given function, unless the request was written by the previous process, must not be sent, or has
+    /// left this process.
     fn write(
         &self,
         cx: &mut Context<'_>,
@@ -463,6 +475,10 @@
         mut write: impl FnMut(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         let connection = &self.0;
+        if connection.is_detached.get() {
+            // For good: the library's task ends without another wake-up from here.
+            return Poll::Pending;
+        }
         if connection.is_discarding_request.get() {
             let count = bufs.iter().map(|buf| buf.len()).sum();
             connection.record_written(bufs, count);
