Leave the answer of a call that was handed over to the next process

Callers saw: a message that was delivered right at an upgrade was sent again, where its class allows that; a salary payment would have been told as failed.

The HTTP library's task, woken for the answer before the stop, ran after the hand-over and read the bytes from the socket that both processes have; the new process waited for them until its call timed out.

A repeat by the new process's choice was ruled out: its log has no answer on the port that it took over.

A shutdown by the library was not seen; it is a precaution.

--- a/crates/gullcart/src/calls/tests.rs
+++ b/crates/gullcart/src/calls/tests.rs
@@ -206,7 +206,7 @@
 }
 
 /// Reads a call up to its last byte.
-fn read_call(stream: &mut std::net::TcpStream) {
+pub(crate) fn read_call(stream: &mut std::net::TcpStream) {
     let mut seen = Vec::new();
     while !seen.ends_with(b"\r\n\r\nx") {
         let mut piece = [0; 1024];
--- a/crates/gullcart/src/driver/tests.rs
+++ b/crates/gullcart/src/driver/tests.rs
@@ -1,17 +1,18 @@
 //! A courier that stops for a hand-over while calls are in flight to an endpoint on a real socket.
 
 use super::*;
-use crate::calls::tests::{add_idle_connection, run};
+use crate::calls::tests::{add_idle_connection, read_call, run};
 use crate::config::read_config;
 use crate::connection_slots::ClientLimits;
+use crate::console;
 use bytes::Bytes;
 use cloverstile::{parse_settings_json, EndpointId};
 use gullcart_engine::{EngineConfig, Enqueue};
 use gullcart_journal::{Journal, Options};
 use gullcart_standins::world::World;
 use std::future::poll_fn;
-use std::io::Read;
-use std::net::{SocketAddr, TcpListener};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::task::Poll;
 use tokio::sync::mpsc;
 use tokio::task::{spawn_blocking, spawn_local};
@@ -22,6 +23,8 @@
 /// tasks, and fewer than all of them, a call that the driver starts in one turn has passed its request to the HTTP library by
 /// the next turn, and the library has not written it yet.
 const READY_TASKS: usize = 45;
+/// How long a read waits that does not end on its own in a courier with the fault.
+const TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A courier on sockets, without a listener.
 struct Courier {
@@ -80,6 +83,20 @@
         let sender = self.sender.clone();
         spawn_local(async move { sender.enqueue(message).await });
     }
+
+    /// Runs the courier until the endpoint has received a call, and returns its connection.
+    async fn run_until_called(&mut self, listener: TcpListener) -> TcpStream {
+        let called = spawn_blocking(move || {
+            let mut connection = listener.accept().unwrap().0;
+            read_call(&mut connection);
+            connection
+        });
+        let (_requests, mut control_requests) = console::control_channel();
+        tokio::select! {
+            _ = self.driver.run(&mut self.events, &mut control_requests, &self.clients) => panic!("the courier has ended"),
+            connection = called => connection.unwrap(),
+        }
+    }
 }
 
 /// Spawns [`READY_TASKS`] tasks that never end.
@@ -118,3 +135,32 @@
         assert_eq!(received.await.unwrap().unwrap(), "");
     });
 }
+
+/// Guards against a delivered message that is reported as failed or is sent again: after the hand-over, the old process read the
+/// response that the new process was to read.
+#[test]
+fn a_response_that_arrives_during_the_hand_over_is_left_to_the_next_process() {
+    const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    run(async {
+        let mut courier = Courier::new(address);
+        courier.enqueue("a1");
+        let mut endpoint = courier.run_until_called(listener).await;
+        spawn_ready_tasks();
+        // The courier is notified of the response in the same moment in which it stops.
+        endpoint.write_all(RESPONSE).unwrap();
+        let mut stopped = courier.driver.stop(&mut courier.events, &courier.clients).await.unwrap();
+        // All tasks of the old process run.
+        for _ in 0..READY_TASKS {
+            yield_now().await;
+        }
+        assert_eq!(stopped.state.calls.remove(0).response, b"");
+        let mut connection = TcpStream::from(stopped.call_connections.remove(0));
+        connection.set_nonblocking(false).unwrap();
+        connection.set_read_timeout(Some(TIMEOUT)).unwrap();
+        let mut response = vec![0; RESPONSE.len()];
+        connection.read_exact(&mut response).expect("the old process has read the response");
+        assert_eq!(response, RESPONSE);
+    });
+}
--- a/crates/gullcart/src/tracked_connection.rs
+++ b/crates/gullcart/src/tracked_connection.rs
@@ -105,7 +105,7 @@
     }
 
     /// Detaches the call from the HTTP library, and returns the part of the request that has been written. Nothing is written
-    /// after that, although the library's task may run again: it ends some time after the call's own task was aborted.
+    /// or read after that, although the library's task may run again: it ends some time after the call's own task was aborted.
     pub fn detach(&self) -> WrittenPart {
         if let Some(connection) = self.connection.borrow().upgrade() {
             connection.is_detached.set(true);
@@ -218,7 +218,7 @@
     /// The previous process has written the request, so what the HTTP library writes of it is discarded. Nothing is read
     /// meanwhile.
     is_discarding_request: Cell<bool>,
-    /// The call has left this process, so the HTTP library must not write any more.
+    /// The call has left this process, and the HTTP library must not use the connection any more: another process may own it.
     is_detached: Cell<bool>,
     read_waker: RefCell<Option<Waker>>,
     /// What the previous process has read of the response, and the position up to which it was read here.
@@ -303,8 +303,11 @@
         self.handed_over_response.replace((response_bytes, 0));
     }
 
-    /// Reads the bytes that the previous process has read, then those of the socket.
+    /// Reads the bytes that the previous process has read, then those of the socket; nothing once the call has left this process.
     fn poll_read_raw(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<usize>> {
+        if self.is_detached.get() {
+            return Poll::Pending;
+        }
         if self.is_discarding_request.get() {
             self.read_waker.replace(Some(cx.waker().clone()));
             return Poll::Pending;
@@ -559,6 +562,9 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.0.is_detached.get() {
+            return Poll::Ready(Ok(()));
+        }
         Poll::Ready(SockRef::from(&self.0.stream).shutdown(Shutdown::Write))
     }
 }
--- a/crates/gullcart/src/tracked_connection/tests.rs
+++ b/crates/gullcart/src/tracked_connection/tests.rs
@@ -93,3 +93,25 @@
         assert_eq!(connection.copy_count(), 1);
     });
 }
+
+/// Guards against a call that is broken for the process that has taken it over: the HTTP library of the old process shut down the
+/// connection that both have.
+#[tokio::test]
+async fn a_connection_that_has_left_the_process_is_not_shut_down() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let (mut endpoint, _) = listener.accept().await.unwrap();
+    let connection =
+        Rc::new(TrackedConnection::new(stream, DescriptorPermit::new(&Rc::default(), &Rc::default())));
+    let progress = Rc::new(WriteProgress::handed_over());
+    connection.begin_call(0, progress.clone(), None);
+    progress.detach();
+    let next_process = progress.to_handover().unwrap().connection;
+    TrackedStream(connection.clone()).shutdown().await.unwrap();
+    drop(connection);
+    let mut next_process = TcpStream::from_std(std::net::TcpStream::from(next_process)).unwrap();
+    next_process.write_all(b"x").await.unwrap();
+    let mut received = [0];
+    assert_eq!(endpoint.read(&mut received).await.unwrap(), 1);
+}
