End calls at their endpoints before a hand-over reports their ends

Callers could see: the next message of a key go to a partner while the one before it still ran there, at an upgrade whose new process is slow to serve.

Cause: a call that cannot be handed over (cancelled, partly written, or with a long answer) was reported as ended at the stop, and the rest of its key counted from there. Its connection was left to the aborted task, and no task runs while the hand-over blocks, for up to 4 s.

Change: the sending side of such a connection is shut down at the stop, and the clock is read after that. What becomes of a call moved out of `Driver::stop` into `driver/detached_call.rs`; the outcomes are as before. Waiting for the endpoint's close, as in service, was left out: it would hold the courier up for 40 ms, and the 250 ms of rest cover it.

--- a/crates/gullcart/src/driver.rs
+++ b/crates/gullcart/src/driver.rs
@@ -4,9 +4,9 @@
 use cloverstile::{MessageId, Outcome, Settings, Time};
 use gullcart_engine::{
     Answer, Call, CallResult, CommandError, Effect, Engine, EngineMetrics, IdleConnectionPolicy, Input,
-    Notice, RateLimitedLog, StopReason, Ticket, TrialDuties, MESSAGE_TRACE_TARGET, PROCESS_START,
+    Notice, RateLimitedLog, StopReason, Ticket, TrialDuties, PROCESS_START,
 };
-use gullcart_handover::{HandoverCall, HandoverState};
+use gullcart_handover::HandoverState;
 use gullcart_journal::{Folder, JournalError};
 use std::collections::{HashMap, VecDeque};
 use std::os::fd::OwnedFd;
@@ -18,16 +18,18 @@
 use tokio::sync::{oneshot, watch};
 use tokio::task::{yield_now, AbortHandle};
 use tokio::time::{interval, sleep_until, timeout_at, Instant};
-use tracing::{debug, info, warn};
+use tracing::{info, warn};
 
 use crate::calls::{self, ConnectionPool};
 use crate::clients::{Clients, Phase};
 use crate::console::ControlRequest;
 use crate::group::GroupMembership;
 use crate::messages::{DriverEvent, EventSender};
-use crate::tracked_connection::{WriteProgress, WrittenPart};
+use crate::tracked_connection::WriteProgress;
 use crate::upgrade;
 
+use detached_call::{CallFate, DetachedCall};
+
 /// Maximum number of events handled in one turn of the loop.
 const MAX_EVENTS_PER_TURN: usize = 256;
 /// How often idle connections are checked and metrics are logged.
@@ -280,6 +282,11 @@
         while let Ok(event) = events.try_recv() {
             self.handle_event(event);
         }
+        let detached: Vec<DetachedCall> = std::mem::take(&mut self.in_flight_calls)
+            .into_iter()
+            .map(|(message, call)| call.detach(message))
+            .collect();
+        // Read after the calls have ended at their endpoints: the order of keys counts from it.
         let now = self.clock.now();
         let mut state = HandoverState {
             clock_epoch_ms: self.clock.start_unix_ms,
@@ -287,38 +294,16 @@
             ..HandoverState::default()
         };
         let mut call_connections = Vec::new();
-        for (message, call) in std::mem::take(&mut self.in_flight_calls) {
-            call.task.abort();
-            if call.progress.is_unreported() {
+        for DetachedCall { message, is_write_unreported, elapsed, fate } in detached {
+            if is_write_unreported {
                 self.engine.handle(now, Input::CallWritten(message));
             }
-            let elapsed = call.started_at.elapsed();
-            let (written, port) = (call.progress.detach(), call.progress.local_port());
-            debug!(target: MESSAGE_TRACE_TARGET, number = message.0, port, ?written, "call stopped for a hand-over");
-            let outcome = match (written, call.stop.is_some()) {
-                (WrittenPart::Nothing, _) => Outcome::NotSent,
-                // The courier has cancelled it already.
-                (_, false) => Outcome::Cancelled,
-                (WrittenPart::Part, true) => Outcome::Reset,
-                (WrittenPart::All, true) => match call.progress.to_handover() {
-                    Some(call_state) => {
-                        call_connections.push(call_state.connection);
-                        state.calls.push(HandoverCall {
-                            message: message.0,
-                            timeout_us: call.timeout.as_micros() as u64,
-                            elapsed_us: elapsed.as_micros() as u64,
-                            response: call_state.response_bytes,
-                            earlier_response_hashes: call_state.earlier_answers,
-                        });
-                        continue;
-                    }
-                    None => Outcome::Reset,
-                },
-            };
-            let in_flight = self.engine.calls_in_flight().find(|(other, _)| *other == message);
-            if let Some((_, endpoint)) = in_flight {
-                let result = CallResult { outcome, latency: elapsed, is_final: false, allowance: None };
-                self.engine.handle(now, Input::CallEnded(message, endpoint, result));
+            match fate {
+                CallFate::HandedOver(call, connection) => {
+                    state.calls.push(call);
+                    call_connections.push(connection);
+                }
+                CallFate::Ended(outcome) => self.report_detached_end(now, message, outcome, elapsed),
             }
         }
         // The counters stay with this process; the calls in flight move to the next one.
@@ -331,6 +316,15 @@
         Ok(StoppedCourier { engine: self.engine, state, call_connections, last_metrics })
     }
 
+    /// Reports the end of a call that the next process does not continue.
+    fn report_detached_end(&mut self, now: Time, message: MessageId, outcome: Outcome, latency: Duration) {
+        let in_flight = self.engine.calls_in_flight().find(|(other, _)| *other == message);
+        if let Some((_, endpoint)) = in_flight {
+            let result = CallResult { outcome, latency, is_final: false, allowance: None };
+            self.engine.handle(now, Input::CallEnded(message, endpoint, result));
+        }
+    }
+
     /// Ends the service: answers the requests that have arrived, as closing a connection with a request on it would lose the
     /// message. Messages accepted here are delivered by the next process, from the journal. Then shuts the connections down for
     /// writing and gives clients time to close: closing while a client still sends would reset the connection and destroy the
@@ -548,5 +542,6 @@
     }
 }
 
+mod detached_call;
 #[cfg(test)]
 mod tests;
--- a/crates/gullcart/src/driver/tests.rs
+++ b/crates/gullcart/src/driver/tests.rs
@@ -164,3 +164,29 @@
         assert_eq!(response, RESPONSE);
     });
 }
+
+/// Guards the order of keys (incident 64b87a) at a hand-over: a call that ended with it stayed open at the endpoint until the
+/// old process ran its tasks again, after the new one had begun to serve.
+#[test]
+fn a_call_that_ends_with_the_hand_over_is_closed_before_its_end_is_reported() {
+    // Longer than a response that can be handed over, and not complete.
+    const LENGTH: usize = 60_000;
+    const SENT: usize = LENGTH / 2;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    run(async {
+        let mut courier = Courier::new(address);
+        courier.enqueue("a1");
+        let mut endpoint = courier.run_until_called(listener).await;
+        write!(endpoint, "HTTP/1.1 500 Oops\r\nContent-Length: {LENGTH}\r\n\r\n").unwrap();
+        endpoint.write_all(&[b'x'; SENT]).unwrap();
+        while courier.driver.in_flight_calls.values().any(|call| call.progress.to_handover().is_some()) {
+            yield_now().await;
+        }
+        let stopped = courier.driver.stop(&mut courier.events, &courier.clients).await.unwrap();
+        assert!(stopped.state.calls.is_empty());
+        // No task of the old process has run since.
+        endpoint.set_read_timeout(Some(TIMEOUT)).unwrap();
+        assert_eq!(endpoint.read(&mut [0]).expect("the call is open at the endpoint"), 0);
+    });
+}
--- a/crates/gullcart/src/tracked_connection.rs
+++ b/crates/gullcart/src/tracked_connection.rs
@@ -113,6 +113,15 @@
         self.written_part()
     }
 
+    /// Shuts the sending side of the call's connection down, which ends the call at the endpoint. For a call that was detached
+    /// and is not handed over.
+    pub fn end_at_endpoint(&self) {
+        if let Some(connection) = self.connection.borrow().upgrade() {
+            // An error means that the connection is closed already.
+            let _ = SockRef::from(&connection.stream).shutdown(Shutdown::Write);
+        }
+    }
+
     fn written_part(&self) -> WrittenPart {
         let connection = self.connection.borrow().upgrade();
         match self.stage.get() {
