Drop a courier that its old process has taken back before it is resumed

`Engine::resume` compares which messages are held, not what happened to them since.

It looks before it has the lock as well, so that clients and endpoints of a courier that was taken back are not kept from noticing when their connections end.

Price: where the old process is killed between its word and the new one's lock, a good state is dropped, and the new process starts as after any SIGKILL.

--- a/crates/gullcart/src/service.rs
+++ b/crates/gullcart/src/service.rs
@@ -128,7 +128,11 @@
                     }
                 }
             }
-            match Journal::open(&self.state_folder, self.journal_disk_bytes(), self.journal_options) {
+            let opened = Journal::open(&self.state_folder, self.journal_disk_bytes(), self.journal_options);
+            // With the lock held, if it is. Otherwise, descriptors of connections that the other process goes on with are closed
+            // here, or its clients and endpoints would not notice when it closes them.
+            arrived = arrived.filter(|courier| is_still_owned(courier));
+            match opened {
                 Err(JournalError::Folder(error))
                     if self.has_console
                         && error.kind() == std::io::ErrorKind::ResourceBusy
@@ -383,6 +387,17 @@
     }
 }
 
+/// Whether a courier that has arrived was not withdrawn. The state of one that was may be out of date.
+fn is_still_owned(arrived: &ArrivedCourier) -> bool {
+    let is_withdrawn = arrived.is_withdrawn();
+    if is_withdrawn {
+        warn!(
+            "the previous process took its courier back, or has ended; the courier starts from its journal"
+        );
+    }
+    !is_withdrawn
+}
+
 impl RunningCourier {
     /// Runs until the courier has shut down or another process asks for it.
     pub async fn run(
--- a/crates/gullcart/src/upgrade.rs
+++ b/crates/gullcart/src/upgrade.rs
@@ -6,8 +6,9 @@
     decode_header, decode_state, encode, handshake, FrameError, HandoverAction, HandoverEvent,
     HandoverSender, HandoverState, HEADER_BYTES, MAX_DESCRIPTORS,
 };
+use rustix::io::Errno;
 use rustix::net::{
-    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    recv, recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
 };
 use std::io::{self, IoSlice, IoSliceMut, Read, Write};
@@ -127,6 +128,7 @@
 }
 
 /// Hands the courier over to the process that asks for it. `release` releases the lock of the folder. Returns what to do next.
+/// The connection is closed then, which a new process relies on: see [`ArrivedCourier::is_withdrawn`].
 pub fn hand_over(
     mut stream: UnixStream,
     state: &HandoverState,
@@ -235,6 +237,14 @@
         expect_byte(&mut self.stream, handshake::LOCK_RELEASED)
     }
 
+    /// Whether the previous process has given the hand-over up, or has ended. It closes its connection before it takes the lock
+    /// of the folder back. So a courier that is not withdrawn while this process holds the lock was not used by any other process
+    /// since its state was sent, and will not be.
+    pub fn is_withdrawn(&self) -> bool {
+        let received = recv(&self.stream, &mut [0; 1], RecvFlags::PEEK | RecvFlags::DONTWAIT);
+        !matches!(received, Err(Errno::WOULDBLOCK))
+    }
+
     /// Confirms to the previous process that this one serves, so that it drops its copy of the courier.
     pub fn confirm_serving(mut self) -> Result<(), HandoverError> {
         send_byte(&mut self.stream, handshake::SERVING)?;
--- a/crates/gullcart/tests/upgrade.rs
+++ b/crates/gullcart/tests/upgrade.rs
@@ -1,11 +1,13 @@
 //! Hand-over of a running courier to a second process that is started beside it.
 
+use gullcart_handover::{decode_header, decode_state, encode, HandoverState, HEADER_BYTES};
+use gullcart_journal::Folder;
 use gullcart_standins::world::*;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::os::linux::net::SocketAddrExt;
 use std::os::unix::fs::MetadataExt;
-use std::os::unix::net::UnixStream;
+use std::os::unix::net::{SocketAddr, UnixListener, UnixStream};
 use std::time::Duration;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_gullcart");
@@ -93,12 +95,15 @@
     world.expect_no_call();
 }
 
+/// The address of the hand-over socket of couriers with this state folder.
+fn handover_address(world: &World) -> SocketAddr {
+    let folder = std::fs::metadata(world.state_folder()).unwrap();
+    SocketAddr::from_abstract_name(format!("gullcart-move-{}-{}", folder.dev(), folder.ino())).unwrap()
+}
+
 /// Connects to the hand-over socket of a running courier.
 fn connect_for_handover(world: &World) -> std::io::Result<UnixStream> {
-    let folder = std::fs::metadata(world.state_folder()).unwrap();
-    let name = format!("gullcart-move-{}-{}", folder.dev(), folder.ino());
-    let address = std::os::unix::net::SocketAddr::from_abstract_name(name).unwrap();
-    let stream = UnixStream::connect_addr(&address)?;
+    let stream = UnixStream::connect_addr(&handover_address(world))?;
     stream.set_read_timeout(Some(Duration::from_secs(20)))?;
     Ok(stream)
 }
@@ -116,13 +121,38 @@
     stream
 }
 
-/// Reads everything that is sent. The descriptors are dropped.
-fn read_state(stream: &mut UnixStream) {
-    let mut head = [0; 24];
-    stream.read_exact(&mut head).unwrap();
-    let length = u64::from_le_bytes(head[12..20].try_into().unwrap());
-    stream.read_exact(&mut vec![0; length as usize]).unwrap();
+/// Reads everything that is sent, and returns the state. The descriptors are dropped.
+fn read_state(stream: &mut UnixStream) -> HandoverState {
+    let mut header = [0; HEADER_BYTES];
+    stream.read_exact(&mut header).unwrap();
+    let header = decode_header(&header).unwrap();
+    let mut body = vec![0; header.length];
+    stream.read_exact(&mut body).unwrap();
     stream.read_exact(&mut [0]).unwrap();
+    decode_state(header, &body).unwrap()
+}
+
+/// Accepts a courier as a new process does, up to the word that the lock of the folder is free.
+fn accept_courier(stream: &mut UnixStream) {
+    stream.write_all(b"a").unwrap();
+    let mut word = [0];
+    stream.read_exact(&mut word).unwrap();
+    assert_eq!(&word, b"y");
+}
+
+/// Plays an old process that holds the folder, hands this state over on the socket, and takes the courier back before the new
+/// process has the folder.
+fn hand_over_and_take_back(folder: Folder, listener: &UnixListener, state: &HandoverState) {
+    let (mut stream, _) = listener.accept().unwrap();
+    let mut word = [0];
+    stream.read_exact(&mut word).unwrap();
+    assert_eq!(&word, b"h");
+    stream.write_all(&encode(state).unwrap()).unwrap();
+    stream.read_exact(&mut word).unwrap();
+    assert_eq!(&word, b"a");
+    stream.write_all(b"y").unwrap();
+    drop(stream);
+    drop(folder);
 }
 
 /// The new process dies before it has accepted the courier, or after the lock was released: the old one resumes it.
@@ -139,10 +169,7 @@
         let mut new = request_handover(&world);
         read_state(&mut new);
         if accepts {
-            new.write_all(b"a").unwrap();
-            let mut word = [0];
-            new.read_exact(&mut word).unwrap();
-            assert_eq!(&word, b"y");
+            accept_courier(&mut new);
         }
         drop(new);
         old.wait_for_log(says);
@@ -172,8 +199,7 @@
         let mut first = request_handover(&world);
         read_state(&mut first);
         if accepts {
-            first.write_all(b"a").unwrap();
-            first.read_exact(&mut [0]).unwrap();
+            accept_courier(&mut first);
         }
         // The old process has sent everything to the first one and waits for it.
         let mut second = connect_for_handover(&world).expect("the socket exists during a hand-over");
@@ -249,3 +275,33 @@
     while figure(&old, "in_flight") > 0 {}
     assert_eq!(figure(&old, "served.salary"), 1);
 }
+
+/// Guards against a message that is sent twice (review/2): a new process that was silent for a while resumed the courier from a
+/// state that the old process had taken back, and repeated a call that the old one had made since.
+#[test]
+fn a_courier_that_was_taken_back_is_not_resumed_from_its_old_state() {
+    let world = world(1);
+    let old = world.start();
+    assert_eq!(old.client().enqueue("a1", "0", "salary", 1, b"x"), "+OK");
+    // The message is held, without a call in flight, while the state is handed over.
+    world.next_call().answer("429 Too Many", "X-Come-Back-Ms: 2000\r\n");
+    old.wait_for_log("retry-after received");
+    let mut silent = request_handover(&world);
+    let state = read_state(&mut silent);
+    accept_courier(&mut silent);
+    drop(silent);
+    old.wait_for_log("the new process does not serve");
+    let in_flight = world.next_call();
+    let killed = old.kill();
+    // The rest of the silent process is played with a real one: it has the state of before the call.
+    let without_descriptors =
+        HandoverState { has_listener: false, clients: Vec::new(), calls: Vec::new(), ..state };
+    let folder = Folder::lock(&world.state_folder()).unwrap();
+    let listener = UnixListener::bind_addr(&handover_address(&world)).unwrap();
+    let former = std::thread::spawn(move || hand_over_and_take_back(folder, &listener, &without_descriptors));
+    let _new = killed.restart();
+    former.join().unwrap();
+    // The call may have run, so the message is not sent again.
+    assert_eq!(world.next_notice(), r#"{"id":"a1","state":"failed"}"#);
+    drop(in_flight);
+}
