Let the courier stand still for a hand-over no longer than a notice may be late

Cause: the old process waits for the new one with its only thread, 1 s for `accepted` and 3 s until it serves; nothing else runs meanwhile, as what is handed over must stay true. The limits were chosen for a slow new process, one by one.

Change: one limit for the whole pause (`pause_limit`): 200 ms from the stop until the new process serves, and 20 us for each message held, which the new process replays (by the fit of docs/CAPACITY.md it takes about 7 us); 4 s at most, as before. Each read and write of the old process gets what is left. A new process that was too slow asks again after 0.5, 1, 2 and 4 s (`RequestSchedule`), where it waited for the old one's end. Who owns the courier hangs on the lock and not on the limit.

--- a/crates/gullcart-handover/src/lib.rs
+++ b/crates/gullcart-handover/src/lib.rs
@@ -1,6 +1,6 @@
 //! Hand-over of a running courier to another process, without I/O: the state that is transferred ([`HandoverState`]), its
-//! encoding as a frame, and the old process's state machine ([`HandoverSender`]), including what it does when the new process
-//! fails.
+//! encoding as a frame, the old process's state machine ([`HandoverSender`]), including what it does when the new process
+//! fails, how long that may take ([`pause_limit`]), and when the new process asks for the courier ([`RequestSchedule`]).
 //!
 //! A frame's body has at most [`MAX_BODY_BYTES`] bytes, and at most [`MAX_DESCRIPTORS`] file descriptors come with it. The receiver
 //! rejects a longer body by its header, before it allocates memory for it, and a state with more descriptors before it receives
@@ -8,6 +8,8 @@
 #![forbid(unsafe_code)]
 
 mod frame;
+mod pause;
+mod request_schedule;
 mod sender;
 mod state;
 
@@ -15,6 +17,8 @@
     decode_header, decode_state, encode, FrameError, FrameHeader, HEADER_BYTES, MAX_BODY_BYTES,
     MAX_DESCRIPTORS, VERSION,
 };
+pub use pause::pause_limit;
+pub use request_schedule::RequestSchedule;
 pub use sender::{HandoverAction, HandoverEvent, HandoverSender};
 pub use state::{HandoverCall, HandoverClient, HandoverState};
 
--- a/crates/gullcart/src/service.rs
+++ b/crates/gullcart/src/service.rs
@@ -4,7 +4,7 @@
 use gullcart_engine::{
     ConnectionAnswers, DiscoveryBackoff, Engine, EngineConfig, EngineMetrics, Input, TrialDuties,
 };
-use gullcart_handover::{HandoverAction, HandoverClient, HandoverState};
+use gullcart_handover::{pause_limit, HandoverAction, HandoverClient, HandoverState, RequestSchedule};
 use gullcart_journal::{Folder, Journal, JournalError, Options};
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
@@ -53,8 +53,6 @@
 const FOLDER_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time between two attempts to open the folder.
 const FOLDER_RETRY_INTERVAL: Duration = Duration::from_millis(20);
-/// Time between two requests to the running process for its courier.
-const HANDOVER_REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The parts of the daemon that last as long as the process.
 pub struct Service {
@@ -112,31 +110,40 @@
     /// holds the folder and hands nothing over, it is asked repeatedly: it may be in a hand-over to a third process, which can
     /// fail.
     pub async fn open_journal(&self) -> Result<(Option<Box<ArrivedCourier>>, Journal<Folder>), StartError> {
-        let deadline = Instant::now() + FOLDER_TIMEOUT;
+        let started_at = Instant::now();
         let mut arrived = None;
-        let mut next_request = self.has_console.then(Instant::now);
+        let mut requests = RequestSchedule::new(self.has_console);
         let mut is_waiting_logged = false;
         loop {
-            if next_request.is_some_and(|at| at <= Instant::now()) {
-                next_request = Some(Instant::now() + HANDOVER_REQUEST_INTERVAL);
+            if requests.is_due(started_at.elapsed()) {
                 match self.request_courier().await {
-                    Ok(RequestOutcome::Unavailable) => {}
-                    Ok(RequestOutcome::Arrived(courier)) => (arrived, next_request) = (Some(courier), None),
+                    Ok(RequestOutcome::Unavailable) => requests.record_unavailable(started_at.elapsed()),
+                    Ok(RequestOutcome::Arrived(courier)) => {
+                        arrived = Some(courier);
+                        requests.stop();
+                    }
+                    Err(error) if error.is_transient() => {
+                        warn!(%error, "cannot take over from the running process; asking again later");
+                        requests.record_failure(started_at.elapsed());
+                    }
                     Err(error) => {
                         warn!(%error, "cannot take over from the running process; waiting for it to end");
-                        next_request = None;
+                        requests.stop();
                     }
                 }
             }
             let opened = Journal::open(&self.state_folder, self.journal_disk_bytes(), self.journal_options);
             // With the lock held, if it is. Otherwise, descriptors of connections that the other process goes on with are closed
             // here, or its clients and endpoints would not notice when it closes them.
-            arrived = arrived.filter(|courier| is_still_owned(courier));
+            if arrived.take_if(|courier| courier.is_withdrawn()).is_some() {
+                warn!("the previous process took its courier back, or has ended");
+                requests.record_failure(started_at.elapsed());
+            }
             match opened {
                 Err(JournalError::Folder(error))
                     if self.has_console
                         && error.kind() == std::io::ErrorKind::ResourceBusy
-                        && Instant::now() < deadline =>
+                        && started_at.elapsed() < FOLDER_TIMEOUT =>
                 {
                     if !is_waiting_logged && arrived.is_none() {
                         info!("another process holds the folder; waiting for a hand-over or its end");
@@ -341,8 +348,10 @@
         }
         descriptors.extend(call_connections);
         let (client_count, call_count) = (state.clients.len(), state.calls.len());
+        let (held_messages, _) = engine.load();
+        let deadline = (started_at + pause_limit(held_messages)).into_std();
         let mut engine = Some(engine);
-        let action = upgrade::hand_over(stream, &state, &descriptors, || drop(engine.take()));
+        let action = upgrade::hand_over(stream, &state, &descriptors, deadline, || drop(engine.take()));
         let took = started_at.elapsed();
         if action == HandoverAction::Finish {
             info!(
@@ -387,17 +396,6 @@
     }
 }
 
-/// Whether a courier that has arrived was not withdrawn. The state of one that was may be out of date.
-fn is_still_owned(arrived: &ArrivedCourier) -> bool {
-    let is_withdrawn = arrived.is_withdrawn();
-    if is_withdrawn {
-        warn!(
-            "the previous process took its courier back, or has ended; the courier starts from its journal"
-        );
-    }
-    !is_withdrawn
-}
-
 impl RunningCourier {
     /// Runs until the courier has shut down or another process asks for it.
     pub async fn run(
--- a/crates/gullcart/src/upgrade.rs
+++ b/crates/gullcart/src/upgrade.rs
@@ -18,7 +18,7 @@
 use std::os::unix::fs::MetadataExt;
 use std::os::unix::net::{SocketAddr, UnixListener, UnixStream};
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use thiserror::Error;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
@@ -28,10 +28,8 @@
 
 /// Descriptors in one message of the socket.
 const DESCRIPTORS_PER_MESSAGE: usize = 64;
-/// How long each side waits for the other one's next handshake byte: the new process may have to replay its journal first.
+/// How long the new process waits for each part of what the old one sends, which may be in another hand-over.
 const PEER_TIMEOUT: Duration = Duration::from_secs(3);
-/// How long the running process waits until a new one has read the state: no client is served meanwhile.
-const TRANSFER_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long the running process waits for the first handshake byte of a new one.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time between attempts to bind the socket's name, which a previous process may still hold.
@@ -57,6 +55,16 @@
     Descriptors(usize, usize),
 }
 
+impl HandoverError {
+    /// Whether another hand-over may succeed: a process was silent for too long, or has ended.
+    pub fn is_transient(&self) -> bool {
+        match self {
+            HandoverError::Io(_) | HandoverError::Descriptors(..) => true,
+            HandoverError::Frame(_) | HandoverError::ForeignUser | HandoverError::UnexpectedByte => false,
+        }
+    }
+}
+
 /// The address of the couriers of a folder, in the abstract namespace: it disappears with its process.
 fn socket_address(state_folder: &Path) -> io::Result<SocketAddr> {
     let folder = std::fs::metadata(state_folder)?;
@@ -68,13 +76,53 @@
     Ok(rustix::net::sockopt::socket_peercred(stream)?.uid == rustix::process::geteuid())
 }
 
+/// The old process's side of a connection, on which no step outlasts a deadline: the courier stands still meanwhile.
+struct DeadlineStream {
+    stream: UnixStream,
+    deadline: Instant,
+}
+
+impl DeadlineStream {
+    /// Time until the deadline; an error if it has passed.
+    fn remaining(&self) -> io::Result<Duration> {
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        match remaining.is_zero() {
+            true => Err(io::ErrorKind::TimedOut.into()),
+            false => Ok(remaining),
+        }
+    }
+
+    /// Limits the next write to the time that remains.
+    fn limit_write(&self) -> io::Result<()> {
+        self.stream.set_write_timeout(Some(self.remaining()?))
+    }
+}
+
+impl Read for DeadlineStream {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        self.stream.set_read_timeout(Some(self.remaining()?))?;
+        self.stream.read(buffer)
+    }
+}
+
+impl Write for DeadlineStream {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.limit_write()?;
+        self.stream.write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Sends a handshake byte.
-fn send_byte(stream: &mut UnixStream, byte: u8) -> io::Result<()> {
+fn send_byte(stream: &mut impl Write, byte: u8) -> io::Result<()> {
     stream.write_all(&[byte])
 }
 
 /// Receives the handshake byte `expected`; any other byte is an error.
-fn expect_byte(stream: &mut UnixStream, expected: u8) -> Result<(), HandoverError> {
+fn expect_byte(stream: &mut impl Read, expected: u8) -> Result<(), HandoverError> {
     let mut received = [0];
     stream.read_exact(&mut received)?;
     if received[0] == expected {
@@ -118,23 +166,22 @@
 
 /// Waits briefly for the first handshake byte of a process that asks for the courier; false if it is missing or wrong.
 pub fn receive_hello(stream: &mut UnixStream) -> bool {
-    let configured = stream
-        .set_nonblocking(false)
-        .and_then(|()| stream.set_read_timeout(Some(HELLO_TIMEOUT)))
-        .and_then(|()| stream.set_write_timeout(Some(PEER_TIMEOUT)));
-    configured.is_ok()
-        && expect_byte(stream, handshake::HELLO).is_ok()
-        && stream.set_read_timeout(Some(TRANSFER_TIMEOUT)).is_ok()
+    let configured =
+        stream.set_nonblocking(false).and_then(|()| stream.set_read_timeout(Some(HELLO_TIMEOUT)));
+    configured.is_ok() && expect_byte(stream, handshake::HELLO).is_ok()
 }
 
-/// Hands the courier over to the process that asks for it. `release` releases the lock of the folder. Returns what to do next.
-/// The connection is closed then, which a new process relies on: see [`ArrivedCourier::is_withdrawn`].
+/// Hands the courier over to the process that asks for it, which has to serve by `deadline`. `release` releases the lock of the
+/// folder. Returns what to do next. The connection is closed then, which a new process relies on: see
+/// [`ArrivedCourier::is_withdrawn`].
 pub fn hand_over(
-    mut stream: UnixStream,
+    stream: UnixStream,
     state: &HandoverState,
     descriptors: &[OwnedFd],
+    deadline: Instant,
     release: impl FnOnce(),
 ) -> HandoverAction {
+    let mut stream = DeadlineStream { stream, deadline };
     let mut sender = HandoverSender::default();
     sender.handle(HandoverEvent::Hello);
     let sent = send_state(&mut stream, state, descriptors)
@@ -144,11 +191,9 @@
         return sender.handle(HandoverEvent::ReceiverFailed);
     }
     sender.handle(HandoverEvent::Accepted);
-    let configured = stream.set_read_timeout(Some(PEER_TIMEOUT));
     release();
     sender.handle(HandoverEvent::LockReleased);
-    let served = configured
-        .and_then(|()| send_byte(&mut stream, handshake::LOCK_RELEASED))
+    let served = send_byte(&mut stream, handshake::LOCK_RELEASED)
         .map_err(HandoverError::from)
         .and_then(|()| expect_byte(&mut stream, handshake::SERVING));
     match served {
@@ -162,7 +207,7 @@
 
 /// Sends the state and then the descriptors.
 fn send_state(
-    stream: &mut UnixStream,
+    stream: &mut DeadlineStream,
     state: &HandoverState,
     descriptors: &[OwnedFd],
 ) -> Result<(), HandoverError> {
@@ -172,7 +217,8 @@
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(DESCRIPTORS_PER_MESSAGE))];
         let mut control = SendAncillaryBuffer::new(&mut space);
         control.push(SendAncillaryMessage::ScmRights(&batch));
-        sendmsg(&*stream, &[IoSlice::new(b"d")], &mut control, SendFlags::NOSIGNAL)
+        stream.limit_write()?;
+        sendmsg(&stream.stream, &[IoSlice::new(b"d")], &mut control, SendFlags::NOSIGNAL)
             .map_err(io::Error::from)?;
     }
     Ok(())
--- a/crates/gullcart/tests/upgrade.rs
+++ b/crates/gullcart/tests/upgrade.rs
@@ -8,7 +8,7 @@
 use std::os::linux::net::SocketAddrExt;
 use std::os::unix::fs::MetadataExt;
 use std::os::unix::net::{SocketAddr, UnixListener, UnixStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_gullcart");
 
@@ -210,7 +210,7 @@
         old.wait_for_nth_log("the courier stays in this process", if accepts { 3 } else { 2 });
     }
     assert_eq!(client.request(&["PING"]), "+PONG");
-    // The same with a real process: the old one waits for the first one for up to a second.
+    // The same with a real process: the old one waits for the first one for a while.
     let mut first = request_handover(&world);
     read_state(&mut first);
     let new = upgrade(&world);
@@ -305,3 +305,25 @@
     assert_eq!(world.next_notice(), r#"{"id":"a1","state":"failed"}"#);
     drop(in_flight);
 }
+
+/// Guards against late notices (review/3): while a new process was silent, the courier stood still for 1 s, or for 3 s if the new
+/// process had accepted it.
+#[test]
+fn the_courier_goes_on_soon_when_a_new_process_is_silent() {
+    // A notice may be 300 ms late, and each time limit is 50 ms longer on sockets.
+    const LONGEST_PAUSE: Duration = Duration::from_millis(350);
+    let world = world(1);
+    let old = world.start();
+    let mut client = old.client();
+    for accepts in [false, true] {
+        let mut silent = request_handover(&world);
+        let asked_at = Instant::now();
+        read_state(&mut silent);
+        if accepts {
+            accept_courier(&mut silent);
+        }
+        assert_eq!(client.request(&["PING"]), "+PONG");
+        let pause = asked_at.elapsed();
+        assert!(pause <= LONGEST_PAUSE, "the courier stood still for {pause:?}");
+    }
+}
