Split what tracks a request's bytes, and the stop for a hand-over, into smaller parts

Need: tracked_connection.rs had grown to 590 lines with three jobs, and `Driver::stop` did five things in one function. Two types named `HandoverCall` were in use beside each other.

Change: `write_progress` has how far a request is written and how its call is detached, `outgoing_request` finds the end of a request in its bytes; the release of clients and the events that are queued have functions of their own, the latter used by the shutdown too; the connection's type is `ConnectionHandover`. No behaviour changes.

Measured: the package's tests of the library and of upgrades pass as before.

--- a/crates/gullcart/src/driver.rs
+++ b/crates/gullcart/src/driver.rs
@@ -267,21 +267,7 @@
         events: &mut Receiver<DriverEvent>,
         clients: &Clients,
     ) -> Result<StoppedCourier, JournalError> {
-        self.channels.phase.send_replace(Phase::Moving);
-        let until = Instant::now() + MAX_CLIENT_RELEASE_WAIT;
-        loop {
-            while let Ok(event) = events.try_recv() {
-                self.handle_event(event);
-            }
-            self.run_turn()?;
-            yield_now().await;
-            if (clients.active_count() == 0 && events.is_empty()) || Instant::now() >= until {
-                break;
-            }
-        }
-        while let Ok(event) = events.try_recv() {
-            self.handle_event(event);
-        }
+        self.release_clients(events, clients).await?;
         let detached: Vec<DetachedCall> = std::mem::take(&mut self.in_flight_calls)
             .into_iter()
             .map(|(message, call)| call.detach(message))
@@ -316,6 +302,33 @@
         Ok(StoppedCourier { engine: self.engine, state, call_connections, last_metrics })
     }
 
+    /// Answers the requests that were read, and waits until the clients' connections are released.
+    async fn release_clients(
+        &mut self,
+        events: &mut Receiver<DriverEvent>,
+        clients: &Clients,
+    ) -> Result<(), JournalError> {
+        self.channels.phase.send_replace(Phase::Moving);
+        let until = Instant::now() + MAX_CLIENT_RELEASE_WAIT;
+        loop {
+            self.handle_queued_events(events);
+            self.run_turn()?;
+            yield_now().await;
+            if (clients.active_count() == 0 && events.is_empty()) || Instant::now() >= until {
+                break;
+            }
+        }
+        self.handle_queued_events(events);
+        Ok(())
+    }
+
+    /// Passes all events in the queue to the engine.
+    fn handle_queued_events(&mut self, events: &mut Receiver<DriverEvent>) {
+        while let Ok(event) = events.try_recv() {
+            self.handle_event(event);
+        }
+    }
+
     /// Reports the end of a call that the next process does not continue.
     fn report_detached_end(&mut self, now: Time, message: MessageId, outcome: Outcome, latency: Duration) {
         let in_flight = self.engine.calls_in_flight().find(|(other, _)| *other == message);
@@ -338,9 +351,7 @@
         self.engine.stop_calling(self.clock.now());
         self.channels.phase.send_replace(Phase::Over);
         loop {
-            while let Ok(event) = events.try_recv() {
-                self.handle_event(event);
-            }
+            self.handle_queued_events(events);
             self.run_turn()?;
             // Lets the connections' tasks write the replies.
             yield_now().await;
--- a/crates/gullcart/src/driver/detached_call.rs
+++ b/crates/gullcart/src/driver/detached_call.rs
@@ -53,15 +53,15 @@
         if self.is_cancelled() {
             return None;
         }
-        let call = self.progress.to_handover()?;
-        let state = HandoverCall {
+        let connection = self.progress.to_handover()?;
+        let call = HandoverCall {
             message: message.0,
             timeout_us: self.timeout.as_micros() as u64,
             elapsed_us: elapsed.as_micros() as u64,
-            response: call.response_bytes,
-            earlier_response_hashes: call.earlier_answers,
+            response: connection.response_bytes,
+            earlier_response_hashes: connection.earlier_answers,
         };
-        Some(CallFate::HandedOver(state, call.connection))
+        Some(CallFate::HandedOver(call, connection.descriptor))
     }
 
     /// Ends the call at its endpoint, and returns its outcome.
--- a/crates/gullcart/src/tracked_connection.rs
+++ b/crates/gullcart/src/tracked_connection.rs
@@ -8,9 +8,8 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
-use std::os::fd::{AsFd, OwnedFd};
 use std::pin::Pin;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -19,7 +18,10 @@
 use tokio::time::{sleep, Instant};
 use tracing::debug;
 
+use outgoing_request::OutgoingRequest;
 use status_line::StatusLine;
+use write_progress::Stage;
+pub use write_progress::{WriteProgress, WrittenPart};
 
 /// Bytes of a response that are kept while it is read, so that another process can resume the call. A call with a longer
 /// response cannot be handed over.
@@ -49,162 +51,6 @@
     }
 }
 
-/// How much of a call's request has been written.
-#[derive(Default)]
-pub struct WriteProgress {
-    stage: Cell<Stage>,
-    completed: Notify,
-    /// The connection that carries the call.
-    connection: RefCell<Weak<TrackedConnection>>,
-}
-
-/// The part of a request that has been written.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WrittenPart {
-    /// Not a byte.
-    Nothing,
-    /// Some of it.
-    Part,
-    /// Up to its last byte.
-    All,
-}
-
-/// A call in flight, prepared for the hand-over to another process.
-pub struct HandoverCall {
-    /// A duplicate of the connection's descriptor.
-    pub connection: OwnedFd,
-    /// Bytes of the response read so far.
-    pub response_bytes: Vec<u8>,
-    /// Fingerprints of the responses that the connection has brought before.
-    pub earlier_answers: Vec<u64>,
-}
-
-/// The stages of writing a request.
-#[derive(Clone, Copy, Default, PartialEq, Eq)]
-enum Stage {
-    /// No attempt to write was made.
-    #[default]
-    Unsent,
-    /// Writing may have started.
-    Started,
-    /// The last byte is written, which was not reported yet.
-    Complete,
-    /// The last byte is written, which was reported.
-    Reported,
-}
-
-impl WriteProgress {
-    /// Whether some of the request may have been written.
-    pub fn is_started(&self) -> bool {
-        self.stage.get() != Stage::Unsent
-    }
-
-    /// The local port of the connection that carries the call; none if there is none.
-    pub fn local_port(&self) -> Option<u16> {
-        self.connection.borrow().upgrade().and_then(|connection| connection.local_port())
-    }
-
-    /// Detaches the call from the HTTP library, and returns the part of the request that has been written. Nothing is written
-    /// or read after that, although the library's task may run again: it ends some time after the call's own task was aborted.
-    pub fn detach(&self) -> WrittenPart {
-        if let Some(connection) = self.connection.borrow().upgrade() {
-            connection.is_detached.set(true);
-        }
-        self.written_part()
-    }
-
-    /// Shuts the sending side of the call's connection down, which ends the call at the endpoint. For a call that was detached
-    /// and is not handed over.
-    pub fn end_at_endpoint(&self) {
-        if let Some(connection) = self.connection.borrow().upgrade() {
-            // An error means that the connection is closed already.
-            let _ = SockRef::from(&connection.stream).shutdown(Shutdown::Write);
-        }
-    }
-
-    fn written_part(&self) -> WrittenPart {
-        let connection = self.connection.borrow().upgrade();
-        match self.stage.get() {
-            Stage::Unsent => WrittenPart::Nothing,
-            Stage::Started if connection.is_none_or(|connection| connection.is_unwritten()) => {
-                WrittenPart::Nothing
-            }
-            Stage::Started => WrittenPart::Part,
-            Stage::Complete | Stage::Reported => WrittenPart::All,
-        }
-    }
-
-    /// The progress of a call that another process has written and reported.
-    pub fn handed_over() -> Self {
-        WriteProgress { stage: Cell::new(Stage::Reported), ..WriteProgress::default() }
-    }
-
-    /// Prepares the call for a hand-over; none if it is not completely written, or if too much of its response has been read.
-    pub fn to_handover(&self) -> Option<HandoverCall> {
-        let connection = self.connection.borrow().upgrade()?;
-        if !matches!(self.stage.get(), Stage::Complete | Stage::Reported)
-            || connection.is_discarding_request.get()
-        {
-            return None;
-        }
-        let mut response_bytes = connection.response_bytes.borrow().clone()?;
-        response_bytes.extend(connection.filtered_bytes.borrow().iter());
-        response_bytes.extend_from_slice(connection.copy_filter.borrow().buffered());
-        let descriptor = connection.stream.as_fd().try_clone_to_owned().ok()?;
-        let earlier_answers = connection.earlier_answers.borrow().fingerprints();
-        Some(HandoverCall { connection: descriptor, response_bytes, earlier_answers })
-    }
-
-    /// Waits until the last byte is written, and marks this as reported. To be called once.
-    pub async fn wait_until_written(&self) {
-        while self.stage.get() != Stage::Complete {
-            self.completed.notified().await;
-        }
-        self.stage.set(Stage::Reported);
-    }
-
-    /// Whether the last byte is written and this was not reported yet.
-    pub fn is_unreported(&self) -> bool {
-        self.stage.get() == Stage::Complete
-    }
-}
-
-/// Finds the end of a request in its outgoing bytes: a head, and a body of known length.
-struct OutgoingRequest {
-    progress: Rc<WriteProgress>,
-    /// Bytes of [`HEAD_TERMINATOR`] matched so far.
-    matched_terminator_bytes: usize,
-    /// Bytes of the body still to be written.
-    remaining_body_bytes: usize,
-}
-
-/// The bytes that end a head.
-const HEAD_TERMINATOR: &[u8] = b"\r\n\r\n";
-
-impl OutgoingRequest {
-    fn is_complete(&self) -> bool {
-        self.matched_terminator_bytes == HEAD_TERMINATOR.len() && self.remaining_body_bytes == 0
-    }
-
-    /// Takes bytes that were written.
-    fn feed(&mut self, mut bytes: &[u8]) {
-        while let (Some((byte, rest)), true) =
-            (bytes.split_first(), self.matched_terminator_bytes < HEAD_TERMINATOR.len())
-        {
-            self.matched_terminator_bytes = match HEAD_TERMINATOR[self.matched_terminator_bytes] == *byte {
-                true => self.matched_terminator_bytes + 1,
-                false => usize::from(*byte == HEAD_TERMINATOR[0]),
-            };
-            bytes = rest;
-        }
-        self.remaining_body_bytes = self.remaining_body_bytes.saturating_sub(bytes.len());
-        if self.is_complete() && self.progress.stage.get() == Stage::Started {
-            self.progress.stage.set(Stage::Complete);
-            self.progress.completed.notify_one();
-        }
-    }
-}
-
 /// A connection to an endpoint with the records of its bytes, used beside the HTTP library that owns the [`TrackedStream`].
 pub struct TrackedConnection {
     stream: TcpStream,
@@ -578,6 +424,8 @@
     }
 }
 
+mod outgoing_request;
 mod status_line;
 #[cfg(test)]
 mod tests;
+mod write_progress;
--- a/crates/gullcart/src/tracked_connection/tests.rs
+++ b/crates/gullcart/src/tracked_connection/tests.rs
@@ -107,7 +107,7 @@
     let progress = Rc::new(WriteProgress::handed_over());
     connection.begin_call(0, progress.clone(), None);
     progress.detach();
-    let next_process = progress.to_handover().unwrap().connection;
+    let next_process = progress.to_handover().unwrap().descriptor;
     TrackedStream(connection.clone()).shutdown().await.unwrap();
     drop(connection);
     let mut next_process = TcpStream::from_std(std::net::TcpStream::from(next_process)).unwrap();
