--- a/review/7/case.py
+++ b/review/7/case.py
@@ -18,6 +18,7 @@
         if shut["from"] is not None and shut["from"] <= at < shut["until"]:
             left = int((shut["until"] - at) * 1000)
             if left > 0:
+                call["told_until"] = at + left / 1000.0
                 return "429 Too Many Requests", {"X-Come-Back-Ms": str(left), "X-Load-Report": "x0=0.9,x1=40"}, 0
         return "200 OK", {"X-Load-Report": "x0=0.9,x1=40"}, 0.16
 
@@ -92,11 +93,12 @@
     told = [c for c in first.calls if c.get("status", "").startswith("429")]
     if not told:
         raise CannotRun("the bank told nobody to wait")
-    begun = told[0]["answered"]
+    # The first wait that was told, up to its own end; later ones are told by calls that came too early.
+    begun, until = told[0]["answered"], told[0]["told_until"]
     for call in first.calls:
-        if begun + LET_THROUGH < call["at"] < shut["until"]:
+        if begun + LET_THROUGH < call["at"] < until:
             case.breach("the courier was told at %.3f to wait until %.3f and called at %.3f (%s)" % (
-                begun, shut["until"], call["at"], call["id"]))
+                begun, until, call["at"], call["id"]))
 
 
 if __name__ == "__main__":
