--- a/crates/gullcart-engine/src/engine.rs
+++ b/crates/gullcart-engine/src/engine.rs
@@ -47,6 +47,15 @@
     is_shared: bool,
 }
 
+/// What to do with a message once its call has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AfterCall {
+    /// Nobody waits for the message: its client has left, or its notice was acknowledged.
+    Complete,
+    /// As above, but its client has enqueued it again since, and gets a notice unless the call delivers the message.
+    NotifyUndelivered,
+}
+
 /// When the process exits after it was asked to shut down.
 struct Shutdown {
     /// Not before this moment, even if nothing is held.
@@ -89,8 +98,11 @@
     max_held: usize,
     /// The messages that are held, by the client's id.
     held_by_id: HashMap<String, HeldMessage>,
-    /// Calls in flight. The map is ordered, so that a run can be reproduced.
+    /// Calls in flight. The map is ordered, so that a run can be reproduced. The journal holds the message of each of them, also
+    /// if nobody waits for it any more: another process resumes the call from both.
     in_flight: BTreeMap<MessageId, InFlightCall>,
+    /// What to do with messages that were over before their call had ended, once it has.
+    after_call: BTreeMap<MessageId, AfterCall>,
     /// Attempts whose calls could not be started. The decision logic gets their results at the start of the next turn.
     not_started: Vec<(MessageId, EndpointId)>,
     /// Effects of the current turn.
@@ -136,25 +148,32 @@
         let seed = config.seed;
         let mut engine = Engine::without_messages(config, journal);
         let snapshot = engine_snapshot::read(snapshot, engine.settings_checksum);
-        let matches_journal = |snapshot: &EngineSnapshot| {
-            let all_pending = &engine.journal.state().pending;
-            all_pending.iter().all(|(number, pending)| {
-                pending.verdict.is_some() || snapshot.decision_logic.holds(MessageId(*number))
-            }) && snapshot.in_flight.keys().all(|message| all_pending.contains_key(&message.0))
-        };
-        let result = match snapshot {
-            Ok(snapshot) if matches_journal(&snapshot) => {
-                engine.restore_from_snapshot(now, seed, snapshot);
-                Ok(())
-            }
-            other => {
-                engine.restore_from_journal(now, initial_list);
-                Err(other.err().unwrap_or(ResumeError::JournalMismatch))
-            }
-        };
+        let result = snapshot.and_then(|snapshot| {
+            engine.compare_with_journal(&snapshot)?;
+            engine.restore_from_snapshot(now, seed, snapshot);
+            Ok(())
+        });
+        if result.is_err() {
+            engine.restore_from_journal(now, initial_list);
+        }
         (engine, result)
     }
 
+    /// Checks that a snapshot and the journal hold the same messages.
+    fn compare_with_journal(&self, snapshot: &EngineSnapshot) -> Result<(), ResumeError> {
+        let all_pending = &self.journal.state().pending;
+        let is_missing_in_snapshot = |(number, pending): &(&u32, &PendingMessage)| {
+            pending.verdict.is_none() && !snapshot.decision_logic.holds(MessageId(**number))
+        };
+        let only_in_journal = all_pending.iter().filter(is_missing_in_snapshot).count();
+        let calls = snapshot.in_flight.keys();
+        let calls_without_message = calls.filter(|message| !all_pending.contains_key(&message.0)).count();
+        match (only_in_journal, calls_without_message) {
+            (0, 0) => Ok(()),
+            _ => Err(ResumeError::JournalMismatch { only_in_journal, calls_without_message }),
+        }
+    }
+
     fn restore_from_snapshot(&mut self, now: Time, seed: u64, snapshot: EngineSnapshot) {
         let EngineSnapshot { decision_logic, directory, in_flight, shared_messages, wake_up } = snapshot;
         self.decision_logic = decision_logic.resumed(self.settings.clone(), seed);
@@ -254,6 +273,7 @@
             directory,
             held_by_id: HashMap::new(),
             in_flight: BTreeMap::new(),
+            after_call: BTreeMap::new(),
             not_started: Vec::new(),
             effects: Vec::new(),
             shutdown: None,
@@ -534,6 +554,9 @@
                 return Err(Answer::Error("the id is in use for another message"));
             }
             same_id.is_shared = true;
+            if let Some(after_call) = self.after_call.get_mut(&MessageId(same_id.number)) {
+                *after_call = AfterCall::NotifyUndelivered;
+            }
             return Err(Answer::Held);
         }
         let destination = DestinationId(enqueue.destination);
@@ -590,7 +613,7 @@
     }
 
     /// The client did not receive the answer that its message was accepted. No client waits for the message then, and it is
-    /// dropped, unless another enqueue request for it was answered since.
+    /// dropped once it has no call in flight, unless another enqueue request for it was answered since.
     fn answer_unacknowledged(&mut self, now: Time, message: MessageId) {
         let id = self.journal.state().pending.get(&message.0).map(|pending| &pending.message.id);
         let held = id.and_then(|id| self.held_by_id.get(id));
@@ -599,6 +622,11 @@
         }
         if held.is_some_and(|held| !held.is_shared) {
             self.counts.abandoned += u64::from(self.is_undecided(message));
+            if self.in_flight.contains_key(&message) && self.is_undecided(message) {
+                // A process that replays the journal before the call has ended must not send the message again.
+                let written = self.journal.set_verdict(message.0, Verdict::Failed);
+                self.log_journal_error(now, written);
+            }
             self.complete(now, message);
             self.decision_logic.handle(now, Event::ClientGone(message));
         }
@@ -687,6 +715,7 @@
         #[cfg(feature = "broken")]
         let result = self.fault_injector.alter_call_result(result);
         let Some(call) = self.in_flight.remove(&message) else { return };
+        let after_call = self.after_call.remove(&message);
         // These outcomes rule out that the endpoint processed the message; all others do not.
         let may_have_run = !matches!(
             result.outcome,
@@ -715,7 +744,10 @@
                 }
             }
             // A delivery that may have come after the deadline, because this process was paused, still gets a failure notice.
-            if result.outcome == Outcome::Ok && !self.decision_logic.is_certainly_in_time(now, message) {
+            if result.outcome == Outcome::Ok
+                && after_call.is_none()
+                && !self.decision_logic.is_certainly_in_time(now, message)
+            {
                 let written = self.journal.set_verdict(message.0, Verdict::Failed);
                 self.log_journal_error(now, written);
                 self.send_notice(message, Verdict::Failed);
@@ -728,6 +760,11 @@
             let written = self.journal.finish_attempt(message.0, may_have_run);
             self.log_journal_error(now, written);
         }
+        match after_call {
+            Some(AfterCall::Complete) => self.complete(now, message),
+            Some(AfterCall::NotifyUndelivered) => self.resend_notice(message),
+            None => {}
+        }
         self.decision_logic.handle(
             now,
             Event::Finished(Finished {
@@ -757,8 +794,13 @@
         self.counts.class_mut(class.map(|class| usize::from(class.0)))
     }
 
-    /// Stops holding a message: it was delivered, its notice was acknowledged, or no client waits for it.
+    /// Stops holding a message: it was delivered, its notice was acknowledged, or no client waits for it. A message whose call is
+    /// in flight is held until the call has ended.
     fn complete(&mut self, now: Time, message: MessageId) {
+        if self.in_flight.contains_key(&message) {
+            self.after_call.insert(message, AfterCall::Complete);
+            return;
+        }
         if let Some(pending) = self.journal.state().pending.get(&message.0) {
             message_trace::completed(&pending.message.id);
             self.held_by_id.remove(&pending.message.id);
@@ -896,6 +938,14 @@
         }
     }
 
+    /// Sends the notice for a verdict that the journal holds; nothing if the message is completed.
+    fn resend_notice(&mut self, message: MessageId) {
+        let verdict = self.journal.state().pending.get(&message.0).and_then(|pending| pending.verdict);
+        if let Some(verdict) = verdict {
+            self.send_notice(message, verdict);
+        }
+    }
+
     /// The effects that replace a notice under an injected fault; `None` if the notice is to be sent as it is.
     #[cfg(feature = "broken")]
     fn faulty_notices(
--- a/crates/gullcart-engine/src/engine_snapshot.rs
+++ b/crates/gullcart-engine/src/engine_snapshot.rs
@@ -34,8 +34,16 @@
     #[error("the snapshot is corrupt")]
     Corrupt,
     /// The journal and the snapshot do not hold the same messages.
-    #[error("the snapshot and the journal hold different messages")]
-    JournalMismatch,
+    #[error(
+        "the snapshot and the journal hold different messages: {only_in_journal} are only in the journal, and \
+         {calls_without_message} calls in flight have no message there"
+    )]
+    JournalMismatch {
+        /// Number of undecided messages that the snapshot lacks.
+        only_in_journal: usize,
+        /// Number of calls in flight whose message the journal lacks.
+        calls_without_message: usize,
+    },
 }
 
 /// Precedes the snapshot. Its own format never changes, so that every release can read it.
--- a/crates/gullcart-engine/tests/carried.rs
+++ b/crates/gullcart-engine/tests/carried.rs
@@ -5,7 +5,7 @@
 use cloverstile::{Outcome, Time};
 use common::*;
 use gullcart_engine::{
-    Call, CallResult, Effect, Engine, EngineConfig, Input, ResumeError, Ticket, PROCESS_START,
+    Answer, Call, CallResult, Effect, Engine, EngineConfig, Input, ResumeError, Ticket, PROCESS_START,
 };
 use gullcart_journal::simulated::{Crash, Disk};
 use gullcart_journal::{Journal, Options};
@@ -124,7 +124,8 @@
     between.turn(later).unwrap();
     drop(between);
     let (_, resumed) = Engine::resume(config(Time(later.0)), journal(&disk, Crash::Process), &snapshot);
-    assert_eq!(resumed, Err(ResumeError::JournalMismatch));
+    let mismatch = ResumeError::JournalMismatch { only_in_journal: 1, calls_without_message: 0 };
+    assert_eq!(resumed, Err(mismatch));
 }
 
 /// The snapshot grows little with each message, as the content stays in the journal.
@@ -145,3 +146,104 @@
     println!("{few} bytes with 100 messages, {many} with 10,000");
     assert!((many - few) / 9_900 < 128, "{few}, {many}");
 }
+
+/// Starts a call to destination 1 whose client has left, and lets destination 0 tell the courier to wait for 2 s.
+fn engine_with_an_abandoned_call(disk: &Disk) -> (Engine<Disk>, Call) {
+    let mut engine = engine(disk, Crash::Process, PROCESS_START);
+    engine.handle(PROCESS_START, Input::Enqueue(Ticket(1), enqueue(1, "salary", 0)));
+    let refused = started_calls(&engine.turn(PROCESS_START).unwrap()).remove(0);
+    engine.handle(PROCESS_START, Input::Enqueue(Ticket(2), enqueue(2, "salary", 1)));
+    let abandoned = started_calls(&engine.turn(PROCESS_START).unwrap()).remove(0);
+    let retry_after = Outcome::Rejected(Some(Duration::from_secs(2)));
+    let refusal = call_result(retry_after);
+    engine.handle(PROCESS_START, Input::CallEnded(refused.message, refused.endpoint, refusal));
+    engine.handle(PROCESS_START, Input::AnswerUnacknowledged(abandoned.message));
+    (engine, abandoned)
+}
+
+/// Guards against a snapshot that is refused, with all retry-after times in it, because of a message whose client has left
+/// (`docs/incidents/handover-abandoned-message.md`).
+#[test]
+fn a_snapshot_is_resumed_although_a_client_left_during_its_call() {
+    let disk = Disk::new(DISK, Crash::Process, 1);
+    let (mut before, abandoned) = engine_with_an_abandoned_call(&disk);
+    let snapshot = before.freeze(PROCESS_START).unwrap().1.unwrap();
+    let (mut engine, resumed) =
+        Engine::resume(config(PROCESS_START), journal(&disk, Crash::Process), &snapshot);
+    assert_eq!(resumed, Ok(()));
+    let end = Input::CallEnded(abandoned.message, abandoned.endpoint, call_result(Outcome::Cancelled));
+    engine.handle(PROCESS_START, end);
+    engine.handle(PROCESS_START, Input::NoticesAcknowledged(vec![abandoned.message]));
+    let mut first_call_at = None;
+    for step in 0..100 {
+        let now = PROCESS_START + Duration::from_millis(50 * step);
+        if !started_calls(&engine.turn(now).unwrap()).is_empty() {
+            first_call_at.get_or_insert(now);
+        }
+    }
+    let retry_at = PROCESS_START + Duration::from_secs(2);
+    assert!(first_call_at.is_some_and(|at| at >= retry_at), "{first_call_at:?}");
+    assert_eq!(engine.journal().state().pending.len(), 1, "the abandoned message is still held");
+}
+
+/// Guards against the same fault where a notice is acknowledged before the call has been closed, as a hung one is at its deadline.
+#[test]
+fn a_snapshot_is_resumed_although_a_notice_was_acknowledged_before_its_call_ended() {
+    let disk = Disk::new(DISK, Crash::Process, 1);
+    let mut before = engine(&disk, Crash::Process, PROCESS_START);
+    let message = enqueue(1, "salary", 1);
+    // The notice comes a part of the settings' `AnswerSlack` after the deadline.
+    let deadline = PROCESS_START + message.time_left + Duration::from_millis(20);
+    before.handle(PROCESS_START, Input::Enqueue(Ticket(1), message));
+    let call = started_calls(&before.turn(PROCESS_START).unwrap()).remove(0);
+    let effects = before.turn(deadline).unwrap();
+    assert!(effects.iter().any(|effect| matches!(effect, Effect::SendNotice(_))), "{effects:?}");
+    before.handle(deadline, Input::NoticesAcknowledged(vec![call.message]));
+    let snapshot = before.freeze(deadline).unwrap().1.unwrap();
+    let (mut engine, resumed) = Engine::resume(config(deadline), journal(&disk, Crash::Process), &snapshot);
+    assert_eq!(resumed, Ok(()));
+    engine.handle(deadline, Input::NoticesAcknowledged(vec![call.message]));
+    engine.handle(deadline, Input::CallEnded(call.message, call.endpoint, call_result(Outcome::Cancelled)));
+    engine.turn(deadline).unwrap();
+    assert_eq!(engine.load(), (0, 0));
+}
+
+/// Guards against a message that is held until its call has ended being sent again by a process that replays the journal before.
+#[test]
+fn a_message_whose_client_left_is_not_sent_again_after_a_crash() {
+    for class in ["salary", "notice"] {
+        let disk = Disk::new(DISK, Crash::Process, 1);
+        let mut before = engine(&disk, Crash::Process, PROCESS_START);
+        before.handle(PROCESS_START, Input::Enqueue(Ticket(1), enqueue(1, class, 1)));
+        let call = started_calls(&before.turn(PROCESS_START).unwrap()).remove(0);
+        before.handle(PROCESS_START, Input::AnswerUnacknowledged(call.message));
+        before.turn(PROCESS_START).unwrap();
+        drop(before);
+        let mut engine = engine(&disk.after_crash(), Crash::Process, PROCESS_START);
+        for step in 0..100 {
+            let now = PROCESS_START + Duration::from_millis(50 * step);
+            assert_eq!(started_calls(&engine.turn(now).unwrap()), [], "{class}");
+        }
+    }
+}
+
+/// Guards against a second call for a message whose client has left and comes back while its first call is in flight.
+#[test]
+fn a_client_that_comes_back_during_the_call_learns_how_it_ended() {
+    for (outcome, has_notice) in [(Outcome::Ok, false), (Outcome::Cancelled, true)] {
+        let disk = Disk::new(DISK, Crash::Process, 1);
+        let (mut engine, abandoned) = engine_with_an_abandoned_call(&disk);
+        engine.turn(PROCESS_START).unwrap();
+        engine.handle(PROCESS_START, Input::Enqueue(Ticket(3), enqueue(2, "salary", 1)));
+        let effects = engine.turn(PROCESS_START).unwrap();
+        assert_eq!(effects, [Effect::Answer(Ticket(3), Answer::Held)]);
+        let end = Input::CallEnded(abandoned.message, abandoned.endpoint, call_result(outcome));
+        engine.handle(PROCESS_START, end);
+        let effects = engine.turn(PROCESS_START).unwrap();
+        let notices: Vec<_> =
+            effects.iter().filter(|effect| matches!(effect, Effect::SendNotice(_))).collect();
+        assert_eq!(notices.len(), usize::from(has_notice), "{outcome:?}: {effects:?}");
+        engine.handle(PROCESS_START, Input::NoticesAcknowledged(vec![abandoned.message]));
+        assert_eq!(engine.journal().state().pending.len(), 1, "{outcome:?}");
+    }
+}
--- a/crates/gullcart-engine/tests/once.rs
+++ b/crates/gullcart-engine/tests/once.rs
@@ -384,7 +384,12 @@
                 (Sent::All, false) => {}
             }
         }
+        // A client leaves while its call is in flight, right before the hand-over.
+        if let Some(message) = self.in_flight.keys().next() {
+            self.engine.handle(self.now, Input::AnswerUnacknowledged(*message));
+        }
         let (effects, snapshot) = self.engine.freeze(self.now).unwrap();
+        let has_unwritten_changes = self.engine.journal().has_unwritten_changes();
         self.execute_effects(effects);
         let mut snapshot = snapshot.unwrap();
         let is_damaged = self.rng.u8(..4) == 0;
@@ -393,6 +398,8 @@
         }
         let journal = journal(&self.disk, Crash::Process);
         let (engine, resumed) = Engine::resume(config(self.now, START_UNIX_MS), journal, &snapshot);
+        // What the journal could not write is missing in the next process.
+        assert!(resumed.is_ok() || is_damaged || has_unwritten_changes, "{resumed:?}");
         assert!(resumed.is_err() || !is_damaged);
         // The engine starts from the journal alone, even if some records could not be written before.
         if resumed.is_err() {
