Remember ended messages that may have run, so that no id is sent twice

What callers saw: a client that left, or lost its answer, handed the same id in again, and the endpoint got a second call for it, in one process and at the new process of an upgrade. Unsafe messages ran twice.

Cause: an id was known only while its message was held.

--- a/crates/gullcart-engine/src/engine.rs
+++ b/crates/gullcart-engine/src/engine.rs
@@ -16,6 +16,7 @@
 use crate::clock::Clock;
 use crate::destination_metrics::DestinationMetrics;
 use crate::directory::Directory;
+use crate::ended_messages::{EndedMessage, EndedMessages, MessageEnd};
 use crate::engine_snapshot::{
     self, EngineSnapshot, InFlightCall, ResumeError, SnapshotHeader, SNAPSHOT_FORMAT,
 };
@@ -47,6 +48,15 @@
     is_shared: bool,
 }
 
+/// How a message is completed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Completion {
+    /// It was delivered.
+    Delivered,
+    /// Nothing more is done for it.
+    Undelivered,
+}
+
 /// What to do with a message once its call has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum AfterCall {
@@ -98,6 +108,8 @@
     max_held: usize,
     /// The messages that are held, by the client's id.
     held_by_id: HashMap<String, HeldMessage>,
+    /// The messages that are over, by the client's id.
+    ended_messages: EndedMessages,
     /// Calls in flight. The map is ordered, so that a run can be reproduced. The journal holds the message of each of them, also
     /// if nobody waits for it any more: another process resumes the call from both.
     in_flight: BTreeMap<MessageId, InFlightCall>,
@@ -175,11 +187,13 @@
     }
 
     fn restore_from_snapshot(&mut self, now: Time, seed: u64, snapshot: EngineSnapshot) {
-        let EngineSnapshot { decision_logic, directory, in_flight, shared_messages, wake_up } = snapshot;
+        let EngineSnapshot { decision_logic, directory, in_flight, shared_messages, wake_up, ended_messages } =
+            snapshot;
         self.decision_logic = decision_logic.resumed(self.settings.clone(), seed);
         self.directory = directory.resumed();
         self.in_flight = in_flight;
         self.wake_up = wake_up;
+        self.ended_messages = ended_messages;
         for (number, pending) in &self.journal.state().pending {
             let is_shared = shared_messages.contains(&MessageId(*number));
             self.held_by_id.insert(pending.message.id.clone(), HeldMessage { number: *number, is_shared });
@@ -218,6 +232,7 @@
             directory: std::mem::take(&mut self.directory),
             in_flight: std::mem::take(&mut self.in_flight),
             wake_up: self.wake_up,
+            ended_messages: std::mem::take(&mut self.ended_messages),
         };
         Ok((effects, engine_snapshot::write(&header, &snapshot).ok()))
     }
@@ -272,6 +287,7 @@
             journal,
             directory,
             held_by_id: HashMap::new(),
+            ended_messages: EndedMessages::default(),
             in_flight: BTreeMap::new(),
             after_call: BTreeMap::new(),
             not_started: Vec::new(),
@@ -516,7 +532,7 @@
                     if let Some(pending) = self.journal.state().pending.get(&message.0) {
                         message_trace::notice_acknowledged(&pending.message.id);
                     }
-                    self.complete(now, message);
+                    self.complete(now, message, Completion::Undelivered);
                     self.decision_logic.handle(now, Event::AnswerAcknowledged(message));
                 }
             }
@@ -559,6 +575,15 @@
             }
             return Err(Answer::Held);
         }
+        match self.ended_messages.find(now, self.longest_deadline(), enqueue) {
+            // Nothing more is owed for it.
+            Some(EndedMessage::Same(MessageEnd::Delivered)) => return Err(Answer::Held),
+            Some(EndedMessage::Same(MessageEnd::MayHaveRun)) => {
+                return Err(Answer::Error("the message has ended and may have run"))
+            }
+            Some(EndedMessage::Other) => return Err(Answer::Error("the id was used for another message")),
+            None => {}
+        }
         let destination = DestinationId(enqueue.destination);
         if !self.journal.state().destinations.contains(&enqueue.destination) {
             return Err(Answer::Error("unknown destination"));
@@ -575,6 +600,11 @@
         Ok(max_time_left)
     }
 
+    /// The longest time that a message of any class may take; its client may come back with its id for so long.
+    fn longest_deadline(&self) -> Duration {
+        self.classes.iter().map(|class| class.deadline).max().unwrap_or_default()
+    }
+
     /// Records a message in the journal and accepts it. Its deadline is at most `max_time_left` away.
     fn accept(&mut self, now: Time, enqueue: Enqueue, max_time_left: Duration) -> Answer {
         let destination = DestinationId(enqueue.destination);
@@ -627,7 +657,7 @@
                 let written = self.journal.set_verdict(message.0, Verdict::Failed);
                 self.log_journal_error(now, written);
             }
-            self.complete(now, message);
+            self.complete(now, message, Completion::Undelivered);
             self.decision_logic.handle(now, Event::ClientGone(message));
         }
     }
@@ -752,7 +782,9 @@
                 self.log_journal_error(now, written);
                 self.send_notice(message, Verdict::Failed);
             } else {
-                self.complete(now, message);
+                let is_delivered = result.outcome == Outcome::Ok;
+                let completion = if is_delivered { Completion::Delivered } else { Completion::Undelivered };
+                self.complete(now, message, completion);
             }
         } else if is_start_recorded {
             // Without a recorded start the journal would apply the outcome to the previous attempt, which may have run and
@@ -761,7 +793,7 @@
             self.log_journal_error(now, written);
         }
         match after_call {
-            Some(AfterCall::Complete) => self.complete(now, message),
+            Some(AfterCall::Complete) => self.complete(now, message, Completion::Undelivered),
             Some(AfterCall::NotifyUndelivered) => self.resend_notice(message),
             None => {}
         }
@@ -796,13 +828,21 @@
 
     /// Stops holding a message: it was delivered, its notice was acknowledged, or no client waits for it. A message whose call is
     /// in flight is held until the call has ended.
-    fn complete(&mut self, now: Time, message: MessageId) {
+    fn complete(&mut self, now: Time, message: MessageId, completion: Completion) {
         if self.in_flight.contains_key(&message) {
             self.after_call.insert(message, AfterCall::Complete);
             return;
         }
         if let Some(pending) = self.journal.state().pending.get(&message.0) {
             message_trace::completed(&pending.message.id);
+            let may_have_run = pending.may_have_run.or(pending.in_flight).is_some();
+            let end = match completion {
+                Completion::Delivered => Some(MessageEnd::Delivered),
+                Completion::Undelivered => may_have_run.then_some(MessageEnd::MayHaveRun),
+            };
+            if let Some(end) = end {
+                self.ended_messages.record(now, self.longest_deadline(), &pending.message, end);
+            }
             self.held_by_id.remove(&pending.message.id);
             let written = self.journal.complete(message.0);
             self.log_journal_error(now, written);
--- a/crates/gullcart-engine/src/engine_snapshot.rs
+++ b/crates/gullcart-engine/src/engine_snapshot.rs
@@ -6,9 +6,13 @@
 use thiserror::Error;
 
 use crate::directory::Directory;
+use crate::ended_messages::EndedMessages;
 
 /// Version of the snapshot's format. Raise it with every change of a type that the snapshot contains.
-pub(crate) const SNAPSHOT_FORMAT: u32 = 4;
+pub(crate) const SNAPSHOT_FORMAT: u32 = 5;
+/// The previous format, which lacks the ended messages at the end. It is read too, so that an upgrade from the release that writes
+/// it keeps its state.
+const FORMAT_WITHOUT_ENDED_MESSAGES: u32 = 4;
 
 /// A call that is in flight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -64,26 +68,36 @@
     pub shared_messages: Vec<MessageId>,
     /// When the decision logic's timer is due, and the timer's token.
     pub wake_up: Option<(Time, u64)>,
+    /// Messages that have ended and may have run. Stands behind all other fields, see [`FORMAT_WITHOUT_ENDED_MESSAGES`].
+    #[serde(skip)]
+    pub ended_messages: EndedMessages,
 }
 
 /// Serializes the header and the snapshot.
 pub(crate) fn write(header: &SnapshotHeader, snapshot: &EngineSnapshot) -> Result<Vec<u8>, postcard::Error> {
     let bytes = postcard::to_extend(header, Vec::new())?;
-    postcard::to_extend(snapshot, bytes)
+    let bytes = postcard::to_extend(snapshot, bytes)?;
+    postcard::to_extend(&snapshot.ended_messages, bytes)
 }
 
 /// Deserializes a header and a snapshot, and checks the format and the checksum of the settings.
 pub(crate) fn read(bytes: &[u8], settings_checksum: u32) -> Result<EngineSnapshot, ResumeError> {
     let (header, rest): (SnapshotHeader, _) =
         postcard::take_from_bytes(bytes).map_err(|_| ResumeError::Corrupt)?;
-    if header.format != SNAPSHOT_FORMAT {
+    if ![SNAPSHOT_FORMAT, FORMAT_WITHOUT_ENDED_MESSAGES].contains(&header.format) {
         return Err(ResumeError::UnsupportedFormat(header.format));
     }
     if header.settings_checksum != settings_checksum {
         return Err(ResumeError::SettingsMismatch);
     }
-    match postcard::take_from_bytes(rest) {
-        Ok((snapshot, [])) => Ok(snapshot),
+    let (mut snapshot, mut rest): (EngineSnapshot, _) =
+        postcard::take_from_bytes(rest).map_err(|_| ResumeError::Corrupt)?;
+    if header.format != FORMAT_WITHOUT_ENDED_MESSAGES {
+        (snapshot.ended_messages, rest) =
+            postcard::take_from_bytes(rest).map_err(|_| ResumeError::Corrupt)?;
+    }
+    match rest {
+        [] => Ok(snapshot),
         _ => Err(ResumeError::Corrupt),
     }
 }
--- a/crates/gullcart-engine/src/lib.rs
+++ b/crates/gullcart-engine/src/lib.rs
@@ -15,6 +15,7 @@
 mod directory;
 mod discovery_backoff;
 mod duplicate_answers;
+mod ended_messages;
 mod engine;
 mod engine_snapshot;
 mod idle_connections;
--- a/crates/gullcart-engine/tests/carried.rs
+++ b/crates/gullcart-engine/tests/carried.rs
@@ -247,3 +247,40 @@
         assert_eq!(engine.journal().state().pending.len(), 1, "{outcome:?}");
     }
 }
+
+/// Guards against a second call for an id that comes again after its client has left and its call has ended, here or in the next
+/// process. A call that has surely not run does not count.
+#[test]
+fn an_id_whose_client_left_is_not_called_again() {
+    let outcomes = [(Outcome::Cancelled, false), (Outcome::Reset, false), (Outcome::ConnectFailed, true)];
+    for (outcome, is_accepted) in outcomes {
+        let disk = Disk::new(DISK, Crash::Process, 1);
+        let (mut before, abandoned) = engine_with_an_abandoned_call(&disk);
+        before.turn(PROCESS_START).unwrap();
+        let end = Input::CallEnded(abandoned.message, abandoned.endpoint, call_result(outcome));
+        before.handle(PROCESS_START, end);
+        before.turn(PROCESS_START).unwrap();
+        let snapshot = before.freeze(PROCESS_START).unwrap().1.unwrap();
+        let (mut engine, resumed) =
+            Engine::resume(config(PROCESS_START), journal(&disk, Crash::Process), &snapshot);
+        assert_eq!(resumed, Ok(()));
+        engine.handle(PROCESS_START, Input::Enqueue(Ticket(3), enqueue(2, "salary", 1)));
+        let effects = engine.turn(PROCESS_START).unwrap();
+        let is_taken = matches!(effects.first(), Some(Effect::Answer(Ticket(3), Answer::Taken(_))));
+        assert_eq!(is_taken, is_accepted, "{outcome:?}: {effects:?}");
+        assert!(is_accepted || started_calls(&effects).is_empty(), "{outcome:?}: {effects:?}");
+    }
+}
+
+/// Guards an upgrade from the release before, whose snapshots lack the ended messages at their end.
+#[test]
+fn a_snapshot_of_the_previous_format_is_resumed() {
+    let disk = Disk::new(DISK, Crash::Process, 1);
+    let (call, mut snapshot) = frozen(&disk);
+    // The format is the first byte, and the last one the number of ended messages.
+    assert_eq!((snapshot[0], snapshot.pop()), (5, Some(0)));
+    snapshot[0] = 4;
+    let (engine, resumed) = Engine::resume(config(PROCESS_START), journal(&disk, Crash::Process), &snapshot);
+    assert_eq!(resumed, Ok(()));
+    assert_eq!(engine.in_flight_call(call.message, call.try_for), Some(call));
+}
