Take no request of a client that has closed, although more of them are unread

What callers saw: a client sent many requests at once and closed, or gave up and handed them in elsewhere; they were sent on all the same, by the new process of an upgrade too.

Cause: whether a client had left was asked only once all its bytes were read. A connection that was handed over with unread requests was not looked at before they were taken.

Change: the runtime knows of the close before the bytes in front of it are read, and is asked before each message, which costs no system call. A connection that was handed over gives it a turn first. Such requests are answered -BUSY, as the last one was already, for a client that has only shut its sending side.

Ruled out: poll() with POLLRDHUP for each message (one system call each).

--- a/crates/gullcart/src/clients.rs
+++ b/crates/gullcart/src/clients.rs
@@ -6,10 +6,10 @@
 use std::io::{self, Read};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, SemaphorePermit};
-use tokio::task::yield_now;
+use tokio::task::{unconstrained, yield_now};
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 use tracing::{debug, enabled, warn, Level};
 
@@ -182,6 +182,10 @@
     /// Serves the connection until it ends or is handed over.
     async fn run(mut self, mut is_new: bool) -> io::Result<()> {
         self.stream.set_nodelay(true)?;
+        if !self.input.is_empty() {
+            // The runtime has to see first whether the client of a handed-over connection has closed it since.
+            yield_now().await;
+        }
         let slots = self.slot.slots.clone();
         let mut long_request_permit: Option<SemaphorePermit> = None;
         // When the wait ends for whatever comes next: the first request, the rest of a request, or another request.
@@ -331,8 +335,11 @@
     }
 
     /// Whether the client has closed its side. A client that did so before its reply has stopped waiting, and may be enqueueing
-    /// the message elsewhere already. One with more requests on the way has not closed.
-    fn is_client_gone(&mut self) -> bool {
+    /// the message elsewhere already.
+    async fn is_client_gone(&mut self) -> bool {
+        if self.is_close_received().await {
+            return true;
+        }
         self.input.is_empty()
             && match self.stream.try_read_buf(&mut self.input) {
                 Ok(count) => count == 0,
@@ -340,6 +347,17 @@
             }
     }
 
+    /// Whether the runtime has seen that the client closed its side, which it learns before the bytes in front of the close are
+    /// read. Does not wait.
+    async fn is_close_received(&self) -> bool {
+        let readiness = unconstrained(self.stream.ready(Interest::READABLE));
+        tokio::select! {
+            biased;
+            ready = readiness => ready.map_or(true, |ready| ready.is_read_closed()),
+            () = std::future::ready(()) => false,
+        }
+    }
+
     /// Handles one request; none if the courier has shut down.
     async fn handle_request(&mut self, arguments: &[Bytes]) -> io::Result<Option<()>> {
         let command = arguments.first().map(|name| name.to_ascii_uppercase());
@@ -350,7 +368,7 @@
             }
             Some(b"ENQUEUE") => match parse_enqueue(arguments) {
                 Ok(enqueue) => {
-                    if !self.is_client_gone() {
+                    if !self.is_client_gone().await {
                         return self.enqueue(enqueue).await;
                     }
                     // A client that has only shut its sending side down still reads this.
@@ -448,3 +466,6 @@
     }
     BUFFER.with_borrow_mut(|buffer| stream.try_read(buffer))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gullcart/tests/returning_ids.rs
+++ b/crates/gullcart/tests/returning_ids.rs
@@ -111,3 +111,30 @@
     wait_for_metric(&courier, "in_flight", 0);
     assert_eq!(enqueue(), "+OK");
 }
+
+/// Bytes of requests that enqueue the messages `<prefix>0` and so on.
+fn requests(prefix: &str, count: usize) -> Vec<u8> {
+    let fields = "d=20000,c=salary,dest=1";
+    let request = |number: usize| {
+        let id = format!("{prefix}{number}");
+        let (id_bytes, field_bytes) = (id.len(), fields.len());
+        format!(
+            "*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n${id_bytes}\r\n{id}\r\n${field_bytes}\r\n{fields}\r\n$1\r\nx\r\n"
+        )
+    };
+    (0..count).map(request).collect::<String>().into_bytes()
+}
+
+/// Guards against requests that are sent on although their client had closed before the first of them was read.
+#[test]
+fn requests_of_a_client_that_has_closed_are_not_sent_on() {
+    let world = World::new(PROGRAM, 1, 3.0);
+    let courier = world.start();
+    let mut client = courier.client();
+    assert_eq!(client.request(&["PING"]), "+PONG");
+    courier.while_stopped(|| {
+        client.send(&requests("p", 200));
+        drop(client);
+    });
+    world.expect_nothing();
+}
