Limit each client's share of held messages, and take none without time left

What callers saw: while one client handed in messages at full speed on one connection, the others were answered -BUSY, 398 of 473 of their messages in 3 s. Messages with d=0 took places too until their notices were acknowledged.

Cause: places were given to who came first.

Ruled out: an even part for each client (their number is not known), a rate.

Change: a client may hold twice as many messages as there are free places. A message without time left is an error.

--- a/crates/gullcart-emulator/src/clients.rs
+++ b/crates/gullcart-emulator/src/clients.rs
@@ -124,6 +124,7 @@
             idempotency_key: (class.effect == Effect::Keyed).then(|| ids::idempotency_key(origin as u64)),
             from_dead_courier,
             body: ids::body(origin as u64, self.scenario.traffic.body).into(),
+            client: None,
         };
         self.deliver_input(courier, incarnation, Input::Enqueue(Ticket(request.0), enqueue));
     }
--- a/crates/gullcart-engine/src/ended_messages/tests.rs
+++ b/crates/gullcart-engine/src/ended_messages/tests.rs
@@ -27,6 +27,7 @@
         idempotency_key,
         from_dead_courier: false,
         body,
+        client: None,
     }
 }
 
--- a/crates/gullcart-engine/src/engine.rs
+++ b/crates/gullcart-engine/src/engine.rs
@@ -13,6 +13,7 @@
 
 #[cfg(feature = "broken")]
 use crate::broken::{Fault, FaultInjector, LIST_UPDATE_DELAY};
+use crate::client_shares::ClientShares;
 use crate::clock::Clock;
 use crate::destination_metrics::DestinationMetrics;
 use crate::directory::Directory;
@@ -25,7 +26,8 @@
 use crate::rate_limited_log::RateLimitedLog;
 use crate::trial_duties::{DutyView, TrialDuties, TrialRequest};
 use crate::types::{
-    Answer, Call, CallResult, CommandError, Effect, Enqueue, Input, Notice, OperatorCommand, StopReason,
+    Answer, Call, CallResult, ClientId, CommandError, Effect, Enqueue, Input, Notice, OperatorCommand,
+    StopReason,
 };
 
 /// Longest time from SIGTERM until the process exits. The platform sends SIGKILL 3.7 s after SIGTERM.
@@ -46,6 +48,8 @@
     number: u32,
     /// A later enqueue request was answered that the message is already held, so the first client may not drop it any more.
     is_shared: bool,
+    /// The client whose share it takes; none if it was restored from the journal.
+    client: Option<ClientId>,
 }
 
 /// How a message is completed.
@@ -108,6 +112,7 @@
     max_held: usize,
     /// The messages that are held, by the client's id.
     held_by_id: HashMap<String, HeldMessage>,
+    client_shares: ClientShares,
     /// The messages that are over, by the client's id.
     ended_messages: EndedMessages,
     /// Calls in flight. The map is ordered, so that a run can be reproduced. The journal holds the message of each of them, also
@@ -196,7 +201,8 @@
         self.ended_messages = ended_messages;
         for (number, pending) in &self.journal.state().pending {
             let is_shared = shared_messages.contains(&MessageId(*number));
-            self.held_by_id.insert(pending.message.id.clone(), HeldMessage { number: *number, is_shared });
+            let held = HeldMessage { number: *number, is_shared, client: None };
+            self.held_by_id.insert(pending.message.id.clone(), held);
             self.counts.recovered += u64::from(pending.verdict.is_none());
             // The platform may not have acknowledged the notice yet. Receiving it twice is harmless.
             if let Some(verdict) = pending.verdict {
@@ -287,6 +293,7 @@
             journal,
             directory,
             held_by_id: HashMap::new(),
+            client_shares: ClientShares::default(),
             ended_messages: EndedMessages::default(),
             in_flight: BTreeMap::new(),
             after_call: BTreeMap::new(),
@@ -440,7 +447,8 @@
     }
 
     fn restore_message(&mut self, now: Time, number: u32, pending: &PendingMessage) {
-        self.held_by_id.insert(pending.message.id.clone(), HeldMessage { number, is_shared: false });
+        let held = HeldMessage { number, is_shared: false, client: None };
+        self.held_by_id.insert(pending.message.id.clone(), held);
         let message = MessageId(number);
         let Some(accepted) = self.to_accepted(number, &pending.message) else {
             warn!(
@@ -593,8 +601,13 @@
         if class.effect == cloverstile::Effect::Keyed && enqueue.idempotency_key.is_none() {
             return Err(Answer::Error("k is missing"));
         }
+        // It could only be answered as accepted and then end by a notice.
+        if enqueue.time_left.is_zero() {
+            return Err(Answer::Error("no time is left"));
+        }
         let max_time_left = class.deadline;
-        if !admitted || self.journal.state().pending.len() >= self.max_held {
+        let free_places = self.max_held.saturating_sub(self.journal.state().pending.len());
+        if !admitted || !self.client_shares.may_add(enqueue.client, free_places) {
             return Err(Answer::Busy(Some(self.decision_logic.retry_after(now, destination))));
         }
         Ok(max_time_left)
@@ -607,7 +620,7 @@
 
     /// Records a message in the journal and accepts it. Its deadline is at most `max_time_left` away.
     fn accept(&mut self, now: Time, enqueue: Enqueue, max_time_left: Duration) -> Answer {
-        let destination = DestinationId(enqueue.destination);
+        let (destination, client) = (DestinationId(enqueue.destination), enqueue.client);
         let accepted = AcceptedMessage {
             id: enqueue.id,
             order_key: enqueue.order_key,
@@ -623,7 +636,8 @@
             Ok(number) => {
                 self.counts.accepted += 1;
                 self.destination_metrics.message_accepted(destination);
-                self.held_by_id.insert(id, HeldMessage { number, is_shared: false });
+                self.held_by_id.insert(id, HeldMessage { number, is_shared: false, client });
+                self.client_shares.add(client);
                 let accepted = self.journal.state().pending.get(&number).map(|pending| &pending.message);
                 accepted.into_iter().for_each(|accepted| message_trace::accepted(number, accepted));
                 #[cfg(feature = "broken")]
@@ -843,7 +857,9 @@
             if let Some(end) = end {
                 self.ended_messages.record(now, self.longest_deadline(), &pending.message, end);
             }
-            self.held_by_id.remove(&pending.message.id);
+            if let Some(held) = self.held_by_id.remove(&pending.message.id) {
+                self.client_shares.remove(held.client);
+            }
             let written = self.journal.complete(message.0);
             self.log_journal_error(now, written);
         }
--- a/crates/gullcart-engine/src/lib.rs
+++ b/crates/gullcart-engine/src/lib.rs
@@ -10,6 +10,7 @@
 
 #[cfg(feature = "broken")]
 pub mod broken;
+mod client_shares;
 mod clock;
 mod destination_metrics;
 mod directory;
@@ -41,6 +42,6 @@
 pub use rate_limited_log::RateLimitedLog;
 pub use trial_duties::{DutyHolder, DutyReport, DutyView, TrialDuties, TrialRequest};
 pub use types::{
-    Answer, Call, CallResult, CommandError, Effect, Enqueue, Input, Notice, OperatorCommand, StopReason,
-    Ticket,
+    Answer, Call, CallResult, ClientId, CommandError, Effect, Enqueue, Input, Notice, OperatorCommand,
+    StopReason, Ticket,
 };
--- a/crates/gullcart-engine/src/types.rs
+++ b/crates/gullcart-engine/src/types.rs
@@ -9,6 +9,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// The connection on which a request came, unique in its process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ClientId(pub u64);
+
 /// A message that a client enqueues.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Enqueue {
@@ -29,6 +33,8 @@
     pub from_dead_courier: bool,
     /// The content.
     pub body: Bytes,
+    /// The client, whose share of the places for messages is limited; without one it is not.
+    pub client: Option<ClientId>,
 }
 
 impl Enqueue {
--- a/crates/gullcart-engine/tests/common/mod.rs
+++ b/crates/gullcart-engine/tests/common/mod.rs
@@ -88,5 +88,6 @@
         idempotency_key: (class == "notice").then(|| format!("k{number}")),
         from_dead_courier: false,
         body: Bytes::from_static(b"x"),
+        client: None,
     }
 }
--- a/crates/gullcart-engine/tests/once.rs
+++ b/crates/gullcart-engine/tests/once.rs
@@ -328,6 +328,7 @@
             idempotency_key: (class != "salary").then(|| format!("k{number}")),
             from_dead_courier,
             body: Bytes::from_static(b"x"),
+            client: None,
         };
         let received = self.received.entry(enqueue.id.clone()).or_default();
         if received.class.is_empty() {
--- a/crates/gullcart-engine/tests/taken_on.rs
+++ b/crates/gullcart-engine/tests/taken_on.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::*;
-use gullcart_engine::{Answer, Effect, Engine, Input, Ticket, PROCESS_START};
+use gullcart_engine::{Answer, ClientId, Effect, Engine, Enqueue, Input, Ticket, PROCESS_START};
 use gullcart_journal::simulated::{Crash, Disk};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -116,3 +116,42 @@
     assert_eq!(untried.difference(&calls).count(), 0, "without a call: {:?}", untried.difference(&calls));
     assert!(notices.is_subset(&tried), "ended untried: {:?}", notices.difference(&tried));
 }
+
+/// Enqueues a message of a client and returns the answer.
+fn answer_to(engine: &mut Engine<Disk>, number: u64, client: u64, time_left: Duration) -> Answer {
+    let client = Some(ClientId(client));
+    let enqueue = Enqueue { client, time_left, ..enqueue(number, "salary", 1) };
+    engine.handle(PROCESS_START, Input::Enqueue(Ticket(number), enqueue));
+    let answer = |effect: Effect| match effect {
+        Effect::Answer(_, answer) => Some(answer),
+        _ => None,
+    };
+    engine.turn(PROCESS_START).unwrap().into_iter().find_map(answer).unwrap()
+}
+
+/// Guards against one client that takes the places of all others, as the settings let 60 messages be held.
+#[test]
+fn one_client_leaves_places_to_others() {
+    let disk = Disk::new(DISK, Crash::Process, 1);
+    let mut engine = engine(&disk, Crash::Process, PROCESS_START);
+    let is_taken = |answer: &Answer| matches!(answer, Answer::Taken(_));
+    let mut enqueue = |numbers: std::ops::Range<u64>, client: u64| {
+        let answers = numbers.map(|number| answer_to(&mut engine, number, client, Duration::from_secs(20)));
+        answers.filter(is_taken).count()
+    };
+    assert_eq!(enqueue(1..101, 1), 41);
+    // Others get two thirds of what is left.
+    assert_eq!(enqueue(101..201, 2), 13);
+    assert!(enqueue(201..301, 3) >= 4);
+    assert_eq!(enqueue(301..311, 1), 0);
+}
+
+/// Guards against messages that only wait for the acknowledgement of their notices and take places meanwhile.
+#[test]
+fn a_message_without_time_takes_no_place() {
+    let disk = Disk::new(DISK, Crash::Process, 1);
+    let mut engine = engine(&disk, Crash::Process, PROCESS_START);
+    let answer = answer_to(&mut engine, 1, 1, Duration::ZERO);
+    assert!(matches!(answer, Answer::Error(_)), "{answer:?}");
+    assert_eq!(engine.load(), (0, 0));
+}
--- a/crates/gullcart/src/clients.rs
+++ b/crates/gullcart/src/clients.rs
@@ -367,7 +367,8 @@
                 return self.flush_if_large().await.map(Some);
             }
             Some(b"ENQUEUE") => match parse_enqueue(arguments) {
-                Ok(enqueue) => {
+                Ok(mut enqueue) => {
+                    enqueue.client = Some(self.slot.client_id());
                     if !self.is_client_gone().await {
                         return self.enqueue(enqueue).await;
                     }
--- a/crates/gullcart/src/connection_slots.rs
+++ b/crates/gullcart/src/connection_slots.rs
@@ -1,6 +1,7 @@
 //! Slots for clients' connections, and which connection is closed when slots run short. Without sockets: each connection
 //! reports its own state.
 
+use gullcart_engine::ClientId;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -227,6 +228,11 @@
 }
 
 impl ConnectionSlot {
+    /// The client of this connection, as the engine knows it.
+    pub fn client_id(&self) -> ClientId {
+        ClientId(self.id)
+    }
+
     /// Records that more of a request has arrived.
     pub fn record_progress(&self) {
         if let Some(entry) = self.slots.table.borrow_mut().connections.get_mut(&self.id) {
--- a/crates/gullcart/src/driver/tests.rs
+++ b/crates/gullcart/src/driver/tests.rs
@@ -79,6 +79,7 @@
             idempotency_key: None,
             from_dead_courier: false,
             body: Bytes::from_static(b"x"),
+            client: None,
         };
         let sender = self.sender.clone();
         spawn_local(async move { sender.enqueue(message).await });
--- a/crates/gullcart/src/resp.rs
+++ b/crates/gullcart/src/resp.rs
@@ -123,6 +123,7 @@
         from_dead_courier: field("again") == Some("1"),
         // Copied: a slice would keep the whole request in memory.
         body: Bytes::copy_from_slice(body),
+        client: None,
     })
 }
 
