Refuse a hand-over once the state folder was replaced by another one

What callers saw: a folder was removed and made anew while its courier ran. A process on the new folder was given the courier, dropped its state, and what had been accepted was neither delivered nor ended.

Ruled out: an id in the name (releases before would not be found).

Change: before it hands over, the courier compares the lock file that it holds with the one at its path.

--- a/crates/gullcart-journal/src/journal.rs
+++ b/crates/gullcart-journal/src/journal.rs
@@ -137,6 +137,11 @@
         }
         Self::replay(store, disk_bytes, options, fastrand::u64(1..))
     }
+
+    /// Whether another process that opens the folder at this path finds this journal. It does not if the folder was replaced.
+    pub fn is_in_place(&self) -> bool {
+        self.log.store().is_in_place()
+    }
 }
 
 impl<S: Store> Journal<S> {
--- a/crates/gullcart-journal/src/segment_log.rs
+++ b/crates/gullcart-journal/src/segment_log.rs
@@ -103,6 +103,11 @@
 }
 
 impl<S: Store> SegmentLog<S> {
+    /// The folder.
+    pub fn store(&self) -> &S {
+        &self.store
+    }
+
     pub fn new(
         store: S,
         plan: SpacePlan,
--- a/crates/gullcart-journal/src/store.rs
+++ b/crates/gullcart-journal/src/store.rs
@@ -3,7 +3,7 @@
 
 use std::fs::{self, File, OpenOptions, TryLockError};
 use std::io;
-use std::os::unix::fs::FileExt;
+use std::os::unix::fs::{FileExt, MetadataExt};
 use std::path::{Path, PathBuf};
 
 /// A folder of files. An operation that fails may have happened in part.
@@ -43,7 +43,7 @@
 pub struct Folder {
     path: PathBuf,
     directory: File,
-    _lock: File,
+    lock: File,
 }
 
 impl Folder {
@@ -65,7 +65,16 @@
             }
             Err(TryLockError::Error(error)) => return Err(error),
         }
-        Ok(Folder { path: path.to_owned(), directory: File::open(path)?, _lock: lock })
+        Ok(Folder { path: path.to_owned(), directory: File::open(path)?, lock })
+    }
+
+    /// Whether the folder at this path is still the one that was locked. A folder that was removed and created anew may have
+    /// the same inode, but its lock file is another one.
+    pub fn is_in_place(&self) -> bool {
+        let identity = |metadata: fs::Metadata| (metadata.dev(), metadata.ino());
+        let found = fs::metadata(self.path.join(LOCK_FILE_NAME)).map(identity);
+        let locked = self.lock.metadata().map(identity);
+        matches!((found, locked), (Ok(found), Ok(locked)) if found == locked)
     }
 
     /// Path of the folder.
--- a/crates/gullcart/src/driver.rs
+++ b/crates/gullcart/src/driver.rs
@@ -406,6 +406,11 @@
                     if let Some(more) = self.refused_handover_log.due(self.clock.now()) {
                         info!(more, "hand-over refused during shutdown; the new process can start once this one has ended");
                     }
+                } else if !self.engine.journal().is_in_place() {
+                    // The new process has a folder of its own, whose inode may be the same.
+                    if let Some(more) = self.refused_handover_log.due(self.clock.now()) {
+                        warn!(more, "hand-over refused: the state folder was replaced, and the new process belongs to another courier");
+                    }
                 } else if upgrade::receive_hello(&mut stream) {
                     return Some(stream);
                 }
