--- a/crates/gullcart-standins/src/world/config.rs
+++ b/crates/gullcart-standins/src/world/config.rs
@@ -29,7 +29,7 @@
         ];
         let config = json!({
             "name": "n0", "listen": "127.0.0.1:0", "discovery": agent.address.to_string(), "seed": "7",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets, "disk_mb": self.disk_mb},
+            "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets, "disk_mb": self.disk_mb},
             "known": {"rev": 1, "all": true, "targets": targets},
             "settings": {
                 "Balancers": self.couriers, "Lanes": classes, "MachineTypes": ["banks"], "Zones": ["kingston"],
--- a/crates/gullcart-standins/src/world/courier.rs
+++ b/crates/gullcart-standins/src/world/courier.rs
@@ -201,8 +201,17 @@
 
     /// Resident memory of the process, in KiB.
     pub fn resident_kib(&self) -> u64 {
+        self.memory_kib("VmRSS:")
+    }
+
+    /// Peak of the resident memory so far, in KiB.
+    pub fn peak_resident_kib(&self) -> u64 {
+        self.memory_kib("VmHWM:")
+    }
+
+    fn memory_kib(&self, name: &str) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix(name)).unwrap();
         line.split_whitespace().next().unwrap().parse().unwrap()
     }
 
--- a/crates/gullcart-standins/src/world/harness.rs
+++ b/crates/gullcart-standins/src/world/harness.rs
@@ -28,6 +28,8 @@
     pub slots: u32,
     /// Limit of sockets in the configuration.
     pub sockets: u32,
+    /// Limit of memory in the configuration, in MB.
+    pub memory_mb: u64,
     /// Limit of open descriptors that the system enforces, if it is to be lower than usual.
     pub descriptor_limit: Option<u32>,
     /// Whether each endpoint has a separate destination, numbered from 1. Otherwise all belong to destination 1.
@@ -81,6 +83,7 @@
             max_held: 400,
             slots: 16,
             sockets: 1024,
+            memory_mb: 192,
             descriptor_limit: None,
             separate_destinations: false,
             couriers: 1,
--- a/crates/gullcart/tests/common/mod.rs
+++ b/crates/gullcart/tests/common/mod.rs
@@ -76,6 +76,11 @@
         Group { worlds, files, _reserved: reserved }
     }
 
+    /// Where a courier's member listens for the others.
+    pub fn address(&self, place: usize) -> SocketAddr {
+        Settings::read(&self.files[place]).unwrap().members[place].address
+    }
+
     /// The status that a courier's member reports.
     pub fn status(&self, place: usize) -> Option<Status> {
         let settings = Settings::read(&self.files[place]).unwrap();
