--- a/crates/gullcart-engine/src/ended_messages.rs
+++ b/crates/gullcart-engine/src/ended_messages.rs
@@ -10,8 +10,9 @@
 use crate::types::Enqueue;
 use gullcart_message::AcceptedMessage;
 
-/// Maximum number of messages remembered; the oldest is forgotten first. Some 100 bytes each.
-const MAX_REMEMBERED: usize = 16_384;
+/// Maximum number of messages remembered, the oldest is forgotten first. A hash table of 16,384 slots is full with them; some 110 bytes
+/// each.
+const MAX_REMEMBERED: usize = 14_336;
 
 /// How a message ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/gullcart-standins/src/world/courier.rs
+++ b/crates/gullcart-standins/src/world/courier.rs
@@ -4,8 +4,8 @@
 use super::client::Client;
 use super::harness::World;
 use super::TIMEOUT;
-use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -140,6 +140,15 @@
         address.unwrap().trim_matches('"').parse().unwrap()
     }
 
+    /// Sends a line to the console, and returns all that it answers.
+    pub fn ask_console(&self, line: &str) -> String {
+        let mut stream = TcpStream::connect(self.console()).unwrap();
+        stream.write_all(line.as_bytes()).unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        text
+    }
+
     /// Connects a client to the courier.
     pub fn client(&self) -> Client {
         Client::connect(self.address)
--- a/crates/gullcart/tests/returning_ids.rs
+++ b/crates/gullcart/tests/returning_ids.rs
@@ -1,28 +1,17 @@
 //! Clients that leave, and ids that come again: no id is sent to an endpoint twice, in one process and around an upgrade.
 
 use gullcart_standins::world::*;
-use std::io::{Read, Write};
-use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_gullcart");
 /// Limit on the time until a metric has an expected value.
 const METRIC_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The console's answer to a line.
-fn ask(courier: &Courier, line: &str) -> String {
-    let mut stream = TcpStream::connect(courier.console()).unwrap();
-    stream.write_all(line.as_bytes()).unwrap();
-    let mut text = String::new();
-    stream.read_to_string(&mut text).unwrap();
-    text
-}
-
 /// Waits until a metric has a value.
 fn wait_for_metric(courier: &Courier, name: &str, value: u64) {
     let line = format!("edge_balancer.{name}:{value}|");
     let end = Instant::now() + METRIC_TIMEOUT;
-    while !ask(courier, "METRICS\n").contains(&line) {
+    while !courier.ask_console("METRICS\n").contains(&line) {
         assert!(Instant::now() < end, "{name} is not {value}");
     }
 }
--- a/crates/gullcart/tests/upgrade.rs
+++ b/crates/gullcart/tests/upgrade.rs
@@ -4,7 +4,6 @@
 use gullcart_journal::Folder;
 use gullcart_standins::world::*;
 use std::io::{Read, Write};
-use std::net::TcpStream;
 use std::os::linux::net::SocketAddrExt;
 use std::os::unix::fs::MetadataExt;
 use std::os::unix::net::{SocketAddr, UnixListener, UnixStream};
@@ -19,11 +18,7 @@
 
 /// The console's answer to a line.
 fn ask(courier: &Courier, line: &str) -> String {
-    let mut stream = TcpStream::connect(courier.console()).unwrap();
-    stream.write_all(line.as_bytes()).unwrap();
-    let mut text = String::new();
-    stream.read_to_string(&mut text).unwrap();
-    text
+    courier.ask_console(line)
 }
 
 /// The value of a metric.
