Limit the share of held messages for fast clients alone

Cause: a courier of a fleet has few connections and holds few messages, and turned messages away with a third of its places free.

Change: the share binds a client that hands in more than half of all that may be held within a second; what may be held is the full load of several seconds.

--- a/crates/gullcart-engine/src/engine.rs
+++ b/crates/gullcart-engine/src/engine.rs
@@ -282,10 +282,11 @@
         parsed.settings.max_pause = MAX_PAUSE;
         let directory = Directory::new(&parsed);
         let settings = parsed.settings;
+        let max_held = settings.max_held;
         let mut engine = Engine {
             class_names: parsed.class_names,
             classes: settings.classes.clone(),
-            max_held: settings.max_held,
+            max_held,
             settings: settings.clone(),
             settings_checksum,
             decision_logic: Courier::new(settings, seed),
@@ -293,7 +294,7 @@
             journal,
             directory,
             held_by_id: HashMap::new(),
-            client_shares: ClientShares::default(),
+            client_shares: ClientShares::new(max_held),
             ended_messages: EndedMessages::default(),
             in_flight: BTreeMap::new(),
             after_call: BTreeMap::new(),
@@ -607,7 +608,7 @@
         }
         let max_time_left = class.deadline;
         let free_places = self.max_held.saturating_sub(self.journal.state().pending.len());
-        if !admitted || !self.client_shares.may_add(enqueue.client, free_places) {
+        if !admitted || !self.client_shares.admits(now, enqueue.client, free_places) {
             return Err(Answer::Busy(Some(self.decision_logic.retry_after(now, destination))));
         }
         Ok(max_time_left)
@@ -637,7 +638,7 @@
                 self.counts.accepted += 1;
                 self.destination_metrics.message_accepted(destination);
                 self.held_by_id.insert(id, HeldMessage { number, is_shared: false, client });
-                self.client_shares.add(client);
+                self.client_shares.add(now, client);
                 let accepted = self.journal.state().pending.get(&number).map(|pending| &pending.message);
                 accepted.into_iter().for_each(|accepted| message_trace::accepted(number, accepted));
                 #[cfg(feature = "broken")]
